--- /dev/null
+++ b/core/operation/doc.go
@@ -0,0 +1,2 @@
+// Package operation runs non-idempotent calls at most once.
+package operation
--- /dev/null
+++ b/node/lib/options/options.go
@@ -0,0 +1,109 @@
+// Package options parses and checks the settings that both programs share.
+package options
+
+import (
+	"fmt"
+	"net"
+	"net/url"
+	"os"
+	"slices"
+	"strings"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/jessevdk/go-flags"
+
+	"github.com/laburnumloft/laburnumloft/node/lib/telemetry"
+)
+
+// ExitUsage is the exit code for a setting that was refused.
+const ExitUsage = 2
+
+// Place says where a process runs.
+type Place struct {
+	ID     string `long:"id" env:"LABURNUM_ID" required:"true" description:"unique name of this process"`
+	Region string `long:"region" env:"LABURNUM_REGION" required:"true" description:"region of this VM"`
+	Zone   string `long:"zone" env:"LABURNUM_ZONE" required:"true" description:"availability zone of this VM"`
+}
+
+// Telemetry selects the forms of logs and traces.
+type Telemetry struct {
+	LogLevel      string `long:"log-level" env:"LABURNUM_LOG_LEVEL" default:"info" description:"trace, debug, info, warn or error"`
+	LogFormat     string `long:"log-format" env:"LABURNUM_LOG_FORMAT" default:"text" description:"text or json"`
+	TraceExporter string `long:"trace-exporter" env:"LABURNUM_TRACE_EXPORTER" default:"off" description:"off, stdout or otlp"`
+	OTLPEndpoint  string `long:"otlp-endpoint" env:"LABURNUM_OTLP_ENDPOINT" description:"URL of an OTLP/HTTP collector"`
+}
+
+// Invalid is a setting that was refused.
+type Invalid struct {
+	Name, Value, Allowed string
+}
+
+// Error implements error.
+func (e *Invalid) Error() string {
+	return fmt.Sprintf("setting --%s has value %q; allowed: %s", e.Name, e.Value, e.Allowed)
+}
+
+// Config returns the telemetry configuration of a program.
+func (t Telemetry) Config(program, id string) telemetry.Config {
+	return telemetry.Config{
+		Program: program, ID: id, LogLevel: t.LogLevel, LogFormat: t.LogFormat, LogOutput: os.Stderr,
+		TraceExporter: t.TraceExporter, OTLPEndpoint: t.OTLPEndpoint,
+	}
+}
+
+// Check reports the first setting that is out of range.
+func (t Telemetry) Check() error {
+	if hclog.LevelFromString(t.LogLevel) == hclog.NoLevel {
+		return &Invalid{"log-level", t.LogLevel, "trace, debug, info, warn, error"}
+	}
+	if err := OneOf("log-format", t.LogFormat, "text", "json"); err != nil {
+		return err
+	}
+	if err := OneOf("trace-exporter", t.TraceExporter, "off", "stdout", "otlp"); err != nil {
+		return err
+	}
+	if t.TraceExporter == "otlp" {
+		return URL("otlp-endpoint", t.OTLPEndpoint)
+	}
+	return nil
+}
+
+// OneOf checks that value is one of allowed.
+func OneOf(name, value string, allowed ...string) error {
+	if slices.Contains(allowed, value) {
+		return nil
+	}
+	return &Invalid{name, value, strings.Join(allowed, ", ")}
+}
+
+// URL checks that value is an absolute http or https URL.
+func URL(name, value string) error {
+	u, err := url.Parse(value)
+	if err != nil || u.Host == "" || (u.Scheme != "http" && u.Scheme != "https") {
+		return &Invalid{name, value, "an http or https URL"}
+	}
+	return nil
+}
+
+// Address checks that value is an IP address and a port.
+func Address(name, value string) error {
+	host, _, err := net.SplitHostPort(value)
+	if err != nil || net.ParseIP(host) == nil {
+		return &Invalid{name, value, "IP:PORT"}
+	}
+	return nil
+}
+
+// Exit prints the error of a parser on one line and returns the exit code:
+// 0 for --help.
+func Exit(err error) int {
+	if err == nil {
+		return 0
+	}
+	if flagErr, ok := err.(*flags.Error); ok && flagErr.Type == flags.ErrHelp {
+		fmt.Println(flagErr.Message)
+		return 0
+	}
+	fmt.Fprintln(os.Stderr, strings.ReplaceAll(err.Error(), "\n", " "))
+	return ExitUsage
+}
--- /dev/null
+++ b/node/lib/telemetry/telemetry.go
@@ -0,0 +1,109 @@
+// Package telemetry sets up logs and traces.
+package telemetry
+
+import (
+	"context"
+	"io"
+	"net/http"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/rotisserie/eris"
+	"go.opentelemetry.io/otel"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/codes"
+	"go.opentelemetry.io/otel/exporters/otlp/otlptrace/otlptracehttp"
+	"go.opentelemetry.io/otel/exporters/stdout/stdouttrace"
+	"go.opentelemetry.io/otel/propagation"
+	"go.opentelemetry.io/otel/sdk/resource"
+	sdktrace "go.opentelemetry.io/otel/sdk/trace"
+	"go.opentelemetry.io/otel/trace"
+)
+
+// tracerName identifies the instrumentation of this project.
+const tracerName = "github.com/laburnumloft/laburnumloft/node"
+
+// Config selects the forms of logs and traces.
+type Config struct {
+	// Program and ID label traces.
+	Program, ID string
+	// LogLevel is an hclog level; LogFormat is "text" or "json".
+	LogLevel, LogFormat string
+	LogOutput           io.Writer
+	// TraceExporter is "off", "stdout" or "otlp".
+	TraceExporter string
+	// OTLPEndpoint is the URL of an OTLP/HTTP collector.
+	OTLPEndpoint string
+}
+
+// NewLogger returns the root logger of a program.
+func NewLogger(cfg Config) hclog.Logger {
+	return hclog.New(&hclog.LoggerOptions{
+		Name:       cfg.Program,
+		Level:      hclog.LevelFromString(cfg.LogLevel),
+		JSONFormat: cfg.LogFormat == "json",
+		Output:     cfg.LogOutput,
+	})
+}
+
+// StartTracing installs the tracer provider and returns its shutdown.
+func StartTracing(ctx context.Context, cfg Config) (func(context.Context) error, error) {
+	otel.SetTextMapPropagator(propagation.TraceContext{})
+	var exporter sdktrace.SpanExporter
+	var err error
+	switch cfg.TraceExporter {
+	case "stdout":
+		exporter, err = stdouttrace.New()
+	case "otlp":
+		exporter, err = otlptracehttp.New(ctx, otlptracehttp.WithEndpointURL(cfg.OTLPEndpoint))
+	default:
+		return func(context.Context) error { return nil }, nil
+	}
+	if err != nil {
+		return nil, eris.Wrap(err, "creating the trace exporter")
+	}
+	provider := sdktrace.NewTracerProvider(
+		sdktrace.WithBatcher(exporter),
+		sdktrace.WithResource(resource.NewSchemaless(
+			attribute.String("service.name", cfg.Program),
+			attribute.String("service.instance.id", cfg.ID),
+		)),
+	)
+	otel.SetTracerProvider(provider)
+	return provider.Shutdown, nil
+}
+
+// Span starts a span for one hop.
+func Span(ctx context.Context, name string, attrs ...attribute.KeyValue) (context.Context, trace.Span) {
+	return otel.Tracer(tracerName).Start(ctx, name, trace.WithAttributes(attrs...))
+}
+
+// EndSpan ends a span and records the error, if any.
+func EndSpan(span trace.Span, err error) {
+	if err != nil {
+		span.RecordError(err)
+		span.SetStatus(codes.Error, err.Error())
+	}
+	span.End()
+}
+
+// Transport adds the trace context to outgoing requests.
+type Transport struct {
+	Base http.RoundTripper
+}
+
+// RoundTrip implements http.RoundTripper.
+func (t *Transport) RoundTrip(req *http.Request) (*http.Response, error) {
+	req = req.Clone(req.Context())
+	otel.GetTextMapPropagator().Inject(req.Context(), propagation.HeaderCarrier(req.Header))
+	return t.Base.RoundTrip(req)
+}
+
+// Handler takes the trace context from incoming requests and starts a span.
+func Handler(name string, next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		ctx := otel.GetTextMapPropagator().Extract(r.Context(), propagation.HeaderCarrier(r.Header))
+		ctx, span := Span(ctx, name, attribute.String("url.path", r.URL.Path))
+		defer span.End()
+		next.ServeHTTP(w, r.WithContext(ctx))
+	})
+}
