Serve a request end to end through separate processes

Cause: the parts need a whole path to be built on and measured against. Change: a thin entry and agent, stand-ins for the log service, weight store, membership list, model engine and plain service with switchable faults, and a harness that starts them as processes on loopback. Conclusion: the seams fit; rollout, settings, operations and routing are still the simplest possible versions.

--- a/Makefile
+++ b/Makefile
@@ -29,7 +29,7 @@
 	.ci/gotest $(PACKAGES)
 
 demo: build ## run the whole system on loopback for up to 60 s
-	$(BIN)/demo -bin $(BIN)
+	$(BIN)/demo --bin $(BIN)
 
 model: ## check the Promela specifications and their mutants with spin
 	model/check
--- a/core/settings/fold.go
+++ b/core/settings/fold.go
@@ -51,22 +51,22 @@
 	switch rec.Kind {
 	case RecordTemplate:
 		var doc Template
-		applyDocument(s.Templates, &v, rec, doc.Name, doc)
+		applyDocument(s.Templates, &v, rec, doc)
 	case RecordParameters:
 		var doc Parameters
-		applyDocument(s.Parameters, &v, rec, doc.Workspace, doc)
+		applyDocument(s.Parameters, &v, rec, doc)
 	default:
 		v.Reason = fmt.Sprintf("unknown record kind %q", rec.Kind)
 	}
 	return v
 }
 
-func applyDocument[T any](revisions map[string]Revision[T], v *Verdict, rec Record, name string, doc T) {
+func applyDocument[T any](revisions map[string]Revision[T], v *Verdict, rec Record, doc T) {
 	if err := json.Unmarshal(rec.Body, &doc); err != nil {
 		v.Reason = fmt.Sprintf("malformed body: %v", err)
 		return
 	}
-	_, name = splitKey(rec.Key)
+	_, name := splitKey(rec.Key)
 	current := revisions[name]
 	if rec.Base != current.Offset {
 		v.Reason = fmt.Sprintf("base is %d, current revision is %d", rec.Base, current.Offset)
--- /dev/null
+++ b/node/agent/agent.go
@@ -0,0 +1,165 @@
+// Package agent implements the role that runs beside each backend server.
+// An agent is the only way into its backend server: it fetches and shares
+// weights, orders the engine to load them, and admits requests.
+package agent
+
+import (
+	"context"
+	"errors"
+	"expvar"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/rotisserie/eris"
+
+	"github.com/laburnumloft/laburnumloft/core/settings"
+	"github.com/laburnumloft/laburnumloft/node/lib/platform"
+	"github.com/laburnumloft/laburnumloft/node/lib/telemetry"
+	"github.com/laburnumloft/laburnumloft/node/lib/wire"
+	"github.com/laburnumloft/laburnumloft/node/rpc"
+)
+
+// ErrStart is returned when an agent can't start.
+var ErrStart = eris.New("agent can't start")
+
+// Limits of the agent's HTTP server.
+const (
+	readHeaderTimeout = 5 * time.Second
+	maxHeaderBytes    = 32 << 10
+	maxRequestBytes   = 2 << 20
+)
+
+// Config holds the settings of one agent.
+type Config struct {
+	ID, Region, Zone string
+	// Service is the service that the backend server belongs to.
+	Service       string
+	Kind          settings.Kind
+	Listen        string
+	BackendURL    string
+	WeightsURL    string
+	MembershipURL string
+	// MemoryCeiling bounds the bytes of weights held in memory.
+	MemoryCeiling int64
+	DrainTimeout  time.Duration
+	Logger        hclog.Logger
+	// Transport is used towards other VMs; nil means a default one.
+	Transport http.RoundTripper
+}
+
+// Agent is one agent process.
+type Agent struct {
+	cfg         Config
+	logger      hclog.Logger
+	incarnation int64
+	client      *http.Client
+	weights     *platform.Weights
+	membership  *platform.Membership
+	engine      *engineClient
+	state       *agentState
+	rollout     *rolloutDuty
+}
+
+// agentState is what the duties of one agent share.
+type agentState struct {
+	mu       sync.Mutex
+	settings *settings.State
+	// digest is the digest of the settings in force.
+	digest        string
+	changed       chan struct{}
+	version       string
+	versionState  string
+	problem       string
+	intended      string
+	chunksHeld    int
+	chunksTotal   int
+	leaving       bool
+	running       int
+	sequence      uint64
+	peers         []*rpc.PeerAddress
+	reportChanged chan struct{}
+}
+
+// New returns an agent that is not started yet.
+func New(cfg Config) *Agent {
+	base := cfg.Transport
+	if base == nil {
+		base = &http.Transport{
+			MaxIdleConnsPerHost: 16,
+			IdleConnTimeout:     90 * time.Second,
+			DialContext:         (&net.Dialer{Timeout: 2 * time.Second}).DialContext,
+		}
+	}
+	client := &http.Client{Transport: &telemetry.Transport{Base: base}}
+	a := &Agent{
+		cfg:         cfg,
+		logger:      cfg.Logger,
+		incarnation: time.Now().UnixMilli(),
+		client:      client,
+		weights:     platform.NewWeights(cfg.WeightsURL, client),
+		membership:  platform.NewMembership(cfg.MembershipURL, client),
+		engine:      newEngineClient(cfg.BackendURL),
+		state: &agentState{
+			settings:      settings.NewState(),
+			changed:       make(chan struct{}),
+			reportChanged: make(chan struct{}, 1),
+		},
+	}
+	a.rollout = newRolloutDuty(a)
+	return a
+}
+
+// Run serves until ctx ends, then lets requests in flight end.
+func (a *Agent) Run(ctx context.Context) error {
+	listener, err := net.Listen("tcp", a.cfg.Listen)
+	if err != nil {
+		return eris.Wrap(errors.Join(ErrStart, err), "listening")
+	}
+	server := &http.Server{
+		Handler:           a.handler(),
+		ReadHeaderTimeout: readHeaderTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+	}
+	var duties sync.WaitGroup
+	dutyCtx, stopDuties := context.WithCancel(context.Background())
+	defer stopDuties()
+	duties.Go(func() { a.syncWithEntries(dutyCtx) })
+	if a.cfg.Kind == settings.KindEngine {
+		duties.Go(func() { a.rollout.run(dutyCtx) })
+	} else {
+		a.state.setServing("")
+	}
+	duties.Go(func() {
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			a.logger.Error("server stopped", "error", err)
+		}
+	})
+	a.logger.Info("agent started", "listen", listener.Addr(), "incarnation", a.incarnation)
+	<-ctx.Done()
+	err = a.shutdown(server)
+	stopDuties()
+	duties.Wait()
+	return err
+}
+
+func (a *Agent) shutdown(server *http.Server) error {
+	a.logger.Info("agent is leaving")
+	a.state.leave()
+	ctx, cancel := context.WithTimeout(context.Background(), a.cfg.DrainTimeout)
+	defer cancel()
+	return server.Shutdown(ctx)
+}
+
+func (a *Agent) handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /agent/v1/requests", a.handleRequest)
+	mux.HandleFunc("GET /weights/v1/{model}/{version}/data", a.rollout.handleData)
+	mux.Handle("GET /debug/vars", expvar.Handler())
+	mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) {
+		wire.WriteError(w, wire.Error{Kind: wire.ErrorNotFound, Message: "no such path: " + r.URL.Path})
+	})
+	return telemetry.Handler("agent", mux)
+}
--- /dev/null
+++ b/node/agent/engine.go
@@ -0,0 +1,58 @@
+package agent
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/dghubble/sling"
+	"github.com/rotisserie/eris"
+
+	"github.com/laburnumloft/laburnumloft/node/lib/telemetry"
+	"github.com/laburnumloft/laburnumloft/node/lib/wire"
+)
+
+// ErrEngine is returned when the model engine refuses an order.
+var ErrEngine = eris.New("model engine refused the order")
+
+// engineClient gives orders to the model engine and asks for its status.
+type engineClient struct {
+	client *http.Client
+	base   *sling.Sling
+	url    string
+}
+
+func newEngineClient(url string) *engineClient {
+	client := &http.Client{Transport: &telemetry.Transport{Base: &http.Transport{MaxIdleConnsPerHost: 64}}}
+	return &engineClient{client: client, base: sling.New().Client(client).Base(url), url: url}
+}
+
+func (c *engineClient) load(ctx context.Context, order wire.LoadOrder) error {
+	req, err := c.base.New().Post("/v1/load").BodyJSON(order).Request()
+	if err != nil {
+		return eris.Wrap(err, "encoding a load order")
+	}
+	resp, err := c.base.Do(req.WithContext(ctx), nil, nil)
+	if err != nil {
+		return eris.Wrap(err, "sending a load order")
+	}
+	if resp.StatusCode/100 != 2 {
+		return eris.Wrapf(ErrEngine, "status %d", resp.StatusCode)
+	}
+	return nil
+}
+
+func (c *engineClient) status(ctx context.Context) (*wire.EngineStatus, error) {
+	req, err := c.base.New().Get("/v1/status").Request()
+	if err != nil {
+		return nil, eris.Wrap(err, "building a status request")
+	}
+	var status wire.EngineStatus
+	resp, err := c.base.Do(req.WithContext(ctx), &status, nil)
+	if err != nil {
+		return nil, eris.Wrap(err, "asking for the engine's status")
+	}
+	if resp.StatusCode != http.StatusOK {
+		return nil, eris.Wrapf(ErrEngine, "status %d", resp.StatusCode)
+	}
+	return &status, nil
+}
--- /dev/null
+++ b/node/agent/state.go
@@ -0,0 +1,97 @@
+package agent
+
+import (
+	"github.com/laburnumloft/laburnumloft/core/settings"
+	"github.com/laburnumloft/laburnumloft/node/rpc"
+)
+
+// applySettings puts a state in force unless an equal or newer one is.
+func (s *agentState) applySettings(state *settings.State, digest string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if state.Offset <= s.settings.Offset {
+		return false
+	}
+	s.settings, s.digest = state, digest
+	close(s.changed)
+	s.changed = make(chan struct{})
+	return true
+}
+
+// current returns the settings in force, which must not be changed, and a
+// channel that is closed at the next change.
+func (s *agentState) current() (*settings.State, <-chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.settings, s.changed
+}
+
+// setServing records the version that the backend server confirmed.
+func (s *agentState) setServing(version string) {
+	s.mu.Lock()
+	s.version, s.versionState, s.problem = version, "serving", ""
+	s.mu.Unlock()
+	s.wakeReport()
+}
+
+// setProgress records how far the rollout of the intended version is.
+func (s *agentState) setProgress(state string, held, total int, problem string) {
+	s.mu.Lock()
+	s.versionState, s.chunksHeld, s.chunksTotal, s.problem = state, held, total, problem
+	s.mu.Unlock()
+	s.wakeReport()
+}
+
+func (s *agentState) leave() {
+	s.mu.Lock()
+	s.leaving = true
+	s.mu.Unlock()
+	s.wakeReport()
+}
+
+// wakeReport makes the next report go out at once.
+func (s *agentState) wakeReport() {
+	select {
+	case s.reportChanged <- struct{}{}:
+	default:
+	}
+}
+
+// admit counts a request in if the backend server serves the version.
+func (s *agentState) admit(version string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.leaving || s.versionState != "serving" || s.version != version {
+		return false
+	}
+	s.running++
+	return true
+}
+
+func (s *agentState) release() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.running--
+}
+
+// report returns the next report of the agent.
+func (a *Agent) report() *rpc.MemberReport {
+	s := a.state
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.sequence++
+	state := rpc.AgentState_STARTING
+	if s.versionState == "serving" {
+		state = rpc.AgentState_SERVING
+	}
+	if s.leaving {
+		state = rpc.AgentState_LEAVING
+	}
+	return &rpc.MemberReport{
+		Id: a.cfg.ID, Incarnation: a.incarnation, Sequence: s.sequence, Address: a.cfg.Listen,
+		Region: a.cfg.Region, Zone: a.cfg.Zone, Service: a.cfg.Service, State: state,
+		Version: s.version, ChunksHeld: uint32(s.chunksHeld), ChunksTotal: uint32(s.chunksTotal),
+		Running: uint32(s.running), Problem: s.problem, VersionState: s.versionState,
+		IntendedVersion: s.intended, SettingsOffset: s.settings.Offset,
+	}
+}
--- /dev/null
+++ b/node/entry/entry.go
@@ -0,0 +1,145 @@
+// Package entry implements the role that callers and operators connect to.
+// An entry tails the settings log, keeps a view of the members, answers
+// discovery and routes requests to agents. It keeps nothing that must last.
+package entry
+
+import (
+	"context"
+	"errors"
+	"expvar"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/rotisserie/eris"
+
+	"github.com/laburnumloft/laburnumloft/node/lib/platform"
+	"github.com/laburnumloft/laburnumloft/node/lib/telemetry"
+	"github.com/laburnumloft/laburnumloft/node/lib/wire"
+	"github.com/laburnumloft/laburnumloft/node/rpc"
+)
+
+// ErrStart is returned when an entry can't start.
+var ErrStart = eris.New("entry can't start")
+
+// readHeaderTimeout bounds how long a slow client may take for its headers.
+const readHeaderTimeout = 5 * time.Second
+
+// maxHeaderBytes bounds the size of request headers.
+const maxHeaderBytes = 32 << 10
+
+// Config holds the settings of one entry.
+type Config struct {
+	ID, Region, Zone string
+	// Listen is the address for callers, PeerListen the one for own processes.
+	Listen, PeerListen string
+	LogURL             string
+	MembershipURL      string
+	// MaxBodyBytes bounds the body of a caller's request.
+	MaxBodyBytes int64
+	// DrainTimeout bounds a planned stop.
+	DrainTimeout time.Duration
+	Logger       hclog.Logger
+}
+
+// Entry is one entry process.
+type Entry struct {
+	cfg        Config
+	logger     hclog.Logger
+	log        *platform.Log
+	membership *platform.Membership
+	client     *http.Client
+	settings   *settingsStore
+	members    *memberTable
+}
+
+// New returns an entry that is not started yet.
+func New(cfg Config) *Entry {
+	client := &http.Client{Transport: &telemetry.Transport{Base: &http.Transport{
+		MaxIdleConnsPerHost: 64,
+		IdleConnTimeout:     90 * time.Second,
+		DialContext:         (&net.Dialer{Timeout: 2 * time.Second}).DialContext,
+	}}}
+	return &Entry{
+		cfg:        cfg,
+		logger:     cfg.Logger,
+		log:        platform.NewLog(cfg.LogURL, client),
+		membership: platform.NewMembership(cfg.MembershipURL, client),
+		client:     client,
+		settings:   newSettingsStore(),
+		members:    newMemberTable(),
+	}
+}
+
+// Run serves until ctx ends, then lets requests in flight end.
+func (e *Entry) Run(ctx context.Context) error {
+	public, err := net.Listen("tcp", e.cfg.Listen)
+	if err != nil {
+		return eris.Wrap(errors.Join(ErrStart, err), "listening for callers")
+	}
+	peer, err := net.Listen("tcp", e.cfg.PeerListen)
+	if err != nil {
+		return eris.Wrap(errors.Join(ErrStart, err), "listening for own processes")
+	}
+	servers := []*http.Server{e.server(e.publicHandler()), e.server(e.peerHandler())}
+	var duties sync.WaitGroup
+	dutyCtx, stopDuties := context.WithCancel(context.Background())
+	defer stopDuties()
+	duties.Go(func() { e.tailSettings(dutyCtx) })
+	duties.Go(func() { e.pollMembers(dutyCtx) })
+	duties.Go(func() { e.serve(servers[0], public) })
+	duties.Go(func() { e.serve(servers[1], peer) })
+	e.logger.Info("entry started", "listen", public.Addr(), "peer_listen", peer.Addr())
+	<-ctx.Done()
+	err = e.shutdown(servers)
+	stopDuties()
+	duties.Wait()
+	return err
+}
+
+func (e *Entry) server(handler http.Handler) *http.Server {
+	return &http.Server{
+		Handler:           handler,
+		ReadHeaderTimeout: readHeaderTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+	}
+}
+
+func (e *Entry) serve(server *http.Server, listener net.Listener) {
+	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		e.logger.Error("server stopped", "error", err)
+	}
+}
+
+func (e *Entry) shutdown(servers []*http.Server) error {
+	e.logger.Info("entry is leaving")
+	ctx, cancel := context.WithTimeout(context.Background(), e.cfg.DrainTimeout)
+	defer cancel()
+	var failures []error
+	for _, server := range servers {
+		if err := server.Shutdown(ctx); err != nil {
+			failures = append(failures, err)
+		}
+	}
+	return errors.Join(failures...)
+}
+
+func (e *Entry) publicHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /v1/discovery", e.handleDiscovery)
+	mux.HandleFunc("POST /v1/workspaces/{workspace}/services/{service}/requests", e.handleRequest)
+	mux.HandleFunc("GET /v1/status", e.handleStatus)
+	mux.Handle("GET /debug/vars", expvar.Handler())
+	mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) {
+		wire.WriteError(w, wire.Error{Kind: wire.ErrorNotFound, Message: "no such path: " + r.URL.Path})
+	})
+	return telemetry.Handler("entry", mux)
+}
+
+func (e *Entry) peerHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle(rpc.ControlPathPrefix, rpc.NewControlServer(&controlServer{entry: e}))
+	return telemetry.Handler("entry.peer", mux)
+}
--- /dev/null
+++ b/standin/cmd/standin/main.go
@@ -0,0 +1,55 @@
+// Command standin runs one stand-in of the platform or of a backend server.
+package main
+
+import (
+	"fmt"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/jessevdk/go-flags"
+
+	"github.com/laburnumloft/laburnumloft/standin/engine"
+	"github.com/laburnumloft/laburnumloft/standin/faults"
+	"github.com/laburnumloft/laburnumloft/standin/logservice"
+	"github.com/laburnumloft/laburnumloft/standin/memberlist"
+	"github.com/laburnumloft/laburnumloft/standin/plainservice"
+	"github.com/laburnumloft/laburnumloft/standin/weightstore"
+)
+
+// readHeaderTimeout bounds how long a client may take for its headers.
+const readHeaderTimeout = 5 * time.Second
+
+type config struct {
+	Listen      string        `long:"listen" required:"true" description:"IP:PORT"`
+	TokenTime   time.Duration `long:"token-time" default:"5ms" description:"engine: time between two tokens"`
+	ChecksFence bool          `long:"checks-fence" description:"engine: refuse orders with an old fencing number"`
+	Args        struct {
+		Role string `positional-arg-name:"role" required:"true" choice:"log" choice:"weights" choice:"members" choice:"engine" choice:"plain"`
+	} `positional-args:"true"`
+}
+
+func main() {
+	var cfg config
+	if _, err := flags.Parse(&cfg); err != nil {
+		os.Exit(2)
+	}
+	server := &http.Server{Addr: cfg.Listen, Handler: new(faults.Injector).Wrap(handler(cfg)), ReadHeaderTimeout: readHeaderTimeout}
+	fmt.Fprintln(os.Stderr, server.ListenAndServe())
+	os.Exit(1)
+}
+
+func handler(cfg config) http.Handler {
+	switch cfg.Args.Role {
+	case "log":
+		return logservice.New().Handler()
+	case "weights":
+		return weightstore.New().Handler()
+	case "members":
+		return memberlist.New().Handler()
+	case "engine":
+		return engine.New(engine.Config{TokenTime: cfg.TokenTime, ChecksFence: cfg.ChecksFence}).Handler()
+	default:
+		return plainservice.New().Handler()
+	}
+}
