Check all settings at start and protect traffic between own processes

Cause: a process accepted negative limits and unused arguments, and own processes trusted any sender on any address. Change: every setting is checked at start; a refused one gives one line with name, value and what is allowed, and exit code 2.

--- a/node/agent/agent.go
+++ b/node/agent/agent.go
@@ -17,6 +17,7 @@
 
 	"github.com/laburnumloft/laburnumloft/core/settings"
 	"github.com/laburnumloft/laburnumloft/node/lib/platform"
+	"github.com/laburnumloft/laburnumloft/node/lib/secure"
 	"github.com/laburnumloft/laburnumloft/node/lib/telemetry"
 	"github.com/laburnumloft/laburnumloft/node/lib/wire"
 	"github.com/laburnumloft/laburnumloft/node/rpc"
@@ -48,6 +49,8 @@
 	Logger        hclog.Logger
 	// Transport is used towards other VMs; nil means a default one.
 	Transport http.RoundTripper
+	// Channel protects the traffic between own processes; nil protects nothing.
+	Channel *secure.Channel
 }
 
 // Agent is one agent process.
@@ -85,22 +88,19 @@
 
 // New returns an agent that is not started yet.
 func New(cfg Config) *Agent {
-	base := cfg.Transport
+	base, platformBase := cfg.Transport, cfg.Transport
 	if base == nil {
-		base = &http.Transport{
-			MaxIdleConnsPerHost: 16,
-			IdleConnTimeout:     90 * time.Second,
-			DialContext:         (&net.Dialer{Timeout: 2 * time.Second}).DialContext,
-		}
+		base, platformBase = cfg.Channel.Transport(newTransport()), newTransport()
 	}
 	client := &http.Client{Transport: &telemetry.Transport{Base: base}}
+	platformClient := &http.Client{Transport: &telemetry.Transport{Base: platformBase}}
 	a := &Agent{
 		cfg:         cfg,
 		logger:      cfg.Logger,
 		incarnation: time.Now().UnixMilli(),
 		client:      client,
-		weights:     platform.NewWeights(cfg.WeightsURL, client),
-		membership:  platform.NewMembership(cfg.MembershipURL, client),
+		weights:     platform.NewWeights(cfg.WeightsURL, platformClient),
+		membership:  platform.NewMembership(cfg.MembershipURL, platformClient),
 		engine:      newEngineClient(cfg.BackendURL),
 		state: &agentState{
 			settings:      settings.NewState(),
@@ -112,6 +112,14 @@
 	return a
 }
 
+func newTransport() *http.Transport {
+	return &http.Transport{
+		MaxIdleConnsPerHost: 16,
+		IdleConnTimeout:     90 * time.Second,
+		DialContext:         (&net.Dialer{Timeout: 2 * time.Second}).DialContext,
+	}
+}
+
 // Run serves until ctx ends, then lets requests in flight end.
 func (a *Agent) Run(ctx context.Context) error {
 	listener, err := net.Listen("tcp", a.cfg.Listen)
@@ -133,7 +141,7 @@
 		a.state.setServing("")
 	}
 	duties.Go(func() {
-		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		if err := server.Serve(a.cfg.Channel.Listener(listener)); !errors.Is(err, http.ErrServerClosed) {
 			a.logger.Error("server stopped", "error", err)
 		}
 	})
@@ -161,5 +169,5 @@
 	mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) {
 		wire.WriteError(w, wire.Error{Kind: wire.ErrorNotFound, Message: "no such path: " + r.URL.Path})
 	})
-	return telemetry.Handler("agent", mux)
+	return telemetry.Handler("agent", a.cfg.Channel.Handler(mux))
 }
--- a/node/cmd/laburnum-agent/main.go
+++ b/node/cmd/laburnum-agent/main.go
@@ -13,6 +13,7 @@
 	"github.com/laburnumloft/laburnumloft/core/settings"
 	"github.com/laburnumloft/laburnumloft/node/agent"
 	"github.com/laburnumloft/laburnumloft/node/lib/options"
+	"github.com/laburnumloft/laburnumloft/node/lib/secure"
 	"github.com/laburnumloft/laburnumloft/node/lib/telemetry"
 )
 
@@ -20,14 +21,15 @@
 type agentOptions struct {
 	options.Place
 	options.Telemetry
-	Listen        string        `long:"listen" env:"LABURNUM_LISTEN" required:"true" description:"IP:PORT for own processes"`
-	Service       string        `long:"service" env:"LABURNUM_SERVICE" required:"true" description:"service of the backend server"`
-	Kind          string        `long:"kind" env:"LABURNUM_KIND" default:"engine" description:"engine or plain"`
-	BackendURL    string        `long:"backend-url" env:"LABURNUM_BACKEND_URL" required:"true" description:"URL of the backend server"`
-	WeightsURL    string        `long:"weights-url" env:"LABURNUM_WEIGHTS_URL" description:"URL of the weight store; engines only"`
-	MembershipURL string        `long:"membership-url" env:"LABURNUM_MEMBERSHIP_URL" required:"true" description:"URL of the membership list"`
-	MemoryCeiling int64         `long:"memory-ceiling-bytes" env:"LABURNUM_MEMORY_CEILING_BYTES" default:"17179869184" description:"largest size of held weights in bytes"`
-	DrainTimeout  time.Duration `long:"drain-timeout" env:"LABURNUM_DRAIN_TIMEOUT" default:"10m" description:"limit of a planned stop"`
+	Security      secure.Options `group:"traffic between own processes"`
+	Listen        string         `long:"listen" env:"LABURNUM_LISTEN" required:"true" description:"IP:PORT for own processes"`
+	Service       string         `long:"service" env:"LABURNUM_SERVICE" required:"true" description:"service of the backend server"`
+	Kind          string         `long:"kind" env:"LABURNUM_KIND" default:"engine" description:"engine or plain"`
+	BackendURL    string         `long:"backend-url" env:"LABURNUM_BACKEND_URL" required:"true" description:"URL of the backend server"`
+	WeightsURL    string         `long:"weights-url" env:"LABURNUM_WEIGHTS_URL" description:"URL of the weight store; engines only"`
+	MembershipURL string         `long:"membership-url" env:"LABURNUM_MEMBERSHIP_URL" required:"true" description:"URL of the membership list"`
+	MemoryCeiling int64          `long:"memory-ceiling-bytes" env:"LABURNUM_MEMORY_CEILING_BYTES" default:"17179869184" description:"largest size of held weights in bytes"`
+	DrainTimeout  time.Duration  `long:"drain-timeout" env:"LABURNUM_DRAIN_TIMEOUT" default:"10m" description:"limit of a planned stop"`
 }
 
 func main() {
@@ -36,10 +38,11 @@
 
 func run() int {
 	var opts agentOptions
-	if _, err := flags.NewParser(&opts, flags.HelpFlag|flags.PassDoubleDash).Parse(); err != nil {
+	rest, err := flags.NewParser(&opts, flags.HelpFlag|flags.PassDoubleDash).Parse()
+	if err != nil {
 		return options.Exit(err)
 	}
-	if err := opts.check(); err != nil {
+	if err := options.First(options.NoArguments(rest), opts.check()); err != nil {
 		return options.Exit(err)
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
@@ -52,11 +55,16 @@
 		return 1
 	}
 	defer func() { _ = shutdown(context.Background()) }()
+	channel, err := secure.Open(opts.Security)
+	if err != nil {
+		logger.Error("TLS files can't be read", "error", err)
+		return 1
+	}
 	err = agent.New(agent.Config{
 		ID: opts.ID, Region: opts.Region, Zone: opts.Zone, Service: opts.Service,
 		Kind: settings.Kind(opts.Kind), Listen: opts.Listen, BackendURL: opts.BackendURL,
 		WeightsURL: opts.WeightsURL, MembershipURL: opts.MembershipURL,
-		MemoryCeiling: opts.MemoryCeiling, DrainTimeout: opts.DrainTimeout, Logger: logger,
+		MemoryCeiling: opts.MemoryCeiling, DrainTimeout: opts.DrainTimeout, Logger: logger, Channel: channel,
 	}).Run(ctx)
 	if err != nil {
 		logger.Error("agent stopped", "error", err)
@@ -66,20 +74,19 @@
 }
 
 func (o *agentOptions) check() error {
-	checks := []error{
+	if o.Kind == string(settings.KindEngine) {
+		if err := options.URL("weights-url", o.WeightsURL); err != nil {
+			return err
+		}
+	}
+	return options.First(
 		o.Telemetry.Check(),
 		options.Address("listen", o.Listen),
+		o.Security.Check(o.Listen),
 		options.OneOf("kind", o.Kind, string(settings.KindEngine), string(settings.KindPlain)),
 		options.URL("backend-url", o.BackendURL),
 		options.URL("membership-url", o.MembershipURL),
-	}
-	if o.Kind == string(settings.KindEngine) {
-		checks = append(checks, options.URL("weights-url", o.WeightsURL))
-	}
-	for _, err := range checks {
-		if err != nil {
-			return err
-		}
-	}
-	return nil
+		options.Positive("memory-ceiling-bytes", o.MemoryCeiling),
+		options.Positive("drain-timeout", o.DrainTimeout),
+	)
 }
--- a/node/cmd/laburnum-entry/main.go
+++ b/node/cmd/laburnum-entry/main.go
@@ -12,6 +12,7 @@
 
 	"github.com/laburnumloft/laburnumloft/node/entry"
 	"github.com/laburnumloft/laburnumloft/node/lib/options"
+	"github.com/laburnumloft/laburnumloft/node/lib/secure"
 	"github.com/laburnumloft/laburnumloft/node/lib/telemetry"
 )
 
@@ -32,17 +33,18 @@
 type serveCommand struct {
 	options.Place
 	options.Telemetry
-	Listen        string        `long:"listen" env:"LABURNUM_LISTEN" required:"true" description:"IP:PORT for callers and operators"`
-	PeerListen    string        `long:"peer-listen" env:"LABURNUM_PEER_LISTEN" required:"true" description:"IP:PORT for own processes"`
-	LogURL        string        `long:"log-url" env:"LABURNUM_LOG_URL" required:"true" description:"URL of the log service"`
-	MembershipURL string        `long:"membership-url" env:"LABURNUM_MEMBERSHIP_URL" required:"true" description:"URL of the membership list"`
-	MaxBody       int64         `long:"max-body-bytes" env:"LABURNUM_MAX_BODY_BYTES" default:"1048576" description:"largest request body in bytes"`
-	DrainTimeout  time.Duration `long:"drain-timeout" env:"LABURNUM_DRAIN_TIMEOUT" default:"10m" description:"limit of a planned stop"`
+	Security      secure.Options `group:"traffic between own processes"`
+	Listen        string         `long:"listen" env:"LABURNUM_LISTEN" required:"true" description:"IP:PORT for callers and operators"`
+	PeerListen    string         `long:"peer-listen" env:"LABURNUM_PEER_LISTEN" required:"true" description:"IP:PORT for own processes"`
+	LogURL        string         `long:"log-url" env:"LABURNUM_LOG_URL" required:"true" description:"URL of the log service"`
+	MembershipURL string         `long:"membership-url" env:"LABURNUM_MEMBERSHIP_URL" required:"true" description:"URL of the membership list"`
+	MaxBody       int64          `long:"max-body-bytes" env:"LABURNUM_MAX_BODY_BYTES" default:"1048576" description:"largest request body in bytes"`
+	DrainTimeout  time.Duration  `long:"drain-timeout" env:"LABURNUM_DRAIN_TIMEOUT" default:"10m" description:"limit of a planned stop"`
 }
 
 // Execute implements flags.Commander.
-func (c *serveCommand) Execute([]string) error {
-	if err := c.check(); err != nil {
+func (c *serveCommand) Execute(rest []string) error {
+	if err := options.First(options.NoArguments(rest), c.check()); err != nil {
 		return err
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
@@ -53,25 +55,26 @@
 		return err
 	}
 	defer func() { _ = shutdown(context.Background()) }()
+	channel, err := secure.Open(c.Security)
+	if err != nil {
+		return err
+	}
 	return entry.New(entry.Config{
 		ID: c.ID, Region: c.Region, Zone: c.Zone, Listen: c.Listen, PeerListen: c.PeerListen,
 		LogURL: c.LogURL, MembershipURL: c.MembershipURL, MaxBodyBytes: c.MaxBody,
-		DrainTimeout: c.DrainTimeout, Logger: telemetry.NewLogger(tcfg),
+		DrainTimeout: c.DrainTimeout, Logger: telemetry.NewLogger(tcfg), Channel: channel,
 	}).Run(ctx)
 }
 
 func (c *serveCommand) check() error {
-	checks := []error{
+	return options.First(
 		c.Telemetry.Check(),
 		options.Address("listen", c.Listen),
 		options.Address("peer-listen", c.PeerListen),
+		c.Security.Check(c.PeerListen),
 		options.URL("log-url", c.LogURL),
 		options.URL("membership-url", c.MembershipURL),
-	}
-	for _, err := range checks {
-		if err != nil {
-			return err
-		}
-	}
-	return nil
+		options.Positive("max-body-bytes", c.MaxBody),
+		options.Positive("drain-timeout", c.DrainTimeout),
+	)
 }
--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -16,6 +16,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/laburnumloft/laburnumloft/node/lib/platform"
+	"github.com/laburnumloft/laburnumloft/node/lib/secure"
 	"github.com/laburnumloft/laburnumloft/node/lib/telemetry"
 	"github.com/laburnumloft/laburnumloft/node/lib/wire"
 	"github.com/laburnumloft/laburnumloft/node/rpc"
@@ -42,6 +43,8 @@
 	// DrainTimeout bounds a planned stop.
 	DrainTimeout time.Duration
 	Logger       hclog.Logger
+	// Channel protects the traffic between own processes; nil protects nothing.
+	Channel *secure.Channel
 }
 
 // Entry is one entry process.
@@ -50,29 +53,35 @@
 	logger     hclog.Logger
 	log        *platform.Log
 	membership *platform.Membership
-	client     *http.Client
-	settings   *settingsStore
-	members    *memberTable
+	// client reaches own processes.
+	client   *http.Client
+	settings *settingsStore
+	members  *memberTable
 }
 
 // New returns an entry that is not started yet.
 func New(cfg Config) *Entry {
-	client := &http.Client{Transport: &telemetry.Transport{Base: &http.Transport{
-		MaxIdleConnsPerHost: 64,
-		IdleConnTimeout:     90 * time.Second,
-		DialContext:         (&net.Dialer{Timeout: 2 * time.Second}).DialContext,
-	}}}
+	client := &http.Client{Transport: &telemetry.Transport{Base: cfg.Channel.Transport(newTransport())}}
+	platformClient := &http.Client{Transport: &telemetry.Transport{Base: newTransport()}}
 	return &Entry{
 		cfg:        cfg,
 		logger:     cfg.Logger,
-		log:        platform.NewLog(cfg.LogURL, client),
-		membership: platform.NewMembership(cfg.MembershipURL, client),
+		log:        platform.NewLog(cfg.LogURL, platformClient),
+		membership: platform.NewMembership(cfg.MembershipURL, platformClient),
 		client:     client,
 		settings:   newSettingsStore(),
 		members:    newMemberTable(),
 	}
 }
 
+func newTransport() *http.Transport {
+	return &http.Transport{
+		MaxIdleConnsPerHost: 64,
+		IdleConnTimeout:     90 * time.Second,
+		DialContext:         (&net.Dialer{Timeout: 2 * time.Second}).DialContext,
+	}
+}
+
 // Run serves until ctx ends, then lets requests in flight end.
 func (e *Entry) Run(ctx context.Context) error {
 	public, err := net.Listen("tcp", e.cfg.Listen)
@@ -90,7 +99,7 @@
 	duties.Go(func() { e.tailSettings(dutyCtx) })
 	duties.Go(func() { e.pollMembers(dutyCtx) })
 	duties.Go(func() { e.serve(servers[0], public) })
-	duties.Go(func() { e.serve(servers[1], peer) })
+	duties.Go(func() { e.serve(servers[1], e.cfg.Channel.Listener(peer)) })
 	e.logger.Info("entry started", "listen", public.Addr(), "peer_listen", peer.Addr())
 	<-ctx.Done()
 	err = e.shutdown(servers)
@@ -141,5 +150,5 @@
 func (e *Entry) peerHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle(rpc.ControlPathPrefix, rpc.NewControlServer(&controlServer{entry: e}))
-	return telemetry.Handler("entry.peer", mux)
+	return telemetry.Handler("entry.peer", e.cfg.Channel.Handler(mux))
 }
--- a/node/lib/options/options.go
+++ b/node/lib/options/options.go
@@ -76,6 +76,32 @@
 	return &Invalid{name, value, strings.Join(allowed, ", ")}
 }
 
+// Positive checks that a number with a unit or a duration is above zero.
+func Positive[T ~int | ~int64](name string, value T) error {
+	if value > 0 {
+		return nil
+	}
+	return &Invalid{name, fmt.Sprint(value), "values above zero"}
+}
+
+// NoArguments refuses words that belong to no flag.
+func NoArguments(rest []string) error {
+	if len(rest) == 0 {
+		return nil
+	}
+	return &flags.Error{Type: flags.ErrUnknown, Message: fmt.Sprintf("unknown argument %q; allowed: flags only, see --help", rest[0])}
+}
+
+// First returns the first error of a list of checks.
+func First(checks ...error) error {
+	for _, err := range checks {
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // URL checks that value is an absolute http or https URL.
 func URL(name, value string) error {
 	u, err := url.Parse(value)
--- /dev/null
+++ b/node/lib/secure/secure.go
@@ -0,0 +1,139 @@
+// Package secure protects the traffic between own processes by mutual TLS
+// and a shared secret.
+package secure
+
+import (
+	"crypto/subtle"
+	"crypto/tls"
+	"crypto/x509"
+	"net"
+	"net/http"
+	"os"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/laburnumloft/laburnumloft/node/lib/options"
+	"github.com/laburnumloft/laburnumloft/node/lib/wire"
+)
+
+// secretHeader carries the shared secret.
+const secretHeader = "Laburnum-Secret"
+
+// Options are the settings of the traffic between own processes.
+type Options struct {
+	Secret   string `long:"secret" env:"LABURNUM_SECRET" description:"shared secret of all own processes; prefer the environment variable"`
+	TLSCert  string `long:"tls-cert" env:"LABURNUM_TLS_CERT" description:"PEM file with this process's certificate"`
+	TLSKey   string `long:"tls-key" env:"LABURNUM_TLS_KEY" description:"PEM file with the certificate's key"`
+	TLSCA    string `long:"tls-ca" env:"LABURNUM_TLS_CA" description:"PEM file with the authority of all own processes"`
+	Insecure bool   `long:"insecure" env:"LABURNUM_INSECURE" description:"allow addresses other than loopback without a secret"`
+}
+
+// minSecretLength is the shortest secret in bytes.
+const minSecretLength = 16
+
+// Check reports the first contradictory setting for a process that listens
+// on the address.
+func (o Options) Check(listen string) error {
+	if o.Secret != "" && len(o.Secret) < minSecretLength {
+		return &options.Invalid{Name: "secret", Value: "(hidden)", Allowed: "at least 16 bytes"}
+	}
+	given := 0
+	for _, file := range []string{o.TLSCert, o.TLSKey, o.TLSCA} {
+		if file != "" {
+			given++
+		}
+	}
+	if given != 0 && given != 3 {
+		return &options.Invalid{Name: "tls-cert", Value: o.TLSCert, Allowed: "tls-cert, tls-key and tls-ca together or none of them"}
+	}
+	host, _, _ := net.SplitHostPort(listen)
+	if o.Secret == "" && !o.Insecure && !net.ParseIP(host).IsLoopback() {
+		return &options.Invalid{Name: "secret", Value: "", Allowed: "a secret, or --insecure, since " + listen + " is not a loopback address"}
+	}
+	return nil
+}
+
+// Channel applies the options to servers and clients. The zero value
+// protects nothing.
+type Channel struct {
+	secret string
+	tls    *tls.Config
+}
+
+// Open reads the files that the options name.
+func Open(o Options) (*Channel, error) {
+	c := &Channel{secret: o.Secret}
+	if o.TLSCert == "" {
+		return c, nil
+	}
+	cert, err := tls.LoadX509KeyPair(o.TLSCert, o.TLSKey)
+	if err != nil {
+		return nil, eris.Wrap(err, "reading the TLS certificate")
+	}
+	authority, err := os.ReadFile(o.TLSCA)
+	if err != nil {
+		return nil, eris.Wrap(err, "reading the TLS authority")
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(authority) {
+		return nil, eris.Errorf("no certificate in %s", o.TLSCA)
+	}
+	c.tls = &tls.Config{
+		Certificates: []tls.Certificate{cert},
+		RootCAs:      pool,
+		ClientCAs:    pool,
+		ClientAuth:   tls.RequireAndVerifyClientCert,
+		MinVersion:   tls.VersionTLS13,
+	}
+	return c, nil
+}
+
+// Listener returns a listener that speaks TLS if it is configured.
+func (c *Channel) Listener(l net.Listener) net.Listener {
+	if c == nil || c.tls == nil {
+		return l
+	}
+	return tls.NewListener(l, c.tls)
+}
+
+// Handler refuses requests without the shared secret.
+func (c *Channel) Handler(next http.Handler) http.Handler {
+	if c == nil || c.secret == "" {
+		return next
+	}
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		given := r.Header.Get(secretHeader)
+		if subtle.ConstantTimeCompare([]byte(given), []byte(c.secret)) != 1 {
+			wire.WriteError(w, wire.Error{Kind: wire.ErrorForbidden, Message: "shared secret is missing or wrong", Run: wire.RunNotRun})
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+// Transport returns a transport towards own processes. Its requests name
+// http URLs; it turns them into https ones if TLS is configured.
+func (c *Channel) Transport(base *http.Transport) http.RoundTripper {
+	if c == nil {
+		return base
+	}
+	base.TLSClientConfig = c.tls
+	return &transport{channel: c, base: base}
+}
+
+type transport struct {
+	channel *Channel
+	base    http.RoundTripper
+}
+
+// RoundTrip implements http.RoundTripper.
+func (t *transport) RoundTrip(req *http.Request) (*http.Response, error) {
+	req = req.Clone(req.Context())
+	if t.channel.tls != nil {
+		req.URL.Scheme = "https"
+	}
+	if t.channel.secret != "" {
+		req.Header.Set(secretHeader, t.channel.secret)
+	}
+	return t.base.RoundTrip(req)
+}
--- a/node/lib/wire/http.go
+++ b/node/lib/wire/http.go
@@ -13,6 +13,7 @@
 // statuses maps the kinds of errors to HTTP statuses.
 var statuses = map[ErrorKind]int{
 	ErrorBadRequest:  http.StatusBadRequest,
+	ErrorForbidden:   http.StatusForbidden,
 	ErrorNotFound:    http.StatusNotFound,
 	ErrorTooLarge:    http.StatusRequestEntityTooLarge,
 	ErrorOverloaded:  http.StatusTooManyRequests,
--- a/node/lib/wire/wire.go
+++ b/node/lib/wire/wire.go
@@ -8,6 +8,7 @@
 // Kinds of errors.
 const (
 	ErrorBadRequest  ErrorKind = "bad_request"
+	ErrorForbidden   ErrorKind = "forbidden"
 	ErrorNotFound    ErrorKind = "not_found"
 	ErrorTooLarge    ErrorKind = "too_large"
 	ErrorOverloaded  ErrorKind = "overloaded"
