--- a/node/agent/agent.go
+++ b/node/agent/agent.go
@@ -17,6 +17,7 @@
 
 	"github.com/laburnumloft/laburnumloft/core/settings"
 	"github.com/laburnumloft/laburnumloft/node/lib/platform"
+	"github.com/laburnumloft/laburnumloft/node/lib/secure"
 	"github.com/laburnumloft/laburnumloft/node/lib/telemetry"
 	"github.com/laburnumloft/laburnumloft/node/lib/wire"
 	"github.com/laburnumloft/laburnumloft/node/rpc"
@@ -48,6 +49,8 @@
 	Logger        hclog.Logger
 	// Transport is used towards other VMs; nil means a default one.
 	Transport http.RoundTripper
+	// Channel protects the traffic between own processes; nil protects nothing.
+	Channel *secure.Channel
 	// WrapListener wraps the listening socket; nil means to use it as it is.
 	WrapListener func(net.Listener) net.Listener
 	Rollout      RolloutConfig
@@ -92,22 +95,19 @@
 // New returns an agent that is not started yet.
 func New(cfg Config) *Agent {
 	cfg.Rollout = cfg.Rollout.withDefaults()
-	base := cfg.Transport
+	base, platformBase := cfg.Transport, cfg.Transport
 	if base == nil {
-		base = &http.Transport{
-			MaxIdleConnsPerHost: 16,
-			IdleConnTimeout:     90 * time.Second,
-			DialContext:         (&net.Dialer{Timeout: 2 * time.Second}).DialContext,
-		}
+		base, platformBase = cfg.Channel.Transport(newTransport()), newTransport()
 	}
 	client := &http.Client{Transport: &telemetry.Transport{Base: base}}
+	platformClient := &http.Client{Transport: &telemetry.Transport{Base: platformBase}}
 	a := &Agent{
 		cfg:         cfg,
 		logger:      cfg.Logger,
 		incarnation: time.Now().UnixMilli(),
 		client:      client,
-		weights:     platform.NewWeights(cfg.WeightsURL),
-		membership:  platform.NewMembership(cfg.MembershipURL, client),
+		weights:     platform.NewWeights(cfg.WeightsURL, platformClient),
+		membership:  platform.NewMembership(cfg.MembershipURL, platformClient),
 		engine:      newEngineClient(cfg.BackendURL),
 		state: &agentState{
 			settings:      settings.NewState(),
@@ -122,6 +122,14 @@
 	return a
 }
 
+func newTransport() *http.Transport {
+	return &http.Transport{
+		MaxIdleConnsPerHost: 16,
+		IdleConnTimeout:     90 * time.Second,
+		DialContext:         (&net.Dialer{Timeout: 2 * time.Second}).DialContext,
+	}
+}
+
 // Run serves until ctx ends, then lets requests in flight end.
 func (a *Agent) Run(ctx context.Context) error {
 	listener, err := net.Listen("tcp", a.cfg.Listen)
@@ -146,7 +154,7 @@
 		a.state.setServing("")
 	}
 	duties.Go(func() {
-		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		if err := server.Serve(a.cfg.Channel.Listener(listener)); !errors.Is(err, http.ErrServerClosed) {
 			a.logger.Error("server stopped", "error", err)
 		}
 	})
@@ -171,10 +179,9 @@
 	mux.HandleFunc("POST /agent/v1/requests", a.handleRequest)
 	mux.HandleFunc("GET /weights/v1/{model}/{version}/manifest", a.rollout.handleManifest)
 	mux.HandleFunc("GET /weights/v1/{model}/{version}/chunks/{index}", a.rollout.handleChunk)
-	mux.HandleFunc("GET /weights/v1/{model}/{version}/data", a.rollout.handleData)
 	mux.Handle("GET /debug/vars", expvar.Handler())
 	mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) {
 		wire.WriteError(w, wire.Error{Kind: wire.ErrorNotFound, Message: "no such path: " + r.URL.Path})
 	})
-	return telemetry.Handler("agent", mux)
+	return telemetry.Handler("agent", a.cfg.Channel.Handler(mux))
 }
--- a/node/agent/chunks.go
+++ b/node/agent/chunks.go
@@ -317,7 +317,11 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "building a chunk request")
 	}
-	resp, err := f.duty.agent.client.Do(req)
+	do := f.duty.agent.client.Do
+	if attempt.Source.Origin {
+		do = f.duty.agent.weights.Do
+	}
+	resp, err := do(req)
 	if err != nil {
 		return nil, err
 	}
--- a/node/agent/rollout.go
+++ b/node/agent/rollout.go
@@ -40,6 +40,8 @@
 	uploads          chan struct{}
 	upPace, downPace *pacer
 	wake             chan struct{}
+	// dataAddress is where the engine reads whole versions.
+	dataAddress string
 
 	mu      sync.Mutex
 	machine *rollout.Machine
@@ -110,6 +112,10 @@
 
 // run carries out the actions of the machine for as long as ctx lasts.
 func (d *rolloutDuty) run(ctx context.Context) {
+	if err := d.serveData(ctx); err != nil {
+		d.logger.Error("engine can't read versions", "error", err)
+		return
+	}
 	answers := ring.New[engineAnswer]("engine_status", 1, ring.DropOldest)
 	var duties sync.WaitGroup
 	defer duties.Wait()
--- a/node/agent/rollout_engine.go
+++ b/node/agent/rollout_engine.go
@@ -26,7 +26,7 @@
 	answered, err := l.agent.engine.load(ctx, wire.LoadOrder{
 		Model: intent.Model, Version: intent.Version, Digest: action.Order.Digest,
 		Fence:  wire.Fence{Offset: action.Order.Fence.Offset, StartMS: action.Order.Fence.StartMS},
-		Source: "http://" + l.agent.cfg.Listen + "/weights/v1/" + intent.Model + "/" + intent.Version + "/data",
+		Source: "http://" + l.dataAddress + "/weights/v1/" + intent.Model + "/" + intent.Version + "/data",
 	})
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/node/agent/weights.go
+++ b/node/agent/weights.go
@@ -3,12 +3,16 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"sync"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"github.com/laburnumloft/laburnumloft/core/rollout"
 	"github.com/laburnumloft/laburnumloft/node/lib/wire"
 )
@@ -289,6 +293,23 @@
 	_ = control.SetWriteDeadline(time.Time{})
 }
 
+// serveData gives whole versions to the local engine. The engine runs on the
+// same VM and does not know the secret of the own processes, so it reads from
+// a listener on loopback.
+func (d *rolloutDuty) serveData(ctx context.Context) error {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return eris.Wrap(errors.Join(ErrStart, err), "listening for the engine")
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /weights/v1/{model}/{version}/data", d.handleData)
+	server := &http.Server{Handler: mux, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeaderBytes}
+	d.dataAddress = listener.Addr().String()
+	go func() { _ = server.Serve(listener) }()
+	context.AfterFunc(ctx, func() { _ = server.Close() })
+	return nil
+}
+
 // handleData gives the whole version to the local engine.
 func (d *rolloutDuty) handleData(w http.ResponseWriter, r *http.Request) {
 	pieces, m, ok := d.store.pieces(versionKey{r.PathValue("model"), r.PathValue("version")})
--- a/node/lib/platform/platform.go
+++ b/node/lib/platform/platform.go
@@ -103,14 +103,20 @@
 	return &members, nil
 }
 
-// Weights locates versions in the weight store.
+// Weights is a client of the weight store.
 type Weights struct {
 	baseURL string
+	client  *http.Client
 }
 
-// NewWeights returns the weight store at baseURL.
-func NewWeights(baseURL string) *Weights {
-	return &Weights{baseURL: baseURL}
+// NewWeights returns a client of the weight store at baseURL.
+func NewWeights(baseURL string, client *http.Client) *Weights {
+	return &Weights{baseURL: baseURL, client: client}
+}
+
+// Do sends a request for one of the URLs below.
+func (w *Weights) Do(req *http.Request) (*http.Response, error) {
+	return w.client.Do(req)
 }
 
 // ManifestURL returns where the store serves a manifest.
