Balance uploads, bound connections and fix the fence of repeated orders

Waiting GETs over HTTP/1.1 needed a connection per chunk. The Promela specification showed that a repeated order with the newest offset has the fence of the next order, so a late copy could override it.

Change: eight pairs of opposite orders; the middle rank of small regions feeds the next region; a chunk moves to its next source after two waits and to the origin late while an upstream agent works. Agents speak HTTP/2 to each other. A repeated order keeps its fence.

--- a/core/rollout/planner.go
+++ b/core/rollout/planner.go
@@ -45,6 +45,16 @@
 // jitterShare is the largest share by which a time is lengthened at random.
 const jitterShare = 0.25
 
+const (
+	// sourcePatience is how many NotYet answers make a chunk go on to its
+	// next source. Moving on at once would put the load of a slow branch on
+	// the ancestors.
+	sourcePatience = 2
+	// drawSlack lengthens the wait for the origin while some upstream agent
+	// still works, since a chunk that is late is not lost.
+	drawSlack = 4
+)
+
 // attemptShare is the part of the deadline between two attempts for a chunk.
 const attemptShare = 32
 
@@ -68,6 +78,8 @@
 type chunkPlan struct {
 	started time.Time
 	cursor  int
+	// patience counts the NotYet answers of the current source.
+	patience int
 	// notBefore bounds the rate of attempts at sources that answer NotYet
 	// without waiting.
 	notBefore time.Time
@@ -120,7 +132,7 @@
 		plan.tree, plan.place = p.tree, p.tree.Place(chunk)
 	}
 	place := plan.place
-	originAt := plan.started.Add(time.Duration(place.DrawRank) * p.cfg.Deadline)
+	originAt := p.originAt(plan, now)
 	earliest := now.Add(p.cfg.Deadline)
 	for range place.Sources {
 		source := place.Sources[plan.cursor%len(place.Sources)]
@@ -139,6 +151,18 @@
 	return Attempt{Until: earliest}
 }
 
+// originAt returns when the agent may draw a chunk from the origin. Its turn
+// comes early when all agents that should have had the chunk before it fail.
+func (p *Planner) originAt(plan *chunkPlan, now time.Time) time.Time {
+	wait := time.Duration(plan.place.DrawRank) * p.cfg.Deadline
+	for _, source := range plan.place.Sources[:plan.place.Upstream] {
+		if !p.sources[source.key()].until.After(now) {
+			return plan.started.Add(wait * drawSlack)
+		}
+	}
+	return plan.started.Add(wait)
+}
+
 // deadline returns how long a source may make no progress. It ends early
 // when this agent's turn at the origin comes, so that the wait for a peer
 // that never gets the chunk does not delay the draw.
@@ -167,7 +191,11 @@
 	}
 	p.sources[source.key()] = state
 	if plan := p.chunks[chunk]; plan != nil {
-		plan.cursor++
+		plan.patience++
+		if outcome != NotYet || plan.patience >= sourcePatience {
+			plan.cursor++
+			plan.patience = 0
+		}
 		plan.notBefore = now.Add(p.jitter(p.cfg.Deadline / attemptShare))
 	}
 }
--- a/core/rollout/tree.go
+++ b/core/rollout/tree.go
@@ -10,9 +10,24 @@
 // Fanout is the number of children of a node in the tree of one chunk.
 const Fanout = 2
 
+// treeOrders is the number of pairs of tree orders that the chunks share. An
+// agent has at most twice as many parents, which bounds its connections;
+// with an order of its own for each chunk it would connect to every agent of
+// its region.
+const treeOrders = 8
+
 // ManifestIndex is the chunk index under which the tree places the manifest.
 const ManifestIndex = -2
 
+// shallowRegion is the size of a region up to which the next region pulls
+// from the middle rank, which has the fewest children in both directions of
+// an order. In larger regions the root and its children take turns, because
+// the depth of the middle rank costs more time than the uneven load.
+const shallowRegion = 32
+
+// crossRanks is how many first ranks of a large region take turns.
+const crossRanks = Fanout + 1
+
 // extraPeers is how many peers of the region, in tree order, follow the
 // ancestors in the source order.
 const extraPeers = 3
@@ -135,7 +150,7 @@
 // order returns the nodes of a region in the tree order of a chunk. The node
 // at rank r has its children at ranks 2r+1 and 2r+2.
 func (t *Tree) order(region string, chunk int) []node {
-	pair, reversed := chunk>>1, chunk&1 == 1
+	pair, reversed := (chunk>>1)&(treeOrders-1), chunk&1 == 1
 	salt := mix(uint64(pair))
 	ordered := slices.Clone(t.nodes[region])
 	slices.SortFunc(ordered, func(a, b node) int {
@@ -170,8 +185,10 @@
 	Rank int
 	// Hop is the position of the region in the chain.
 	Hop int
-	// Sources are in the order in which they are tried.
-	Sources []Source
+	// Sources are in the order in which they are tried. The first Upstream
+	// of them are those that get the chunk before this agent.
+	Sources  []Source
+	Upstream int
 	// DrawRank is 0 for the agent that draws from the origin first; others
 	// wait longer the higher it is.
 	DrawRank int
@@ -198,12 +215,15 @@
 		list.add(Source{Origin: true})
 	}
 	if rank == 0 && hop > 0 {
-		list.addRegion(t.order(chain[hop-1], chunk), Fanout)
+		previous := t.order(chain[hop-1], chunk)
+		list.add(Source{Peer: previous[crossRank(chunk, len(previous))].peer})
+		list.addRegion(previous, Fanout)
 	}
 	for r := rank; r > 0; {
 		r = (r - 1) / Fanout
 		list.add(Source{Peer: ordered[r].peer})
 	}
+	p.Upstream = len(list.sources)
 	list.addRegion(ordered, extraPeers)
 	// One more peer that differs from agent to agent spreads the load when
 	// the first ranks are all down.
@@ -216,6 +236,15 @@
 	return p
 }
 
+// crossRank is the rank in a region of n agents that uploads the chunk to the
+// next region.
+func crossRank(chunk, n int) int {
+	if n <= shallowRegion {
+		return (n - 1) / Fanout
+	}
+	return (max(chunk, 0) / (2 * treeOrders)) % crossRanks
+}
+
 // drawRank orders the agents that may draw a chunk from the origin.
 func (t *Tree) drawRank(rank, hop, regions int) int {
 	if rank == 0 && t.cfg.DirectRoots {
--- a/core/rollout/version.go
+++ b/core/rollout/version.go
@@ -238,7 +238,7 @@
 	if now.Before(m.ordered.retryAt) || m.running > 0 {
 		return Action{At: m.ordered.retryAt}
 	}
-	return m.give(m.ordered.order.Intent, m.ordered.order.Digest, now)
+	return m.give(m.ordered.order, now)
 }
 
 func (m *Machine) nextTarget(now time.Time) Action {
@@ -259,9 +259,11 @@
 	if m.unsettled() {
 		return m.repeat(now)
 	}
-	intent, digest := m.target.intent, m.target.digest
+	order := Order{
+		Intent: m.target.intent, Digest: m.target.digest, Fence: Fence{Offset: m.offset, StartMS: m.cfg.StartMS},
+	}
 	m.target = nil
-	return m.give(intent, digest, now)
+	return m.give(order, now)
 }
 
 // unsettled reports whether the last order may still reach the engine. An
@@ -280,17 +282,17 @@
 	}
 }
 
-// give moves to the state loading and returns the order.
-func (m *Machine) give(intent Intent, digest string, now time.Time) Action {
-	m.history.Check(m.running == 0, "load order for %s while %d requests run", intent.Version, m.running)
-	m.history.Check(digest != "", "load order for %s that is not whole", intent.Version)
-	m.history.Check(m.ordered == nil || m.ordered.state != StateServing, "load order for %s while another version is served", intent.Version)
-	m.history.Addf("order %s", intent.Version)
-	// The fence carries the newest settings offset, so that an order after a
-	// return to an earlier version is newer than the orders before it.
-	order := Order{Intent: intent, Digest: digest, Fence: Fence{Offset: m.offset, StartMS: m.cfg.StartMS}}
+// give moves to the state loading and returns the order. A repeated order
+// keeps its fence: with a newer one, a late copy of it could override the
+// order of a version that settings at the same offset named.
+func (m *Machine) give(order Order, now time.Time) Action {
+	version := order.Intent.Version
+	m.history.Check(m.running == 0, "load order for %s while %d requests run", version, m.running)
+	m.history.Check(order.Digest != "", "load order for %s that is not whole", version)
+	m.history.Check(m.ordered == nil || m.ordered.state != StateServing, "load order for %s while another version is served", version)
+	m.history.Addf("order %s", version)
 	m.ordered = &ordered{order: order, state: StateLoading, retryAt: now.Add(m.cfg.OrderRetry)}
-	return Action{Kind: ActionOrder, Intent: intent, Order: order}
+	return Action{Kind: ActionOrder, Intent: order.Intent, Order: order}
 }
 
 // EngineSays takes the engine's own report, which alone can make a version
--- a/core/rollout/version_test.go
+++ b/core/rollout/version_test.go
@@ -155,7 +155,10 @@
 	w.report = nil
 }
 
+// restart drops the engine's version. Its connections break, and with them
+// the orders in flight.
 func (w *world) restart(*rapid.T) {
+	w.orders = nil
 	w.engine, w.running = rollout.EngineReport{}, w.endAll()
 }
 
--- a/node/agent/agent.go
+++ b/node/agent/agent.go
@@ -49,6 +49,8 @@
 	Logger        hclog.Logger
 	// Transport is used towards other VMs; nil means a default one.
 	Transport http.RoundTripper
+	// PeerTransport is used towards other agents; nil means a default one.
+	PeerTransport http.RoundTripper
 	// Channel protects the traffic between own processes; nil protects nothing.
 	Channel *secure.Channel
 	// WrapListener wraps the listening socket; nil means to use it as it is.
@@ -62,6 +64,7 @@
 	logger      hclog.Logger
 	incarnation int64
 	client      *http.Client
+	peers       *http.Client
 	weights     *platform.Weights
 	membership  *platform.Membership
 	engine      *engineClient
@@ -106,6 +109,7 @@
 		logger:      cfg.Logger,
 		incarnation: time.Now().UnixMilli(),
 		client:      client,
+		peers:       &http.Client{Transport: peerTransport(cfg)},
 		weights:     platform.NewWeights(cfg.WeightsURL, platformClient),
 		membership:  platform.NewMembership(cfg.MembershipURL, platformClient),
 		engine:      newEngineClient(cfg.BackendURL),
@@ -143,6 +147,7 @@
 		Handler:           a.handler(),
 		ReadHeaderTimeout: readHeaderTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
+		Protocols:         serverProtocols(),
 	}
 	var duties sync.WaitGroup
 	dutyCtx, stopDuties := context.WithCancel(context.Background())
--- a/node/agent/chunks.go
+++ b/node/agent/chunks.go
@@ -317,7 +317,7 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "building a chunk request")
 	}
-	do := f.duty.agent.client.Do
+	do := f.duty.agent.peers.Do
 	if attempt.Source.Origin {
 		do = f.duty.agent.weights.Do
 	}
--- a/node/agent/rollout_config.go
+++ b/node/agent/rollout_config.go
@@ -4,6 +4,7 @@
 	"expvar"
 	"fmt"
 	"math"
+	"net/http"
 	"slices"
 	"time"
 
@@ -89,6 +90,39 @@
 	return c
 }
 
+// serverProtocols lets peers multiplex waiting GETs over one connection.
+func serverProtocols() *http.Protocols {
+	var p http.Protocols
+	p.SetHTTP1(true)
+	p.SetHTTP2(true)
+	p.SetUnencryptedHTTP2(true)
+	return &p
+}
+
+// peerTransport returns the transport towards other agents. Without TLS it
+// speaks HTTP/2, so that a window of waiting GETs needs one connection per
+// parent instead of one per chunk.
+func peerTransport(cfg Config) http.RoundTripper {
+	if cfg.PeerTransport != nil {
+		return cfg.PeerTransport
+	}
+	if cfg.Transport != nil {
+		return cfg.Transport
+	}
+	base := newTransport()
+	if !cfg.Channel.TLS() {
+		base.Protocols = PeerProtocols()
+	}
+	return cfg.Channel.Transport(base)
+}
+
+// PeerProtocols selects HTTP/2 without TLS for a transport between agents.
+func PeerProtocols() *http.Protocols {
+	var p http.Protocols
+	p.SetUnencryptedHTTP2(true)
+	return &p
+}
+
 // peerView is what the tree is built from.
 type peerView struct {
 	peers        []rollout.Peer
--- a/standin/weightstore/weightstore.go
+++ b/standin/weightstore/weightstore.go
@@ -26,11 +26,14 @@
 	mu       sync.Mutex
 	versions map[string]version
 	drawn    atomic.Int64
+	active   atomic.Int64
+	limit    atomic.Int64
+	perName  map[string]int64
 }
 
 // New returns an empty store.
 func New() *Store {
-	return &Store{versions: map[string]version{}}
+	return &Store{versions: map[string]version{}, perName: map[string]int64{}}
 }
 
 // Add makes a version of size bytes from a seed and returns the digest of
@@ -52,6 +55,19 @@
 	return s.drawn.Load()
 }
 
+// DrawnOf returns the bytes of chunks of one version that were drawn so far.
+func (s *Store) DrawnOf(model, name string) int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.perName[model+"/"+name]
+}
+
+// SetLimit bounds the chunks that are sent at once. More requests get status
+// 429 with Retry-After. 0 means no limit.
+func (s *Store) SetLimit(limit int64) {
+	s.limit.Store(limit)
+}
+
 // Handler returns the HTTP interface of the store.
 func (s *Store) Handler() http.Handler {
 	mux := http.NewServeMux()
@@ -100,6 +116,15 @@
 		return
 	}
 	piece := v.data[index*v.chunkSize : min((index+1)*v.chunkSize, len(v.data))]
+	active := s.active.Add(1)
+	defer s.active.Add(-1)
+	if limit := s.limit.Load(); limit > 0 && active > limit {
+		wire.WriteError(w, wire.Error{Kind: wire.ErrorOverloaded, Message: "too many draws at once", RetryAfterMS: 1000})
+		return
+	}
+	s.mu.Lock()
+	s.perName[r.PathValue("model")+"/"+r.PathValue("version")] += int64(len(piece))
+	s.mu.Unlock()
 	s.drawn.Add(int64(len(piece)))
 	_, _ = w.Write(piece)
 }
