Test restarts and refusals of a rollout and hedge draws for the time objective

Cause: no test ran agents through a refused manifest, a restarted engine or a replaced VM without the weight store. With the objective time each region's root drew from the origin, which needs three copies of the origin's link.

Change: tests over agents in one process; the objective time lets the root of a region draw only when the region before it is late by one deadline. The specification of the version state has an answer event and its mutant for stale status reports.

--- a/bench/rollout/fleet.go
+++ b/bench/rollout/fleet.go
@@ -71,6 +71,10 @@
 	Objective settings.Objective
 	Strategy  core.Strategy
 	Faults    bool
+	// Bytes is the size of a version; 0 means versionBytes.
+	Bytes int
+	// Hold is how long all chunks stay in memory; 0 means the default.
+	Hold time.Duration
 	// Limit ends a baseline that would take too long.
 	Limit time.Duration
 	// Baseline runs may end at the limit.
@@ -218,7 +222,7 @@
 		Listen: v.address, BackendURL: "http://" + url, WeightsURL: f.storeURL, MembershipURL: f.listURL,
 		MemoryCeiling: 4 * versionBytes, DrainTimeout: time.Second, Logger: hclog.NewNullLogger(),
 		Transport: v.host.transport(), PeerTransport: peers, WrapListener: v.host.wrap,
-		Rollout: agent.RolloutConfig{ChunkDeadline: f.deadline, Strategy: f.setting.Strategy},
+		Rollout: agent.RolloutConfig{ChunkDeadline: f.deadline, Strategy: f.setting.Strategy, WeightsHold: f.setting.Hold},
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	v.stop, v.done = cancel, make(chan struct{})
@@ -265,7 +269,18 @@
 
 // publish makes a version and puts it in force.
 func (f *fleet) publish(offset int64, version string) {
-	digest := f.store.Add(model, version, versionBytes, chunkBytes, uint64(offset))
+	f.intend(offset, version, f.store.Add(model, version, f.bytes(), chunkBytes, uint64(offset)))
+}
+
+func (f *fleet) bytes() int {
+	if f.setting.Bytes > 0 {
+		return f.setting.Bytes
+	}
+	return versionBytes
+}
+
+// intend puts a version in force.
+func (f *fleet) intend(offset int64, version, digest string) {
 	f.control.publish(offset, settings.Service{
 		Name: service, Kind: settings.KindEngine, Model: model, Version: version, Manifest: digest,
 		Objective: f.setting.Objective, OriginRegion: regionNames[0], ChecksFence: true,
--- a/core/rollout/planner.go
+++ b/core/rollout/planner.go
@@ -155,6 +155,9 @@
 // comes early when all agents that should have had the chunk before it fail.
 func (p *Planner) originAt(plan *chunkPlan, now time.Time) time.Time {
 	wait := time.Duration(plan.place.DrawRank) * p.cfg.Deadline
+	if plan.place.Hedge {
+		return plan.started.Add(p.cfg.Deadline)
+	}
 	for _, source := range plan.place.Sources[:plan.place.Upstream] {
 		if !p.sources[source.key()].until.After(now) {
 			return plan.started.Add(wait * drawSlack)
--- a/core/rollout/rollout_test.go
+++ b/core/rollout/rollout_test.go
@@ -247,3 +247,48 @@
 		}
 	}
 }
+
+// TestHedgedRootsDrawLate guards against an objective that delays the first
+// draw or lets every region draw at once.
+func TestHedgedRootsDrawLate(t *testing.T) {
+	peers := agents(30)
+	now := time.Unix(0, 0)
+	draws := 0
+	for _, self := range peers {
+		tree := rollout.NewTree(rollout.TreeConfig{Self: self, Peers: peers, OriginRegion: "norte", HedgeRoots: true})
+		p := rollout.NewPlanner(rollout.PlannerConfig{Deadline: time.Second, SetAside: time.Minute, MaxSetAside: time.Minute}, tree)
+		if next := p.Next(7, now); next.Ask && next.Source.Origin {
+			draws++
+		}
+		place := tree.Place(7)
+		if place.Rank != 0 || place.Hop == 0 {
+			continue
+		}
+		for range place.Sources[:place.Upstream] {
+			p.Result(7, p.Next(7, now).Source, rollout.Refused, 0, now)
+			now = now.Add(time.Second / 4)
+		}
+		if late := now.Add(2 * time.Second); !asksOrigin(p, late) {
+			t.Errorf("root %s does not draw although the region before it fails", self.ID)
+		}
+		now = time.Unix(0, 0)
+	}
+	if draws != 1 {
+		t.Errorf("%d agents draw at the start", draws)
+	}
+}
+
+// asksOrigin answers the next attempts with refusals until the origin's turn.
+func asksOrigin(p *rollout.Planner, now time.Time) bool {
+	for range 20 {
+		next := p.Next(7, now)
+		if next.Ask && next.Source.Origin {
+			return true
+		}
+		if next.Ask {
+			p.Result(7, next.Source, rollout.Refused, 0, now)
+		}
+		now = now.Add(100 * time.Millisecond)
+	}
+	return false
+}
--- a/core/rollout/tree.go
+++ b/core/rollout/tree.go
@@ -46,6 +46,9 @@
 	StrategyTree Strategy = iota
 	StrategyOriginOnly
 	StrategyRandomPeers
+	// StrategyDirectRoots lets the root of every region draw from the origin
+	// first.
+	StrategyDirectRoots
 )
 
 // TreeConfig describes the agents of one deployment as one agent sees them.
@@ -56,9 +59,10 @@
 	Peers []Peer
 	// OriginRegion is where region chains start.
 	OriginRegion string
-	// DirectRoots lets the root of every region draw from the origin first.
-	DirectRoots bool
-	Strategy    Strategy
+	// HedgeRoots lets the root of a region draw from the origin as soon as
+	// the region before it is late by one deadline.
+	HedgeRoots bool
+	Strategy   Strategy
 }
 
 // Source is one place to pull a chunk from.
@@ -192,6 +196,9 @@
 	// DrawRank is 0 for the agent that draws from the origin first; others
 	// wait longer the higher it is.
 	DrawRank int
+	// Hedge says that the agent takes its turn at the origin even while
+	// agents before it still work.
+	Hedge bool
 }
 
 // Place returns this agent's place for a chunk.
@@ -200,7 +207,7 @@
 	hop := slices.Index(chain, t.cfg.Self.Region)
 	ordered := t.order(t.cfg.Self.Region, chunk)
 	rank := slices.IndexFunc(ordered, func(n node) bool { return n.peer.ID == t.cfg.Self.ID })
-	p := Placement{Rank: rank, Hop: hop, DrawRank: t.drawRank(rank, hop, len(chain))}
+	p := Placement{Rank: rank, Hop: hop, DrawRank: t.drawRank(rank, hop, len(chain)), Hedge: rank == 0 && hop > 0 && t.cfg.HedgeRoots}
 	switch t.cfg.Strategy {
 	case StrategyOriginOnly:
 		p.DrawRank = 0
@@ -247,7 +254,7 @@
 
 // drawRank orders the agents that may draw a chunk from the origin.
 func (t *Tree) drawRank(rank, hop, regions int) int {
-	if rank == 0 && t.cfg.DirectRoots {
+	if rank == 0 && t.cfg.Strategy == StrategyDirectRoots {
 		return 0
 	}
 	return rank*regions + hop
--- a/model/rollout.pml
+++ b/model/rollout.pml
@@ -26,7 +26,7 @@
 
 /* Versions are 1 and 2; 0 means none. */
 #define ORDERS   3   /* load orders that are ever given */
-#define CHANGES  2   /* settings changes */
+#define CHANGES  3   /* settings changes */
 
 /* Guards; each mutant removes one. */
 #ifdef NO_WHOLE
@@ -224,6 +224,10 @@
 		:: copies[2] > 0 -> k = 2
 		fi;
 		copies[k]--;
+		if /* the answer reaches the agent or is lost */
+		:: k + 1 == given && ordered != 0 -> settled = true; forget_settled()
+		:: skip
+		fi;
 		if
 		:: OLD_FENCE
 		:: !OLD_FENCE ->
--- a/node/agent/rollout.go
+++ b/node/agent/rollout.go
@@ -323,7 +323,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	view.originRegion = d.service.OriginRegion
-	view.directRoots = d.service.Objective == settings.ObjectiveTime
+	view.hedgeRoots = d.service.Objective == settings.ObjectiveTime
 	return view
 }
 
@@ -331,7 +331,7 @@
 	cfg := d.agent.cfg
 	return rollout.NewTree(rollout.TreeConfig{
 		Self: rollout.Peer{ID: cfg.ID, Address: cfg.Listen, Region: cfg.Region}, Peers: view.peers,
-		OriginRegion: view.originRegion, DirectRoots: view.directRoots, Strategy: cfg.Rollout.Strategy,
+		OriginRegion: view.originRegion, HedgeRoots: view.hedgeRoots, Strategy: cfg.Rollout.Strategy,
 	})
 }
 
--- a/node/agent/rollout_config.go
+++ b/node/agent/rollout_config.go
@@ -127,9 +127,9 @@
 type peerView struct {
 	peers        []rollout.Peer
 	originRegion string
-	directRoots  bool
+	hedgeRoots   bool
 }
 
 func (v peerView) changed(old peerView) bool {
-	return v.originRegion != old.originRegion || v.directRoots != old.directRoots || !slices.Equal(v.peers, old.peers)
+	return v.originRegion != old.originRegion || v.hedgeRoots != old.hedgeRoots || !slices.Equal(v.peers, old.peers)
 }
--- a/standin/weightstore/weightstore.go
+++ b/standin/weightstore/weightstore.go
@@ -3,6 +3,8 @@
 package weightstore
 
 import (
+	"crypto/sha256"
+	"encoding/hex"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
@@ -50,6 +52,16 @@
 	return digest
 }
 
+// AddManifest makes a version without chunks whose manifest is the given
+// bytes, and returns their digest.
+func (s *Store) AddManifest(model, name string, manifest []byte) string {
+	sum := sha256.Sum256(manifest)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.versions[model+"/"+name] = version{manifest: manifest, chunkSize: 1}
+	return hex.EncodeToString(sum[:])
+}
+
 // Drawn returns the bytes of chunks that were drawn so far.
 func (s *Store) Drawn() int64 {
 	return s.drawn.Load()
