--- a/node/agent/agent.go
+++ b/node/agent/agent.go
@@ -70,8 +70,9 @@
 type agentState struct {
 	mu       sync.Mutex
 	settings *settings.State
-	// digest is the digest of the settings in force.
-	digest        string
+	// inForce guards the order of the settings; settings is its state.
+	inForce       *settings.InForce
+	gate          settingsGate
 	changed       chan struct{}
 	version       string
 	versionState  string
@@ -104,6 +105,7 @@
 		engine:      newEngineClient(cfg.BackendURL),
 		state: &agentState{
 			settings:      settings.NewState(),
+			inForce:       settings.NewInForce(),
 			changed:       make(chan struct{}),
 			reportChanged: make(chan struct{}, 1),
 		},
--- a/node/agent/state.go
+++ b/node/agent/state.go
@@ -5,19 +5,6 @@
 	"github.com/laburnumloft/laburnumloft/node/rpc"
 )
 
-// applySettings puts a state in force unless an equal or newer one is.
-func (s *agentState) applySettings(state *settings.State, digest string) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if state.Offset <= s.settings.Offset {
-		return false
-	}
-	s.settings, s.digest = state, digest
-	close(s.changed)
-	s.changed = make(chan struct{})
-	return true
-}
-
 // current returns the settings in force, which must not be changed, and a
 // channel that is closed at the next change.
 func (s *agentState) current() (*settings.State, <-chan struct{}) {
--- a/node/agent/sync.go
+++ b/node/agent/sync.go
@@ -2,15 +2,9 @@
 
 import (
 	"context"
-	"crypto/sha256"
-	"encoding/hex"
-	"encoding/json"
 	"sync"
 	"time"
 
-	"github.com/rotisserie/eris"
-
-	"github.com/laburnumloft/laburnumloft/core/settings"
 	"github.com/laburnumloft/laburnumloft/node/lib/wire"
 	"github.com/laburnumloft/laburnumloft/node/rpc"
 )
@@ -93,7 +87,7 @@
 		a.state.leave()
 	}
 	a.state.setPeers(resp.GetPeers())
-	return a.applySettings(resp.GetSettings())
+	return a.receiveSettings(resp.GetEntryId(), resp.GetSettings())
 }
 
 func (s *agentState) setPeers(peers []*rpc.PeerAddress) {
@@ -101,22 +95,3 @@
 	defer s.mu.Unlock()
 	s.peers = peers
 }
-
-// applySettings checks the digest of received settings and puts them in force.
-func (a *Agent) applySettings(received *rpc.SettingsState) error {
-	if received == nil {
-		return nil
-	}
-	sum := sha256.Sum256(received.GetState())
-	if hex.EncodeToString(sum[:]) != received.GetDigest() {
-		return eris.Errorf("settings at offset %d do not match their digest", received.GetOffset())
-	}
-	var state settings.State
-	if err := json.Unmarshal(received.GetState(), &state); err != nil {
-		return eris.Wrap(err, "decoding settings")
-	}
-	if a.state.applySettings(&state, received.GetDigest()) {
-		a.logger.Named("settings").Info("settings in force", "offset", state.Offset)
-	}
-	return nil
-}
--- a/node/cmd/laburnum-entry/main.go
+++ b/node/cmd/laburnum-entry/main.go
@@ -37,6 +37,8 @@
 	Listen        string         `long:"listen" env:"LABURNUM_LISTEN" required:"true" description:"IP:PORT for callers and operators"`
 	PeerListen    string         `long:"peer-listen" env:"LABURNUM_PEER_LISTEN" required:"true" description:"IP:PORT for own processes"`
 	LogURL        string         `long:"log-url" env:"LABURNUM_LOG_URL" required:"true" description:"URL of the log service"`
+	LogRetention  time.Duration  `long:"log-retention" env:"LABURNUM_LOG_RETENTION" default:"168h" description:"time for which the log keeps settings records"`
+	SnapshotEvery int64          `long:"snapshot-every" env:"LABURNUM_SNAPSHOT_EVERY" default:"1000" description:"largest number of settings records between two snapshots; at most a quarter of what the log keeps"`
 	MembershipURL string         `long:"membership-url" env:"LABURNUM_MEMBERSHIP_URL" required:"true" description:"URL of the membership list"`
 	MaxBody       int64          `long:"max-body-bytes" env:"LABURNUM_MAX_BODY_BYTES" default:"1048576" description:"largest request body in bytes"`
 	DrainTimeout  time.Duration  `long:"drain-timeout" env:"LABURNUM_DRAIN_TIMEOUT" default:"10m" description:"limit of a planned stop"`
@@ -61,7 +63,7 @@
 	}
 	return entry.New(entry.Config{
 		ID: c.ID, Region: c.Region, Zone: c.Zone, Listen: c.Listen, PeerListen: c.PeerListen,
-		LogURL: c.LogURL, MembershipURL: c.MembershipURL, MaxBodyBytes: c.MaxBody,
+		LogURL: c.LogURL, LogRetention: c.LogRetention, SnapshotEvery: c.SnapshotEvery, MembershipURL: c.MembershipURL, MaxBodyBytes: c.MaxBody,
 		DrainTimeout: c.DrainTimeout, Logger: telemetry.NewLogger(tcfg), Channel: channel,
 	}).Run(ctx)
 }
@@ -75,6 +77,8 @@
 		options.URL("log-url", c.LogURL),
 		options.URL("membership-url", c.MembershipURL),
 		options.Positive("max-body-bytes", c.MaxBody),
+		options.Positive("log-retention", c.LogRetention),
+		options.Positive("snapshot-every", c.SnapshotEvery),
 		options.Positive("drain-timeout", c.DrainTimeout),
 	)
 }
--- a/node/entry/control.go
+++ b/node/entry/control.go
@@ -16,6 +16,7 @@
 // Sync implements rpc.Control.
 func (c *controlServer) Sync(ctx context.Context, req *rpc.SyncRequest) (*rpc.SyncResponse, error) {
 	c.entry.members.report(req.GetReport())
+	c.entry.settings.heard(req.GetSettingsOffset())
 	_, encoded, changed := c.entry.settings.current()
 	if encoded.GetOffset() <= req.GetSettingsOffset() {
 		timer := time.NewTimer(time.Duration(req.GetWaitMs()) * time.Millisecond)
--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -38,6 +38,10 @@
 	Listen, PeerListen string
 	LogURL             string
 	MembershipURL      string
+	// LogRetention is the time for which the log keeps settings records.
+	LogRetention time.Duration
+	// SnapshotEvery is the largest number of records between two snapshots.
+	SnapshotEvery int64
 	// MaxBodyBytes bounds the body of a caller's request.
 	MaxBodyBytes int64
 	// DrainTimeout bounds a planned stop.
@@ -140,6 +144,7 @@
 	mux.HandleFunc("GET /v1/discovery", e.handleDiscovery)
 	mux.HandleFunc("POST /v1/workspaces/{workspace}/services/{service}/requests", e.handleRequest)
 	mux.HandleFunc("GET /v1/status", e.handleStatus)
+	mux.HandleFunc("GET /v1/settings", e.handleSettings)
 	mux.Handle("GET /debug/vars", expvar.Handler())
 	mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) {
 		wire.WriteError(w, wire.Error{Kind: wire.ErrorNotFound, Message: "no such path: " + r.URL.Path})
@@ -150,5 +155,6 @@
 func (e *Entry) peerHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle(rpc.ControlPathPrefix, rpc.NewControlServer(&controlServer{entry: e}))
+	mux.Handle(rpc.PeerPathPrefix, rpc.NewPeerServer(&peerServer{entry: e}))
 	return telemetry.Handler("entry.peer", e.cfg.Channel.Handler(mux))
 }
--- a/node/entry/settings_peers.go
+++ b/node/entry/settings_peers.go
@@ -55,18 +55,28 @@
 func (d *settingsDuty) askPeersAtStart(ctx context.Context) {
 	deadline, cancel := context.WithTimeout(ctx, startWait)
 	defer cancel()
-	for deadline.Err() == nil && !d.entry.members.listed() {
-		sleep(deadline, peerPollInterval)
+	for deadline.Err() == nil {
+		list, err := d.entry.membership.List(deadline)
+		if err == nil {
+			d.askPeers(ctx, d.randomPeers(list.Members, startPeers))
+			return
+		}
+		d.logger.Warn("membership list is unavailable", "error", err)
+		sleep(deadline, settingsRetryMin)
 	}
-	d.askPeers(ctx, startPeers)
 }
 
-// askPeers takes the newest state of up to count random peers.
-func (d *settingsDuty) askPeers(ctx context.Context, count int) {
-	answers := make([]*rpc.SettingsState, count)
+// askAnyPeer takes the state of a random peer if it is newer.
+func (d *settingsDuty) askAnyPeer(ctx context.Context) {
+	d.askPeers(ctx, d.randomPeers(d.entry.members.members().Members, 1))
+}
+
+// askPeers takes the newest state of the peers.
+func (d *settingsDuty) askPeers(ctx context.Context, addresses []string) {
+	answers := make([]*rpc.SettingsState, len(addresses))
 	state, _ := d.fold.State()
 	var calls sync.WaitGroup
-	for i, address := range d.randomPeers(count) {
+	for i, address := range addresses {
 		calls.Go(func() { answers[i] = d.fetch(ctx, address, state.Offset) })
 	}
 	calls.Wait()
@@ -97,9 +107,9 @@
 }
 
 // randomPeers returns the addresses of up to count other entries.
-func (d *settingsDuty) randomPeers(count int) []string {
+func (d *settingsDuty) randomPeers(members []wire.Member, count int) []string {
 	var addresses []string
-	for _, m := range d.entry.members.members().Members {
+	for _, m := range members {
 		if m.Role == wire.RoleEntry && m.ID != d.entry.cfg.ID {
 			addresses = append(addresses, m.PeerAddress)
 		}
--- a/node/lib/platform/platform.go
+++ b/node/lib/platform/platform.go
@@ -26,14 +26,14 @@
 	ErrRefused = eris.New("platform service refused the request")
 )
 
-// Throttled is returned when the weight store asks to wait.
+// Throttled is returned when a service refused a request and asks to wait.
 type Throttled struct {
 	RetryAfter time.Duration
 }
 
 // Error implements error.
 func (e *Throttled) Error() string {
-	return fmt.Sprintf("weight store is rate limited; retry after %s", e.RetryAfter)
+	return fmt.Sprintf("service is rate limited; retry after %s", e.RetryAfter)
 }
 
 // defaultRetryAfter applies when a 429 response names no time.
@@ -164,6 +164,9 @@
 	if err != nil {
 		return eris.Wrap(errors.Join(ErrUnavailable, err), req.URL.Path)
 	}
+	if resp.StatusCode == http.StatusTooManyRequests {
+		return &Throttled{RetryAfter: retryAfter(resp.Header)}
+	}
 	if resp.StatusCode/100 != 2 {
 		return eris.Wrapf(ErrRefused, "status %d for %s", resp.StatusCode, req.URL.Path)
 	}
--- a/node/lib/wire/wire.go
+++ b/node/lib/wire/wire.go
@@ -2,6 +2,8 @@
 // agents, backend servers and the platform share.
 package wire
 
+import "encoding/json"
+
 // ErrorKind classifies an error that a caller sees.
 type ErrorKind string
 
@@ -224,6 +226,14 @@
 	Members []Member `json:"members"`
 }
 
+// Settings are the settings in force at an entry.
+type Settings struct {
+	Offset int64 `json:"offset"`
+	// Digest is the SHA-256 of State in hexadecimal.
+	Digest string          `json:"digest"`
+	State  json.RawMessage `json:"state"`
+}
+
 // LogAppend is the answer to an append.
 type LogAppend struct {
 	Offset int64 `json:"offset"`
