Add the operators' commands and the limits of the log stand-in

Cause: operators had no way to check or publish documents other than by hand-made log records, and the stand-in's log neither dropped records nor lagged nor limited appends.

A failure of serve after its start now exits with 1 instead of 2. The log stand-in has retention by time and number, an old tail, an append rate limit and a request that drops records.

--- a/core/settings/document.go
+++ b/core/settings/document.go
@@ -32,25 +32,25 @@
 	Kind Kind   `json:"kind" yaml:"kind"`
 	// Model, Version and Manifest (SHA-256 of the manifest in hexadecimal)
 	// are set for engines only.
-	Model    string `json:"model,omitempty" yaml:"model"`
-	Version  string `json:"version,omitempty" yaml:"version"`
-	Manifest string `json:"manifest,omitempty" yaml:"manifest"`
+	Model    string `json:"model,omitempty" yaml:"model,omitempty"`
+	Version  string `json:"version,omitempty" yaml:"version,omitempty"`
+	Manifest string `json:"manifest,omitempty" yaml:"manifest,omitempty"`
 	// ChecksFence says that the backend servers refuse orders with an old
 	// fencing number.
-	ChecksFence bool `json:"checks_fence,omitempty" yaml:"checks_fence"`
+	ChecksFence bool `json:"checks_fence,omitempty" yaml:"checks_fence,omitempty"`
 	// Regions limits the service to these regions; empty means all.
-	Regions      []string      `json:"regions,omitempty" yaml:"regions"`
-	Objective    Objective     `json:"objective,omitempty" yaml:"objective"`
-	OriginRegion string        `json:"origin_region,omitempty" yaml:"origin_region"`
-	Methods      []Method      `json:"methods,omitempty" yaml:"methods"`
-	Rollout      *RolloutStart `json:"rollout,omitempty" yaml:"rollout"`
+	Regions      []string      `json:"regions,omitempty" yaml:"regions,omitempty"`
+	Objective    Objective     `json:"objective,omitempty" yaml:"objective,omitempty"`
+	OriginRegion string        `json:"origin_region,omitempty" yaml:"origin_region,omitempty"`
+	Methods      []Method      `json:"methods,omitempty" yaml:"methods,omitempty"`
+	Rollout      *RolloutStart `json:"rollout,omitempty" yaml:"rollout,omitempty"`
 }
 
 // Method describes a method of a plain service.
 type Method struct {
 	Name       string `json:"name" yaml:"name"`
-	Idempotent bool   `json:"idempotent,omitempty" yaml:"idempotent"`
-	TimeoutMS  int    `json:"timeout_ms,omitempty" yaml:"timeout_ms"`
+	Idempotent bool   `json:"idempotent,omitempty" yaml:"idempotent,omitempty"`
+	TimeoutMS  int    `json:"timeout_ms,omitempty" yaml:"timeout_ms,omitempty"`
 }
 
 // RolloutStart is the local time of day at which a new version starts to
@@ -68,15 +68,15 @@
 	Template  string `json:"template" yaml:"template"`
 	// Services are the services that the workspace may use; empty means all
 	// services of the template.
-	Services []string `json:"services,omitempty" yaml:"services"`
+	Services []string `json:"services,omitempty" yaml:"services,omitempty"`
 	// Regions limits where requests of the workspace are served.
-	Regions []string `json:"regions,omitempty" yaml:"regions"`
+	Regions []string `json:"regions,omitempty" yaml:"regions,omitempty"`
 	// Versions override the version of a service.
-	Versions []VersionOverride `json:"versions,omitempty" yaml:"versions"`
+	Versions []VersionOverride `json:"versions,omitempty" yaml:"versions,omitempty"`
 	// Share is the weight of the workspace in fair queueing; 0 means 1.
-	Share int `json:"share,omitempty" yaml:"share"`
+	Share int `json:"share,omitempty" yaml:"share,omitempty"`
 	// MaxQueued bounds the requests that wait per entry; 0 means the default.
-	MaxQueued int `json:"max_queued,omitempty" yaml:"max_queued"`
+	MaxQueued int `json:"max_queued,omitempty" yaml:"max_queued,omitempty"`
 }
 
 // VersionOverride replaces the version that the template gives a service.
--- a/core/settings/parse.go
+++ b/core/settings/parse.go
@@ -346,3 +346,16 @@
 	}
 	return fields
 }
+
+// File returns the document as the YAML text of a file.
+func (d *Document) File() []byte {
+	var file any = templateFile{Kind: RecordTemplate}
+	if d.Template != nil {
+		file = templateFile{Kind: RecordTemplate, Template: *d.Template}
+	} else if d.Parameters != nil {
+		file = parametersFile{Kind: RecordParameters, Parameters: *d.Parameters}
+	}
+	// Documents hold only strings, numbers and lists, which always encode.
+	data, _ := yaml.Marshal(file)
+	return data
+}
--- a/core/settings/record.go
+++ b/core/settings/record.go
@@ -97,7 +97,7 @@
 		// A snapshot changes nothing for a process that folded up to it.
 		return s.at(offset), Verdict{Offset: offset, RecordID: rec.ID, Accepted: true}
 	}
-	if first, repeated := s.verdictOn(rec.ID); repeated {
+	if first, repeated := s.VerdictOn(rec.ID); repeated {
 		first.RepeatOf, first.Offset = first.Offset, offset
 		return s.at(offset), first
 	}
--- a/core/settings/state.go
+++ b/core/settings/state.go
@@ -128,6 +128,31 @@
 	return 0, ""
 }
 
+// Document returns the document of a key and the offset and record of its
+// revision.
+func (s *State) Document(key string) (doc *Document, offset int64, recordID string) {
+	kind, name := SplitKey(key)
+	if rev, ok := s.Templates[name]; ok && kind == RecordTemplate {
+		return &Document{Kind: kind, Key: key, Template: &rev.Document}, rev.Offset, rev.RecordID
+	}
+	if rev, ok := s.Parameters[name]; ok && kind == RecordParameters {
+		return &Document{Kind: kind, Key: key, Parameters: &rev.Document}, rev.Offset, rev.RecordID
+	}
+	return nil, 0, ""
+}
+
+// Keys returns the keys of all documents in order.
+func (s *State) Keys() []string {
+	var keys []string
+	for _, name := range sortedKeys(s.Parameters) {
+		keys = append(keys, Key(RecordParameters, name))
+	}
+	for _, name := range sortedKeys(s.Templates) {
+		keys = append(keys, Key(RecordTemplate, name))
+	}
+	return keys
+}
+
 // at returns a copy of the state at another offset. The copy shares maps
 // and slices, which are replaced and never changed.
 func (s *State) at(offset int64) *State {
@@ -142,8 +167,9 @@
 	s.Recent = append(slices.Clone(s.Recent[from:]), v)
 }
 
-// verdictOn returns the first verdict on a record id, if remembered.
-func (s *State) verdictOn(id string) (Verdict, bool) {
+// VerdictOn returns the first verdict on a record id, if it is among the
+// latest.
+func (s *State) VerdictOn(id string) (Verdict, bool) {
 	for _, v := range slices.Backward(s.Recent) {
 		if v.RecordID == id {
 			return v, true
--- a/node/cmd/laburnum-entry/main.go
+++ b/node/cmd/laburnum-entry/main.go
@@ -3,8 +3,11 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
 	"os"
 	"os/signal"
+	"strings"
 	"syscall"
 	"time"
 
@@ -16,17 +19,53 @@
 	"github.com/laburnumloft/laburnumloft/node/lib/telemetry"
 )
 
+// exitFailed is the exit code of a command that was refused or failed.
+const exitFailed = 1
+
+// exitCodes is part of the help text of each operators' command.
+const exitCodes = " Exit codes: 0 done, 1 refused or failed, 2 wrong usage."
+
+// failure is an error after the settings of a command were accepted.
+type failure struct {
+	err error
+}
+
+// Error implements error.
+func (f *failure) Error() string { return f.err.Error() }
+
+// errReported is the failure of a command that has printed the reason.
+var errReported = errors.New("reported")
+
 func main() {
 	os.Exit(run())
 }
 
 func run() int {
 	parser := flags.NewParser(nil, flags.HelpFlag|flags.PassDoubleDash)
-	if _, err := parser.AddCommand("serve", "run an entry", "Runs an entry until SIGTERM.", &serveCommand{}); err != nil {
-		return options.Exit(err)
+	for _, c := range []struct {
+		name, short, long string
+		command           flags.Commander
+	}{
+		{"serve", "run an entry", "Runs an entry until SIGTERM.", &serveCommand{}},
+		{"check", "check documents before publishing", checkHelp, &checkCommand{}},
+		{"publish", "publish documents", publishHelp, &publishCommand{}},
+		{"get", "print the document in force", getHelp, &getCommand{}},
+		{"history", "list the records of a document", historyHelp, &historyCommand{}},
+		{"status", "show how far the fleet has converged", statusHelp, &statusCommand{}},
+	} {
+		if _, err := parser.AddCommand(c.name, c.short, c.long, c.command); err != nil {
+			return options.Exit(err)
+		}
 	}
 	_, err := parser.Parse()
-	return options.Exit(err)
+	var failed *failure
+	if !errors.As(err, &failed) {
+		return options.Exit(err)
+	}
+	if !errors.Is(failed.err, errReported) {
+		fmt.Fprintln(os.Stderr, strings.ReplaceAll(failed.Error(), "\n", ": "))
+	}
+	return exitFailed
 }
 
 // serveCommand runs an entry.
@@ -61,11 +100,15 @@
 	if err != nil {
 		return err
 	}
-	return entry.New(entry.Config{
+	err = entry.New(entry.Config{
 		ID: c.ID, Region: c.Region, Zone: c.Zone, Listen: c.Listen, PeerListen: c.PeerListen,
 		LogURL: c.LogURL, LogRetention: c.LogRetention, SnapshotEvery: c.SnapshotEvery, MembershipURL: c.MembershipURL, MaxBodyBytes: c.MaxBody,
 		DrainTimeout: c.DrainTimeout, Logger: telemetry.NewLogger(tcfg), Channel: channel,
 	}).Run(ctx)
+	if err != nil {
+		return &failure{err}
+	}
+	return nil
 }
 
 func (c *serveCommand) check() error {
--- a/standin/cmd/standin/main.go
+++ b/standin/cmd/standin/main.go
@@ -24,6 +24,9 @@
 	Listen      string        `long:"listen" required:"true" description:"IP:PORT"`
 	TokenTime   time.Duration `long:"token-time" default:"5ms" description:"engine: time between two tokens"`
 	ChecksFence bool          `long:"checks-fence" description:"engine: refuse orders with an old fencing number"`
+	Retention   time.Duration `long:"retention" description:"log: time for which records are kept; 0 for ever"`
+	MaxRecords  int           `long:"max-records" description:"log: number of records that a stream keeps; 0 for all"`
+	AppendRate  float64       `long:"append-rate" description:"log: appends per second; 0 for no limit"`
 	Args        struct {
 		Role string `positional-arg-name:"role" required:"true" choice:"log" choice:"weights" choice:"members" choice:"engine" choice:"plain"`
 	} `positional-args:"true"`
@@ -42,7 +45,9 @@
 func handler(cfg config) http.Handler {
 	switch cfg.Args.Role {
 	case "log":
-		return logservice.New().Handler()
+		return logservice.New(logservice.Control{
+			RetentionMS: cfg.Retention.Milliseconds(), MaxRecords: cfg.MaxRecords, AppendsPerSecond: cfg.AppendRate,
+		}).Handler()
 	case "weights":
 		return weightstore.New().Handler()
 	case "members":
--- a/standin/logservice/logservice.go
+++ b/standin/logservice/logservice.go
@@ -25,12 +25,17 @@
 // Service is an in-memory log service.
 type Service struct {
 	mu      sync.Mutex
+	control Control
 	streams map[string]*stream
+	reads   int
+	// tokens are the appends that the rate limit allows at the time refilled.
+	tokens   float64
+	refilled time.Time
 }
 
 // New returns an empty log service.
-func New() *Service {
-	return &Service{streams: map[string]*stream{}}
+func New(control Control) *Service {
+	return &Service{control: control, streams: map[string]*stream{}}
 }
 
 // Handler returns the HTTP interface of the service.
@@ -38,6 +43,8 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /v1/streams/{name}/records", s.handleAppend)
 	mux.HandleFunc("GET /v1/streams/{name}/records", s.handleRead)
+	mux.HandleFunc("POST /v1/control", s.handleControl)
+	mux.HandleFunc("POST /v1/streams/{name}/expire", s.handleExpire)
 	return mux
 }
 
@@ -56,6 +63,11 @@
 		return
 	}
 	s.mu.Lock()
+	if !s.allowAppend(time.Now()) {
+		s.mu.Unlock()
+		wire.WriteError(w, wire.Error{Kind: wire.ErrorOverloaded, Message: "append rate limit", RetryAfterMS: 1000})
+		return
+	}
 	st := s.get(r.PathValue("name"))
 	offset := st.oldest + int64(len(st.records))
 	st.records = append(st.records, wire.LogRecord{Offset: offset, TimeMS: time.Now().UnixMilli(), Data: data})
@@ -93,6 +105,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	st := s.get(name)
+	st.expire(s.control, time.Now())
 	page := wire.LogPage{Oldest: st.oldest, Next: st.oldest + int64(len(st.records)), Records: []wire.LogRecord{}}
 	start := max(from-st.oldest, 0)
 	for _, rec := range st.records[min(start, int64(len(st.records))):] {
@@ -101,5 +114,9 @@
 		}
 		page.Records = append(page.Records, rec)
 	}
+	s.reads++
+	if tail := s.control.OldTail; tail > 0 && s.reads%max(s.control.OldTailEvery, 1) == 0 {
+		page = truncate(page, tail)
+	}
 	return page, st.changed
 }
