Test settings under races, lost answers, outages and an old tail

Change: bench/settings runs each of these with real processes and the stand-ins; examples/ holds the documents of both users at their sizes, which a test publishes. The stand-in's request to drop records is outside the paths that the faults match.

--- /dev/null
+++ b/bench/settings/faults_test.go
@@ -0,0 +1,192 @@
+package settings_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"strings"
+	"sync"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/laburnumloft/laburnumloft/bench/harness"
+	"github.com/laburnumloft/laburnumloft/node/lib/wire"
+	"github.com/laburnumloft/laburnumloft/standin/faults"
+	"github.com/laburnumloft/laburnumloft/standin/logservice"
+)
+
+// TestRacingOperators guards against two operators who both believe that
+// their change of the same revision is in force.
+func TestRacingOperators(t *testing.T) {
+	s := start(t)
+	s.publishBasics()
+	entries := []*harness.Process{s.entry("entry-1"), s.entry("entry-2")}
+	const operators = 8
+	results := make([][]verdict, operators)
+	codes := make([]int, operators)
+	var running sync.WaitGroup
+	for i := range operators {
+		file := s.write(parameters("ana") + fmt.Sprintf("share: %d\n", i+1))
+		running.Go(func() { results[i], codes[i] = s.publish(file, "--base", "2") })
+	}
+	running.Wait()
+	winner := ""
+	for i, code := range codes {
+		s.c.Assert(results[i], qt.HasLen, 1)
+		if code == 0 {
+			s.c.Assert(winner, qt.Equals, "", qt.Commentf("two operators won"))
+			winner = results[i][0].RecordID
+		}
+	}
+	s.c.Assert(winner, qt.Not(qt.Equals), "")
+	for i, code := range codes {
+		if code != 0 {
+			s.c.Assert(results[i][0].Winner, qt.Equals, winner)
+		}
+	}
+	digests := map[string]bool{}
+	for _, e := range entries {
+		answer := s.reaches(e, 3+operators)
+		s.c.Assert(string(answer.State), qt.Contains, winner)
+		digests[answer.Digest] = true
+	}
+	s.c.Assert(digests, qt.HasLen, 1)
+}
+
+// TestLostAppendAnswer guards against a change that is published twice, or
+// reported as failed although it is in force.
+func TestLostAppendAnswer(t *testing.T) {
+	s := start(t)
+	s.publishBasics()
+	s.faults(faults.Switches{Method: "POST", LoseAnswers: 1})
+	verdicts, code := s.publish(s.write(parameters("ana") + "share: 5\n"))
+	s.c.Assert(code, qt.Equals, 0)
+	s.c.Assert(verdicts[0].Offset, qt.Equals, int64(4))
+	_, next := s.logEnds()
+	s.c.Assert(next, qt.Equals, int64(5))
+}
+
+// TestUnsettledAppend guards against a verdict that is claimed while the log
+// gives none, and against a second effect when the attempt is settled later.
+func TestUnsettledAppend(t *testing.T) {
+	s := start(t)
+	s.publishBasics()
+	s.faults(faults.Switches{Method: "POST", Down: true})
+	file := s.write(parameters("ana") + "share: 5\n")
+	out, code := s.command("publish", "--log-url", s.LogURL, "--timeout", "2s", "--id", "attempt-1", file)
+	s.c.Assert(code, qt.Equals, 1)
+	s.c.Assert(out, qt.Contains, "record attempt-1")
+	s.faults(faults.Switches{})
+	for range 2 {
+		verdicts, code := s.publish(file, "--id", "attempt-1")
+		s.c.Assert(code, qt.Equals, 0)
+		s.c.Assert(verdicts[0].Offset, qt.Equals, int64(4))
+	}
+}
+
+// TestLogDownLongerThanRetention guards against the loss of settings that
+// only live processes still hold after the log has dropped its records.
+func TestLogDownLongerThanRetention(t *testing.T) {
+	s := start(t)
+	s.publishBasics()
+	// The wait before a snapshot is at most a sixteenth of the retention.
+	first := s.entry("entry-1", "--log-retention", "8s")
+	before := s.reaches(first, 3)
+	s.faults(faults.Switches{Down: true})
+	s.expire(4)
+	s.c.Assert(s.inForce(first).Digest, qt.Equals, before.Digest)
+	s.faults(faults.Switches{})
+	s.until(func() bool { _, next := s.logEnds(); return next > 4 }, "a snapshot in the log")
+
+	// A new entry without peers must find everything in the log.
+	s.c.Assert(first.Cmd.Process.Kill(), qt.IsNil)
+	<-first.Done()
+	second := s.entry("entry-2")
+	after := s.reaches(second, 4)
+	for _, name := range []string{"lessons", "ana", "budi"} {
+		s.c.Assert(string(after.State), qt.Contains, `"`+name+`"`)
+	}
+	verdicts, code := s.publish(s.write(parameters("ana") + "share: 5\n"))
+	s.c.Assert(code, qt.Equals, 0, qt.Commentf("%v", verdicts))
+	s.reaches(second, verdicts[0].Offset)
+}
+
+// TestStartWhileLogIsDown guards against a process that starts with empty
+// settings, or never, because the log does not answer.
+func TestStartWhileLogIsDown(t *testing.T) {
+	s := start(t)
+	s.publishBasics()
+	first := s.entry("entry-1")
+	want := s.reaches(first, 3)
+	s.faults(faults.Switches{Down: true})
+	second := s.entry("entry-2")
+	s.c.Assert(s.reaches(second, 3).Digest, qt.Equals, want.Digest)
+	agent, err := s.Agent("agent-1", "norte", "norte-a", "lesson-desk", "plain", "--log-level", "warn")
+	s.c.Assert(err, qt.IsNil)
+	s.until(func() bool {
+		var status struct {
+			Services []wire.ServiceStatus `json:"services"`
+		}
+		s.getJSON("http://"+second.Address+"/v1/status", &status)
+		return len(status.Services) == 1 && status.Services[0].Agents == 1 && status.Services[0].Behind == 0
+	}, "settings at "+agent.Name)
+}
+
+// TestOldTail guards against settings that revert when a lagging log replica
+// answers, at a running entry and at one that starts.
+func TestOldTail(t *testing.T) {
+	s := start(t)
+	s.publishBasics()
+	first := s.entry("entry-1")
+	want := s.reaches(first, 3)
+	s.control(logservice.Control{OldTail: 2})
+	second := s.entry("entry-2")
+	var seen wire.Settings
+	s.until(func() bool { seen = s.inForce(second); return seen.Offset > 0 }, "first settings")
+	s.c.Assert(seen.Digest, qt.Equals, want.Digest)
+	s.c.Assert(s.inForce(first).Digest, qt.Equals, want.Digest)
+	s.control(logservice.Control{OldTail: 4, OldTailEvery: 2})
+	verdicts, code := s.publish(s.write(parameters("ana") + "share: 5\n"))
+	s.c.Assert(code, qt.Equals, 0, qt.Commentf("%v", verdicts))
+	s.reaches(first, 4)
+	s.reaches(second, 4)
+}
+
+// TestRateLimitedLog guards against a publication that is lost or doubled
+// when the log refuses appends for their rate.
+func TestRateLimitedLog(t *testing.T) {
+	s := start(t)
+	s.control(logservice.Control{AppendsPerSecond: 2})
+	s.publishBasics()
+	_, next := s.logEnds()
+	s.c.Assert(next, qt.Equals, int64(4))
+}
+
+// TestExamples guards against example documents that the system refuses.
+func TestExamples(t *testing.T) {
+	for _, name := range []string{"priangan-raya", "tromba-serrana"} {
+		t.Run(name, func(t *testing.T) {
+			s := start(t)
+			dir := "../../examples/" + name + "/"
+			files, err := os.ReadDir(dir)
+			s.c.Assert(err, qt.IsNil)
+			args := []string{"check", "--json", "--log-url", s.LogURL, dir + "template.yaml"}
+			for _, f := range files {
+				if strings.HasPrefix(f.Name(), "parameters") {
+					args = append(args, dir+f.Name())
+				}
+			}
+			out, code := s.command(args...)
+			s.c.Assert(code, qt.Equals, 0, qt.Commentf("%s", out))
+			args[0] = "publish"
+			out, code = s.command(args...)
+			s.c.Assert(code, qt.Equals, 0, qt.Commentf("%s", out))
+			var verdicts []verdict
+			s.c.Assert(json.Unmarshal([]byte(out), &verdicts), qt.IsNil)
+			s.c.Assert(len(verdicts) >= 11, qt.IsTrue)
+			entry := s.entry("entry-1")
+			s.reaches(entry, int64(len(verdicts)))
+		})
+	}
+}
--- a/node/entry/settings.go
+++ b/node/entry/settings.go
@@ -21,6 +21,9 @@
 	settingsPageSize = 256
 	// settingsPollWait is long, because 410 entries then make 20 requests/s.
 	settingsPollWait = 20 * time.Second
+	// settingsPollShare bounds the wait to a share of the retention, because
+	// an entry learns from the answers which records have expired.
+	settingsPollShare = 16
 	// settingsGapWait applies while the state must come from elsewhere.
 	settingsGapWait = time.Second
 	// settingsReadSlack is how long an answer may take beyond the wait.
@@ -193,15 +196,16 @@
 }
 
 func (d *settingsDuty) wait(now time.Time) time.Duration {
+	longest := min(settingsPollWait, max(d.policy.Retention/settingsPollShare, settingsGapWait))
 	switch {
 	case !d.caughtUp:
 		return 0
 	case d.status == settings.StatusGap || d.status == settings.StatusStale:
 		return settingsGapWait
 	case !d.snapshotAt.IsZero():
-		return max(min(d.snapshotAt.Sub(now), settingsPollWait), 0)
+		return max(min(d.snapshotAt.Sub(now), longest), 0)
 	}
-	return settingsPollWait
+	return longest
 }
 
 func (d *settingsDuty) report(result settings.Result) {
--- a/standin/logservice/control.go
+++ b/standin/logservice/control.go
@@ -43,14 +43,15 @@
 // retention need not wait for it.
 func (s *Service) handleExpire(w http.ResponseWriter, r *http.Request) {
 	var request struct {
-		Before int64 `json:"before"`
+		Stream string `json:"stream"`
+		Before int64  `json:"before"`
 	}
 	if failure := wire.ReadJSON(r, maxControlBytes, &request); failure != nil {
 		wire.WriteError(w, *failure)
 		return
 	}
 	s.mu.Lock()
-	st := s.get(r.PathValue("name"))
+	st := s.get(request.Stream)
 	st.drop(request.Before - st.oldest)
 	s.mu.Unlock()
 	wire.WriteJSON(w, http.StatusOK, request)
--- a/standin/logservice/logservice.go
+++ b/standin/logservice/logservice.go
@@ -44,7 +44,7 @@
 	mux.HandleFunc("POST /v1/streams/{name}/records", s.handleAppend)
 	mux.HandleFunc("GET /v1/streams/{name}/records", s.handleRead)
 	mux.HandleFunc("POST /v1/control", s.handleControl)
-	mux.HandleFunc("POST /v1/streams/{name}/expire", s.handleExpire)
+	mux.HandleFunc("POST /v1/expire", s.handleExpire)
 	return mux
 }
 
