Run operations by ticket and by idempotency key

Cause: the design's ticket calls and one-shot calls had no implementation.

Change: the agent serves twirp Operations from one goroutine that owns the ticket table and sends each request on a fresh connection without GetBody, so that Go's transport can't replay it. The entry serves tickets, keyed calls (claim appended to stream claims and read back before the run) and idempotent calls, which alone are retried, within a budget. While the log is down a keyed call is refused as not_run only if the caller vouches for the key's first use and the agent confirmed the cancel; otherwise unknown. The plain service stand-in gets fault switches, the harness kill, pause, continue and restart.

--- a/bench/harness/harness.go
+++ b/bench/harness/harness.go
@@ -40,8 +40,12 @@
 // Process is one started program.
 type Process struct {
 	Name, Address string
-	Cmd           *exec.Cmd
-	done          chan struct{}
+	// Backend is the address of an agent's backend server.
+	Backend string
+	Cmd     *exec.Cmd
+	done    chan struct{}
+	program string
+	args    []string
 }
 
 // Start starts the platform's stand-ins.
@@ -77,7 +81,7 @@
 	if err := cmd.Start(); err != nil {
 		return nil, eris.Wrapf(err, "starting %s", name)
 	}
-	p := &Process{Name: name, Address: address, Cmd: cmd, done: make(chan struct{})}
+	p := &Process{Name: name, Address: address, Cmd: cmd, done: make(chan struct{}), program: program, args: args}
 	go func() {
 		_ = cmd.Wait()
 		close(p.done)
@@ -148,6 +152,7 @@
 	if err != nil {
 		return nil, err
 	}
+	p.Backend = backend
 	return p, c.List(wire.Member{
 		ID: id, Role: wire.RoleAgent, Address: address, Region: region, Zone: zone, Service: service, State: wire.MemberLive,
 	})
--- a/node/agent/agent.go
+++ b/node/agent/agent.go
@@ -61,6 +61,7 @@
 	engine      *engineClient
 	state       *agentState
 	rollout     *rolloutDuty
+	operations  *operationsDuty
 }
 
 // agentState is what the duties of one agent share.
@@ -109,6 +110,7 @@
 		},
 	}
 	a.rollout = newRolloutDuty(a)
+	a.operations = newOperationsDuty(a)
 	return a
 }
 
@@ -127,6 +129,7 @@
 	dutyCtx, stopDuties := context.WithCancel(context.Background())
 	defer stopDuties()
 	duties.Go(func() { a.syncWithEntries(dutyCtx) })
+	duties.Go(func() { a.operations.run(dutyCtx) })
 	if a.cfg.Kind == settings.KindEngine {
 		duties.Go(func() { a.rollout.run(dutyCtx) })
 	} else {
@@ -150,13 +153,14 @@
 	a.state.leave()
 	ctx, cancel := context.WithTimeout(context.Background(), a.cfg.DrainTimeout)
 	defer cancel()
-	return server.Shutdown(ctx)
+	return errors.Join(server.Shutdown(ctx), a.operations.drain(ctx))
 }
 
 func (a *Agent) handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /agent/v1/requests", a.handleRequest)
 	mux.HandleFunc("GET /weights/v1/{model}/{version}/data", a.rollout.handleData)
+	mux.Handle(rpc.OperationsPathPrefix, rpc.NewOperationsServer(a.operations))
 	mux.Handle("GET /debug/vars", expvar.Handler())
 	mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) {
 		wire.WriteError(w, wire.Error{Kind: wire.ErrorNotFound, Message: "no such path: " + r.URL.Path})
--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -53,6 +53,8 @@
 	client     *http.Client
 	settings   *settingsStore
 	members    *memberTable
+	claims     *claimStore
+	calls      *callState
 }
 
 // New returns an entry that is not started yet.
@@ -70,6 +72,8 @@
 		client:     client,
 		settings:   newSettingsStore(),
 		members:    newMemberTable(),
+		claims:     newClaimStore(),
+		calls:      newCallState(),
 	}
 }
 
@@ -89,6 +93,7 @@
 	defer stopDuties()
 	duties.Go(func() { e.tailSettings(dutyCtx) })
 	duties.Go(func() { e.pollMembers(dutyCtx) })
+	duties.Go(func() { e.tailClaims(dutyCtx) })
 	duties.Go(func() { e.serve(servers[0], public) })
 	duties.Go(func() { e.serve(servers[1], peer) })
 	e.logger.Info("entry started", "listen", public.Addr(), "peer_listen", peer.Addr())
@@ -130,6 +135,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /v1/discovery", e.handleDiscovery)
 	mux.HandleFunc("POST /v1/workspaces/{workspace}/services/{service}/requests", e.handleRequest)
+	e.routeOperations(mux)
 	mux.HandleFunc("GET /v1/status", e.handleStatus)
 	mux.Handle("GET /debug/vars", expvar.Handler())
 	mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) {
