--- a/node/agent/agent.go
+++ b/node/agent/agent.go
@@ -51,6 +51,9 @@
 	Transport http.RoundTripper
 	// Channel protects the traffic between own processes; nil protects nothing.
 	Channel *secure.Channel
+	// WrapListener wraps the listening socket; nil means to use it as it is.
+	WrapListener func(net.Listener) net.Listener
+	Rollout      RolloutConfig
 }
 
 // Agent is one agent process.
@@ -73,7 +76,7 @@
 	settings *settings.State
 	// inForce guards the order of the settings; settings is its state.
 	inForce       *settings.InForce
-	gate          settingsGate
+	settingsGate  settingsGate
 	changed       chan struct{}
 	version       string
 	versionState  string
@@ -86,10 +89,14 @@
 	sequence      uint64
 	peers         []*rpc.PeerAddress
 	reportChanged chan struct{}
+	// gate decides on the admission of requests; nil admits those for the
+	// reported version.
+	gate admissionGate
 }
 
 // New returns an agent that is not started yet.
 func New(cfg Config) *Agent {
+	cfg.Rollout = cfg.Rollout.withDefaults()
 	base, platformBase := cfg.Transport, cfg.Transport
 	if base == nil {
 		base, platformBase = cfg.Channel.Transport(newTransport()), newTransport()
@@ -113,6 +120,9 @@
 	}
 	a.rollout = newRolloutDuty(a)
 	a.operations = newOperationsDuty(a)
+	if cfg.Kind == settings.KindEngine {
+		a.state.gate = a.rollout
+	}
 	return a
 }
 
@@ -130,6 +140,9 @@
 	if err != nil {
 		return eris.Wrap(errors.Join(ErrStart, err), "listening")
 	}
+	if a.cfg.WrapListener != nil {
+		listener = a.cfg.WrapListener(listener)
+	}
 	server := &http.Server{
 		Handler:           a.handler(),
 		ReadHeaderTimeout: readHeaderTimeout,
@@ -169,7 +182,8 @@
 func (a *Agent) handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /agent/v1/requests", a.handleRequest)
-	mux.HandleFunc("GET /weights/v1/{model}/{version}/data", a.rollout.handleData)
+	mux.HandleFunc("GET /weights/v1/{model}/{version}/manifest", a.rollout.handleManifest)
+	mux.HandleFunc("GET /weights/v1/{model}/{version}/chunks/{index}", a.rollout.handleChunk)
 	mux.Handle(rpc.OperationsPathPrefix, rpc.NewOperationsServer(a.operations))
 	mux.Handle("GET /debug/vars", expvar.Handler())
 	mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) {
