--- /dev/null
+++ b/core/routing/routing_test.go
@@ -0,0 +1,260 @@
+package routing
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// TestMain fixes the seed of the randomised runs unless a flag gives one.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if seed := flag.Lookup("rapid.seed"); seed.Value.String() == "0" {
+		_ = seed.Value.Set("1")
+	}
+	os.Exit(m.Run())
+}
+
+var start = time.Unix(1_800_000_000, 0)
+
+func backends(n int) []Backend {
+	list := make([]Backend, n)
+	for i := range list {
+		list[i] = Backend{
+			ID: fmt.Sprintf("agent-%d", i), Address: fmt.Sprintf("127.0.0.1:%d", i), Region: "priangan",
+			Version: "v1", Incarnation: 1, Sequence: 1,
+		}
+	}
+	return list
+}
+
+// TestLostEntriesSpreadCallers guards against all callers moving to one
+// entry when an entry, a zone or a region is lost.
+func TestLostEntriesSpreadCallers(t *testing.T) {
+	var all []EntryInfo
+	for i := range 20 {
+		all = append(all, EntryInfo{ID: fmt.Sprint(i), Zone: fmt.Sprintf("z%d", i%5), Region: fmt.Sprintf("r%d", i%5%3)})
+	}
+	cases := map[string]func(EntryInfo) bool{
+		"entry":       func(e EntryInfo) bool { return e.ID == "0" },
+		"zone":        func(e EntryInfo) bool { return e.Zone == "z0" },
+		"region":      func(e EntryInfo) bool { return e.Region == "r0" },
+		"one in zone": func(e EntryInfo) bool { return e.Zone == "z0" && e.ID != "0" },
+	}
+	for name, lost := range cases {
+		var left []EntryInfo
+		for _, e := range all {
+			e.Leaving = lost(e)
+			left = append(left, e)
+		}
+		random := rand.New(rand.NewPCG(1, 2))
+		first := map[string]int{}
+		const callers = 2000
+		for range callers {
+			answer := Discover(random, "z0", "r0", left)
+			if answer.TTL < MinTTL || answer.TTL > MaxTTL || len(answer.Entries) > MaxAnswerEntries {
+				t.Fatalf("%s: answer out of bounds: %+v", name, answer)
+			}
+			first[answer.Entries[0].ID]++
+		}
+		for id, count := range first {
+			if float64(count) > callers*(maxFirstShare+0.04) {
+				t.Errorf("%s lost: entry %s is first for %d of %d callers", name, id, count, callers)
+			}
+		}
+	}
+}
+
+// TestOverloadedEntriesAreLeftOut guards against naming entries that are
+// full or leaving, and against an empty answer when all are full.
+func TestOverloadedEntriesAreLeftOut(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 2))
+	entries := []EntryInfo{{ID: "full", Load: 1}, {ID: "free"}, {ID: "gone", Leaving: true}}
+	if got := Discover(random, "", "", entries).Entries; len(got) != 1 || got[0].ID != "free" {
+		t.Errorf("got %+v", got)
+	}
+	entries[1].Load = 2
+	if got := Discover(random, "", "", entries).Entries; len(got) != 2 {
+		t.Errorf("all full: got %+v", got)
+	}
+}
+
+// TestAffinityIsStable guards against prefixes moving when a member that
+// they don't use joins or leaves, and against a hot prefix that overloads
+// its member.
+func TestAffinityIsStable(t *testing.T) {
+	moved, kept := 0, 0
+	all := backends(20)
+	full, smaller := NewPool(DefaultConfig("priangan")), NewPool(DefaultConfig("priangan"))
+	full.Update(start, all)
+	smaller.Update(start, all[:19])
+	for i := range 500 {
+		r := Request{Version: "v1", Affinity: Affinity("w", fmt.Sprint(i), 64)}
+		a, _ := full.Choose(start, r)
+		b, _ := smaller.Choose(start, r)
+		full.Done(start, a.Handle, Succeeded)
+		smaller.Done(start, b.Handle, Succeeded)
+		switch {
+		case a.ID == b.ID:
+			kept++
+		case a.ID != "agent-19":
+			moved++
+		}
+	}
+	if moved > 0 || kept < 450 {
+		t.Errorf("%d of 500 prefixes moved between remaining members, %d stayed", moved, kept)
+	}
+	counts := map[string]int{}
+	for range 80 {
+		choice, _ := full.Choose(start, Request{Version: "v1", Affinity: 7})
+		counts[choice.ID]++
+	}
+	for id, n := range counts {
+		if n > 6 {
+			t.Errorf("hot prefix: %d of 80 requests at %s with limit 8", n, id)
+		}
+	}
+}
+
+// TestOtherRegionOnlyWhenFull guards against crossing regions while the own
+// region has room.
+func TestOtherRegionOnlyWhenFull(t *testing.T) {
+	list := backends(2)
+	list[1].Region = "pantura"
+	p := NewPool(DefaultConfig("priangan"))
+	p.Update(start, list)
+	for i := range 16 {
+		choice, miss := p.Choose(start, Request{Version: "v1", Affinity: uint64(i)})
+		if want := list[i/8].ID; miss != Found || choice.ID != want {
+			t.Fatalf("request %d went to %q, want %s", i, choice.ID, want)
+		}
+	}
+	if _, miss := p.Choose(start, Request{Version: "v1"}); miss != Full {
+		t.Errorf("full pool: got %v", miss)
+	}
+	if _, miss := p.Choose(start, Request{Version: "v2"}); miss != NoMember {
+		t.Errorf("wrong version: got %v", miss)
+	}
+}
+
+// TestPoolProperties runs random events against a model of the counts. It
+// guards against wrong versions, lost counts, members beyond their limit
+// and too many members set aside.
+func TestPoolProperties(t *testing.T) {
+	rapid.Check(t, checkPool)
+}
+
+func checkPool(t *rapid.T) {
+	p := NewPool(DefaultConfig("priangan"))
+	now := start
+	all := backends(12)
+	type open struct {
+		handle Handle
+		id     string
+		run    int
+	}
+	var streams []open
+	own := map[string]int{}
+	runs := map[string]int{}
+	current := map[string]int64{}
+	t.Repeat(map[string]func(*rapid.T){
+		"time": func(t *rapid.T) {
+			now = now.Add(time.Duration(rapid.IntRange(1, 5000).Draw(t, "ms")) * time.Millisecond)
+		},
+		"members": func(t *rapid.T) {
+			var set []Backend
+			next := map[string]int64{}
+			for i := range all {
+				if rapid.IntRange(0, 9).Draw(t, "state") == 0 {
+					all[i].Incarnation++
+				}
+				if rapid.IntRange(0, 9).Draw(t, "listed") > 0 {
+					all[i].Sequence++
+					all[i].Running = rapid.IntRange(0, 10).Draw(t, "running")
+					set = append(set, all[i])
+					next[all[i].ID] = all[i].Incarnation
+				}
+			}
+			for id, run := range current {
+				if next[id] != run {
+					own[id] = 0
+					runs[id]++
+				}
+			}
+			current = next
+			p.Update(now, set)
+		},
+		"choose": func(t *rapid.T) {
+			version := rapid.SampledFrom([]string{"v1", "v1", "v1", "v2"}).Draw(t, "version")
+			choice, miss := p.Choose(now, Request{Version: version, Affinity: rapid.Uint64().Draw(t, "affinity")})
+			if miss != Found {
+				return
+			}
+			if version != "v1" || current[choice.ID] == 0 {
+				t.Fatalf("version %s went to %s", version, choice.ID)
+			}
+			own[choice.ID]++
+			if own[choice.ID] > DefaultConfig("").DefaultLimit {
+				t.Fatalf("%d requests at %s", own[choice.ID], choice.ID)
+			}
+			streams = append(streams, open{choice.Handle, choice.ID, runs[choice.ID]})
+		},
+		"done": func(t *rapid.T) {
+			if len(streams) == 0 {
+				return
+			}
+			i := rapid.IntRange(0, len(streams)-1).Draw(t, "stream")
+			s := streams[i]
+			streams = append(streams[:i], streams[i+1:]...)
+			if runs[s.id] == s.run {
+				own[s.id]--
+			}
+			p.Done(now, s.handle, rapid.SampledFrom([]Result{Succeeded, Failed, Failed, Refused}).Draw(t, "result"))
+		},
+		"": func(t *rapid.T) {
+			total := 0
+			for _, n := range own {
+				total += n
+			}
+			if got := p.Summary(now); got.InFlight != total || got.Members != len(current) {
+				t.Fatalf("pool counts %+v, want %d in flight at %d members", got, total, len(current))
+			}
+		},
+	})
+}
+
+// TestSetAsideIsBounded guards against a pool that excludes most members
+// because of a cause they share.
+func TestSetAsideIsBounded(t *testing.T) {
+	p := NewPool(DefaultConfig("priangan"))
+	p.Update(start, backends(9))
+	for i := range 900 {
+		if choice, miss := p.Choose(start, Request{Version: "v1", Affinity: uint64(i)}); miss == Found {
+			p.Done(start, choice.Handle, Failed)
+		}
+	}
+	if got := p.Summary(start).SetAside; got != 3 {
+		t.Errorf("%d of 9 members are set aside, want 3", got)
+	}
+	if got := p.Summary(start.Add(time.Minute)).SetAside; got != 0 {
+		t.Errorf("%d members are set aside after a minute", got)
+	}
+}
+
+// TestChooseAllocatesNothing guards against garbage in the hot path.
+func TestChooseAllocatesNothing(t *testing.T) {
+	p := NewPool(DefaultConfig("priangan"))
+	p.Update(start, backends(100))
+	allocs := testing.AllocsPerRun(100, func() {
+		choice, _ := p.Choose(start, Request{Version: "v1", Affinity: 3})
+		p.Done(start, choice.Handle, Succeeded)
+	})
+	if allocs != 0 {
+		t.Errorf("%v allocations per decision", allocs)
+	}
+}
