Route and limit requests in the node, stream with back-pressure

Cause: an entry chose a random agent, admitted everything, buffered no bound and took an answer for whole without checking whose it was. Change: one dispatcher goroutine at the entry owns pools, fair queues and the retry budget; one at the agent owns its fair queue and the adaptive limit of its engine. Frames carry the request id, and both sides check id, version, order and count. DELETE /v1/requests/{id}, cancel at the engine, stall and write timeouts, bounds on frames, prompts and tokens, expvar metrics. The stand-in engine has continuous batching with a capacity, a bounded prefix cache, lagging load, cancel and faults of answers. Members that still serve another version are used when none with the intended one has room, so that a rollout interrupts no service.

--- a/core/routing/pool.go
+++ b/core/routing/pool.go
@@ -67,6 +67,10 @@
 // Request describes what to choose for.
 type Request struct {
 	Version string
+	// OtherVersions allows members that serve another version when none with
+	// Version has room. During a rollout these are the members that have
+	// not loaded the new version yet.
+	OtherVersions bool
 	// Affinity is the hash of the workspace and the prompt's prefix.
 	Affinity uint64
 	// Regions limits the choice to these regions; empty means all.
@@ -79,6 +83,8 @@
 type Choice struct {
 	Handle      Handle
 	ID, Address string
+	// Version is the one that the member serves.
+	Version string
 }
 
 // Miss says why nothing was chosen.
@@ -98,6 +104,7 @@
 // decision, so the fields of the hot path come first.
 type member struct {
 	seed       uint64
+	version    uint64
 	inFlight   float64
 	others     float64
 	limit      float64
@@ -122,6 +129,14 @@
 	// epoch makes times small enough for float arithmetic.
 	epoch time.Time
 	seen  map[string]bool
+	// candidates is scratch space of one decision.
+	candidates []candidate
+}
+
+// candidate is a member that may be chosen.
+type candidate struct {
+	slot           uint32
+	load, capacity float64
 }
 
 // NewPool returns a pool without members.
@@ -200,7 +215,7 @@
 		limit = float64(p.cfg.DefaultLimit)
 	}
 	*m = member{
-		used: true, generation: m.generation + 1, Backend: b, seed: hashString(b.ID),
+		used: true, generation: m.generation + 1, Backend: b, seed: hashString(b.ID), version: hashString(b.Version),
 		region: p.region(b.Region), limit: limit, slowUntil: -1, asideUntil: -1,
 	}
 	if !first {
@@ -237,20 +252,25 @@
 }
 
 // Choose picks a backend server and counts the request in. It prefers the
-// own region; there it takes the member with the highest rendezvous score
+// own region, and there the request's version; among these it takes the member with the highest rendezvous score
 // among those whose use is below LoadBound times the mean, so that the same
 // prefix finds the same cache and a hot prefix spills over.
 func (p *Pool) Choose(now time.Time, r Request) (Choice, Miss) {
 	at := p.nanos(now)
 	allowed := p.allowed(r.Regions)
-	if best := p.pick(at, r, allowed&p.own); best >= 0 {
-		return p.take(best, r), Found
-	}
-	if best := p.pick(at, r, allowed&^p.own); best >= 0 {
-		return p.take(best, r), Found
+	for _, regions := range [...]uint64{allowed & p.own, allowed &^ p.own} {
+		if best := p.pick(at, r, regions, false); best >= 0 {
+			return p.take(best, r), Found
+		}
+		if !r.OtherVersions {
+			continue
+		}
+		if best := p.pick(at, r, regions, true); best >= 0 {
+			return p.take(best, r), Found
+		}
 	}
 	for i := range p.members {
-		if m := &p.members[i]; m.used && m.region&allowed != 0 && m.Version == r.Version {
+		if m := &p.members[i]; m.used && m.region&allowed != 0 && (r.OtherVersions || m.Version == r.Version) {
 			return Choice{}, Full
 		}
 	}
@@ -268,18 +288,29 @@
 	return mask
 }
 
-func (p *Pool) pick(at int64, r Request, regions uint64) int {
+// pick chooses in some regions among the members that serve the request's
+// version, or among the others.
+func (p *Pool) pick(at int64, r Request, regions uint64, others bool) int {
 	if regions == 0 {
 		return -1
 	}
 	halfLife := float64(p.cfg.ReportHalfLife.Nanoseconds())
+	version := hashString(r.Version)
 	load, capacity := 0.0, 0.0
+	candidates := p.candidates[:0]
 	for i := range p.members {
-		if m := &p.members[i]; m.usable(at, regions) {
-			load += m.load(at, halfLife)
-			capacity += p.capacity(m, at)
+		m := &p.members[i]
+		if !m.usable(at, regions) || (m.version != version) != others {
+			continue
+		}
+		l, c := m.load(at, halfLife), p.capacity(m, at)
+		load += l
+		capacity += c
+		if l+1 <= c && !m.tried(uint32(i), r.Tried) {
+			candidates = append(candidates, candidate{uint32(i), l, c})
 		}
 	}
+	p.candidates = candidates
 	if capacity == 0 {
 		return -1
 	}
@@ -288,22 +319,13 @@
 	bound := max(p.cfg.AffinityUse, p.cfg.LoadBound*(load+1)/capacity)
 	best, bestScore := -1, uint64(0)
 	spare, spareUse := -1, math.MaxFloat64
-	for i := range p.members {
-		m := &p.members[i]
-		if !m.usable(at, regions) {
-			continue
-		}
-		c := p.capacity(m, at)
-		l := m.load(at, halfLife)
-		if l+1 > c || m.Version != r.Version || m.tried(uint32(i), r.Tried) {
-			continue
-		}
-		if l <= bound*c {
-			if score := mix(m.seed ^ r.Affinity); best < 0 || score > bestScore {
-				best, bestScore = i, score
+	for _, c := range candidates {
+		if c.load <= bound*c.capacity {
+			if score := mix(p.members[c.slot].seed ^ r.Affinity); best < 0 || score > bestScore {
+				best, bestScore = int(c.slot), score
 			}
-		} else if use := l / c; use < spareUse {
-			spare, spareUse = i, use
+		} else if use := c.load / c.capacity; use < spareUse {
+			spare, spareUse = int(c.slot), use
 		}
 	}
 	if best < 0 {
@@ -328,10 +350,10 @@
 func (p *Pool) take(slot int, r Request) Choice {
 	m := &p.members[slot]
 	m.inFlight++
-	if m.Version != r.Version {
+	if m.Version != r.Version && !r.OtherVersions {
 		p.history.Check(false, "chose version %s for %s", m.Version, r.Version)
 	}
-	return Choice{Handle: Handle{uint32(slot), m.generation}, ID: m.ID, Address: m.Address}
+	return Choice{Handle: Handle{uint32(slot), m.generation}, ID: m.ID, Address: m.Address, Version: m.Version}
 }
 
 // Result is how a request at a backend server went.
--- a/core/routing/routing_test.go
+++ b/core/routing/routing_test.go
@@ -142,6 +142,27 @@
 	}
 }
 
+// TestOtherVersionDuringRollout guards against refusing requests, or
+// crowding the first member with the new version, while others still serve
+// the old one.
+func TestOtherVersionDuringRollout(t *testing.T) {
+	list := backends(3)
+	list[0].Version = "v2"
+	p := NewPool(DefaultConfig("priangan"))
+	p.Update(start, list)
+	got := map[string]int{}
+	for i := range 24 {
+		choice, _ := p.Choose(start, Request{Version: "v2", OtherVersions: true, Affinity: uint64(i)})
+		got[choice.Version]++
+		if i < 8 && choice.Version != "v2" {
+			t.Errorf("request %d got %s while the new version has room", i, choice.Version)
+		}
+	}
+	if got["v2"] != 8 || got["v1"] != 16 {
+		t.Errorf("24 places of 3 members: %v", got)
+	}
+}
+
 // TestPoolProperties runs random events against a model of the counts. It
 // guards against wrong versions, lost counts, members beyond their limit
 // and too many members set aside.
--- a/node/agent/agent.go
+++ b/node/agent/agent.go
@@ -17,6 +17,7 @@
 
 	"github.com/laburnumloft/laburnumloft/core/settings"
 	"github.com/laburnumloft/laburnumloft/node/lib/platform"
+	"github.com/laburnumloft/laburnumloft/node/lib/ring"
 	"github.com/laburnumloft/laburnumloft/node/lib/telemetry"
 	"github.com/laburnumloft/laburnumloft/node/lib/wire"
 	"github.com/laburnumloft/laburnumloft/node/rpc"
@@ -45,7 +46,10 @@
 	// MemoryCeiling bounds the bytes of weights held in memory.
 	MemoryCeiling int64
 	DrainTimeout  time.Duration
-	Logger        hclog.Logger
+	// StallTimeout bounds how long the backend server may make no progress
+	// on an answer; 0 means DefaultStallTimeout.
+	StallTimeout time.Duration
+	Logger       hclog.Logger
 	// Transport is used towards other VMs; nil means a default one.
 	Transport http.RoundTripper
 }
@@ -61,6 +65,8 @@
 	engine      *engineClient
 	state       *agentState
 	rollout     *rolloutDuty
+	admission   *admission
+	cancels     *ring.Ring[string]
 }
 
 // agentState is what the duties of one agent share.
@@ -109,6 +115,8 @@
 		},
 	}
 	a.rollout = newRolloutDuty(a)
+	a.admission = newAdmission()
+	a.cancels = newCancelRing()
 	return a
 }
 
@@ -127,6 +135,8 @@
 	dutyCtx, stopDuties := context.WithCancel(context.Background())
 	defer stopDuties()
 	duties.Go(func() { a.syncWithEntries(dutyCtx) })
+	duties.Go(func() { a.admission.run(dutyCtx) })
+	duties.Go(func() { a.cancelAbandoned(dutyCtx) })
 	if a.cfg.Kind == settings.KindEngine {
 		duties.Go(func() { a.rollout.run(dutyCtx) })
 	} else {
--- a/node/cmd/laburnum-agent/main.go
+++ b/node/cmd/laburnum-agent/main.go
@@ -28,6 +28,7 @@
 	MembershipURL string        `long:"membership-url" env:"LABURNUM_MEMBERSHIP_URL" required:"true" description:"URL of the membership list"`
 	MemoryCeiling int64         `long:"memory-ceiling-bytes" env:"LABURNUM_MEMORY_CEILING_BYTES" default:"17179869184" description:"largest size of held weights in bytes"`
 	DrainTimeout  time.Duration `long:"drain-timeout" env:"LABURNUM_DRAIN_TIMEOUT" default:"10m" description:"limit of a planned stop"`
+	StallTimeout  time.Duration `long:"stall-timeout" env:"LABURNUM_STALL_TIMEOUT" default:"15s" description:"how long the backend server may make no progress on an answer"`
 }
 
 func main() {
@@ -56,7 +57,7 @@
 		ID: opts.ID, Region: opts.Region, Zone: opts.Zone, Service: opts.Service,
 		Kind: settings.Kind(opts.Kind), Listen: opts.Listen, BackendURL: opts.BackendURL,
 		WeightsURL: opts.WeightsURL, MembershipURL: opts.MembershipURL,
-		MemoryCeiling: opts.MemoryCeiling, DrainTimeout: opts.DrainTimeout, Logger: logger,
+		MemoryCeiling: opts.MemoryCeiling, DrainTimeout: opts.DrainTimeout, StallTimeout: opts.StallTimeout, Logger: logger,
 	}).Run(ctx)
 	if err != nil {
 		logger.Error("agent stopped", "error", err)
--- a/node/cmd/laburnum-entry/main.go
+++ b/node/cmd/laburnum-entry/main.go
@@ -38,6 +38,7 @@
 	MembershipURL string        `long:"membership-url" env:"LABURNUM_MEMBERSHIP_URL" required:"true" description:"URL of the membership list"`
 	MaxBody       int64         `long:"max-body-bytes" env:"LABURNUM_MAX_BODY_BYTES" default:"1048576" description:"largest request body in bytes"`
 	DrainTimeout  time.Duration `long:"drain-timeout" env:"LABURNUM_DRAIN_TIMEOUT" default:"10m" description:"limit of a planned stop"`
+	StallTimeout  time.Duration `long:"stall-timeout" env:"LABURNUM_STALL_TIMEOUT" default:"20s" description:"how long an agent may be silent on an answer"`
 }
 
 // Execute implements flags.Commander.
@@ -56,7 +57,7 @@
 	return entry.New(entry.Config{
 		ID: c.ID, Region: c.Region, Zone: c.Zone, Listen: c.Listen, PeerListen: c.PeerListen,
 		LogURL: c.LogURL, MembershipURL: c.MembershipURL, MaxBodyBytes: c.MaxBody,
-		DrainTimeout: c.DrainTimeout, Logger: telemetry.NewLogger(tcfg),
+		DrainTimeout: c.DrainTimeout, StallTimeout: c.StallTimeout, Logger: telemetry.NewLogger(tcfg),
 	}).Run(ctx)
 }
 
--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -41,6 +41,9 @@
 	MaxBodyBytes int64
 	// DrainTimeout bounds a planned stop.
 	DrainTimeout time.Duration
+	// StallTimeout bounds how long an agent may be silent on an answer; 0
+	// means DefaultStallTimeout.
+	StallTimeout time.Duration
 	Logger       hclog.Logger
 }
 
@@ -53,6 +56,8 @@
 	client     *http.Client
 	settings   *settingsStore
 	members    *memberTable
+	open       *openRequests
+	dispatcher *dispatcher
 }
 
 // New returns an entry that is not started yet.
@@ -62,7 +67,7 @@
 		IdleConnTimeout:     90 * time.Second,
 		DialContext:         (&net.Dialer{Timeout: 2 * time.Second}).DialContext,
 	}}}
-	return &Entry{
+	e := &Entry{
 		cfg:        cfg,
 		logger:     cfg.Logger,
 		log:        platform.NewLog(cfg.LogURL, client),
@@ -70,7 +75,10 @@
 		client:     client,
 		settings:   newSettingsStore(),
 		members:    newMemberTable(),
+		open:       newOpenRequests(),
 	}
+	e.dispatcher = newDispatcher(cfg.Region, e.servingAgents)
+	return e
 }
 
 // Run serves until ctx ends, then lets requests in flight end.
@@ -89,6 +97,7 @@
 	defer stopDuties()
 	duties.Go(func() { e.tailSettings(dutyCtx) })
 	duties.Go(func() { e.pollMembers(dutyCtx) })
+	duties.Go(func() { e.dispatcher.run(dutyCtx) })
 	duties.Go(func() { e.serve(servers[0], public) })
 	duties.Go(func() { e.serve(servers[1], peer) })
 	e.logger.Info("entry started", "listen", public.Addr(), "peer_listen", peer.Addr())
@@ -130,6 +139,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /v1/discovery", e.handleDiscovery)
 	mux.HandleFunc("POST /v1/workspaces/{workspace}/services/{service}/requests", e.handleRequest)
+	mux.HandleFunc("DELETE /v1/requests/{id}", e.handleCancel)
 	mux.HandleFunc("GET /v1/status", e.handleStatus)
 	mux.Handle("GET /debug/vars", expvar.Handler())
 	mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) {
--- a/node/lib/wire/wire.go
+++ b/node/lib/wire/wire.go
@@ -36,6 +36,8 @@
 	Run       RunStatus `json:"run,omitempty"`
 	// RetryAfterMS is the earliest time for a new attempt in milliseconds.
 	RetryAfterMS int64 `json:"retry_after_ms,omitempty"`
+	// Load is set between agent and entry only.
+	Load *Load `json:"load,omitempty"`
 }
 
 // ErrorBody is the body of an error response.
@@ -73,21 +75,37 @@
 	Prompt    string `json:"prompt"`
 	MaxTokens int    `json:"max_tokens"`
 	Priority  int    `json:"priority"`
+	// DeadlineMS is the time left for the whole answer in milliseconds.
+	DeadlineMS int64 `json:"deadline_ms,omitempty"`
 }
 
-// Frame is one line of a streamed answer between agent and entry, and the
-// data of the server-sent events to callers. Exactly one field is set.
+// Frame is one line of a streamed answer between agent and entry. The data
+// of the server-sent events to callers are the objects in it. Exactly one of
+// the pointers is set.
 type Frame struct {
-	Start *Start `json:"start,omitempty"`
-	Token *Token `json:"token,omitempty"`
-	End   *End   `json:"end,omitempty"`
-	Error *Error `json:"error,omitempty"`
+	// RequestID is the request that the frame answers, on every frame.
+	RequestID string `json:"request_id"`
+	Start     *Start `json:"start,omitempty"`
+	Token     *Token `json:"token,omitempty"`
+	End       *End   `json:"end,omitempty"`
+	Error     *Error `json:"error,omitempty"`
 }
 
 // Start opens a streamed answer.
 type Start struct {
 	RequestID string `json:"request_id"`
 	Version   string `json:"version"`
+	// Load is set between agent and entry only.
+	Load *Load `json:"load,omitempty"`
+}
+
+// Load is what an agent states about its backend server on an answer.
+type Load struct {
+	// Running and Queued are the requests at the agent.
+	Running int `json:"running"`
+	Queued  int `json:"queued"`
+	// Limit is how many requests the agent runs at once.
+	Limit int `json:"limit"`
 }
 
 // Token is one generated token.
@@ -102,9 +120,8 @@
 	Version   string `json:"version"`
 	Tokens    int    `json:"tokens"`
 	Finish    string `json:"finish"`
-	// Running and Queued are the backend server's load at the end.
-	Running int `json:"running"`
-	Queued  int `json:"queued"`
+	// Load is set between agent and entry only.
+	Load *Load `json:"load,omitempty"`
 }
 
 // Discovery answers the question which entry to use.
@@ -170,9 +187,12 @@
 
 // GenerateFrame is one line of a model engine's answer.
 type GenerateFrame struct {
-	Token *string      `json:"token,omitempty"`
-	End   *GenerateEnd `json:"end,omitempty"`
-	Error string       `json:"error,omitempty"`
+	// RequestID is optional; an engine that states it lets the agent detect
+	// tokens of another request.
+	RequestID string       `json:"request_id,omitempty"`
+	Token     *string      `json:"token,omitempty"`
+	End       *GenerateEnd `json:"end,omitempty"`
+	Error     string       `json:"error,omitempty"`
 }
 
 // GenerateEnd closes a model engine's answer.
--- a/standin/cmd/standin/main.go
+++ b/standin/cmd/standin/main.go
@@ -23,6 +23,10 @@
 type config struct {
 	Listen      string        `long:"listen" required:"true" description:"IP:PORT"`
 	TokenTime   time.Duration `long:"token-time" default:"5ms" description:"engine: time between two tokens"`
+	Capacity    float64       `long:"capacity" description:"engine: tokens per second of all requests together; 0 for no bound"`
+	MaxBatch    int           `long:"max-batch" default:"256" description:"engine: requests that run at once"`
+	CacheBlocks int           `long:"cache-blocks" default:"4096" description:"engine: prefix cache in blocks of 64 bytes"`
+	LoadLag     time.Duration `long:"load-lag" description:"engine: age of the reported load"`
 	ChecksFence bool          `long:"checks-fence" description:"engine: refuse orders with an old fencing number"`
 	Args        struct {
 		Role string `positional-arg-name:"role" required:"true" choice:"log" choice:"weights" choice:"members" choice:"engine" choice:"plain"`
@@ -48,7 +52,10 @@
 	case "members":
 		return memberlist.New().Handler()
 	case "engine":
-		return engine.New(engine.Config{TokenTime: cfg.TokenTime, ChecksFence: cfg.ChecksFence}).Handler()
+		return engine.New(engine.Config{
+			TokenTime: cfg.TokenTime, Capacity: cfg.Capacity, MaxBatch: cfg.MaxBatch, CacheBlocks: cfg.CacheBlocks,
+			LoadLag: cfg.LoadLag, ChecksFence: cfg.ChecksFence,
+		}).Handler()
 	default:
 		return plainservice.New().Handler()
 	}
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -2,10 +2,9 @@
 package engine
 
 import (
+	"cmp"
 	"crypto/sha256"
 	"encoding/hex"
-	"encoding/json"
-	"fmt"
 	"io"
 	"net/http"
 	"sync"
@@ -16,14 +15,31 @@
 
 // Limits of the stand-in.
 const (
-	maxBodyBytes     = 2 << 20
-	defaultMaxTokens = 16
+	maxBodyBytes        = 2 << 20
+	defaultMaxTokens    = 16
+	defaultMaxBatch     = 256
+	defaultMaxQueue     = 1024
+	defaultPrefillBytes = 256
+	defaultTokenTime    = 5 * time.Millisecond
 )
 
 // Config sets the behaviour of the engine.
 type Config struct {
-	// TokenTime is the time between two tokens.
+	// TokenTime is the time between two tokens of one request.
 	TokenTime time.Duration
+	// Capacity is the tokens per second of all requests together; 0 means
+	// no bound.
+	Capacity float64
+	// MaxBatch bounds the requests that run at once, MaxQueue those that
+	// wait; 0 means a default.
+	MaxBatch, MaxQueue int
+	// CacheBlocks bounds the prefix cache in blocks of 64 bytes.
+	CacheBlocks int
+	// PrefillBytes is how much of a prompt that is not in the prefix cache
+	// one step reads; 0 means a default.
+	PrefillBytes int
+	// LoadLag is how old the reported load may be.
+	LoadLag time.Duration
 	// ChecksFence makes the engine refuse orders with an old fencing number.
 	ChecksFence bool
 }
@@ -33,11 +49,23 @@
 	cfg    Config
 	mu     sync.Mutex
 	status wire.EngineStatus
+	batch  []*sequence
+	queue  []*sequence
+	cache  *prefixCache
+	faults GenerateFaults
+	stats  GenerateStats
+	// stepping says that a goroutine runs the batch.
+	stepping bool
+	loadAt   time.Time
 }
 
 // New returns an engine without a version.
 func New(cfg Config) *Engine {
-	return &Engine{cfg: cfg, status: wire.EngineStatus{State: wire.EngineEmpty}}
+	cfg.MaxBatch = cmp.Or(cfg.MaxBatch, defaultMaxBatch)
+	cfg.MaxQueue = cmp.Or(cfg.MaxQueue, defaultMaxQueue)
+	cfg.PrefillBytes = cmp.Or(cfg.PrefillBytes, defaultPrefillBytes)
+	cfg.TokenTime = cmp.Or(cfg.TokenTime, defaultTokenTime)
+	return &Engine{cfg: cfg, status: wire.EngineStatus{State: wire.EngineEmpty}, cache: newPrefixCache(cfg.CacheBlocks)}
 }
 
 // Handler returns the HTTP interface of the engine.
@@ -47,7 +75,7 @@
 	mux.HandleFunc("GET /v1/status", func(w http.ResponseWriter, _ *http.Request) {
 		wire.WriteJSON(w, http.StatusOK, e.Status())
 	})
-	mux.HandleFunc("POST /v1/generate", e.handleGenerate)
+	e.addGenerate(mux)
 	return mux
 }
 
@@ -55,6 +83,10 @@
 func (e *Engine) Status() wire.EngineStatus {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if now := time.Now(); now.Sub(e.loadAt) >= e.cfg.LoadLag {
+		e.loadAt = now
+		e.status.Running, e.status.Queued = len(e.batch), len(e.queue)
+	}
 	return e.status
 }
 
@@ -111,37 +143,3 @@
 	}
 	return hex.EncodeToString(hash.Sum(nil)), nil
 }
-
-func (e *Engine) handleGenerate(w http.ResponseWriter, r *http.Request) {
-	var req wire.GenerateRequest
-	if failure := wire.ReadJSON(r, maxBodyBytes, &req); failure != nil {
-		wire.WriteError(w, *failure)
-		return
-	}
-	e.mu.Lock()
-	version := e.status.Version
-	e.status.Running++
-	e.mu.Unlock()
-	defer func() {
-		e.mu.Lock()
-		e.status.Running--
-		e.mu.Unlock()
-	}()
-	count := req.MaxTokens
-	if count <= 0 {
-		count = defaultMaxTokens
-	}
-	frames := json.NewEncoder(w)
-	flush := http.NewResponseController(w)
-	for i := range count {
-		select {
-		case <-r.Context().Done():
-			return
-		case <-time.After(e.cfg.TokenTime):
-		}
-		text := fmt.Sprintf("%s-%d ", version, i)
-		_ = frames.Encode(wire.GenerateFrame{Token: &text})
-		_ = flush.Flush()
-	}
-	_ = frames.Encode(wire.GenerateFrame{End: &wire.GenerateEnd{Tokens: count, Version: version}})
-}
