--- a/node/agent/agent.go
+++ b/node/agent/agent.go
@@ -17,6 +17,7 @@
 
 	"github.com/laburnumloft/laburnumloft/core/settings"
 	"github.com/laburnumloft/laburnumloft/node/lib/platform"
+	"github.com/laburnumloft/laburnumloft/node/lib/ring"
 	"github.com/laburnumloft/laburnumloft/node/lib/secure"
 	"github.com/laburnumloft/laburnumloft/node/lib/telemetry"
 	"github.com/laburnumloft/laburnumloft/node/lib/wire"
@@ -46,7 +47,10 @@
 	// MemoryCeiling bounds the bytes of weights held in memory.
 	MemoryCeiling int64
 	DrainTimeout  time.Duration
-	Logger        hclog.Logger
+	// StallTimeout bounds how long the backend server may make no progress
+	// on an answer; 0 means DefaultStallTimeout.
+	StallTimeout time.Duration
+	Logger       hclog.Logger
 	// Transport is used towards other VMs; nil means a default one.
 	Transport http.RoundTripper
 	// Channel protects the traffic between own processes; nil protects nothing.
@@ -68,6 +72,8 @@
 	state       *agentState
 	rollout     *rolloutDuty
 	operations  *operationsDuty
+	admission   *admission
+	cancels     *ring.Ring[string]
 }
 
 // agentState is what the duties of one agent share.
@@ -123,6 +129,8 @@
 	if cfg.Kind == settings.KindEngine {
 		a.state.gate = a.rollout
 	}
+	a.admission = newAdmission()
+	a.cancels = newCancelRing()
 	return a
 }
 
@@ -153,6 +161,8 @@
 	defer stopDuties()
 	duties.Go(func() { a.syncWithEntries(dutyCtx) })
 	duties.Go(func() { a.operations.run(dutyCtx) })
+	duties.Go(func() { a.admission.run(dutyCtx) })
+	duties.Go(func() { a.cancelAbandoned(dutyCtx) })
 	if a.cfg.Kind == settings.KindEngine {
 		duties.Go(func() { a.rollout.run(dutyCtx) })
 	} else {
--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -46,6 +46,9 @@
 	MaxBodyBytes int64
 	// DrainTimeout bounds a planned stop.
 	DrainTimeout time.Duration
+	// StallTimeout bounds how long an agent may be silent on an answer; 0
+	// means DefaultStallTimeout.
+	StallTimeout time.Duration
 	Logger       hclog.Logger
 	// Channel protects the traffic between own processes; nil protects nothing.
 	Channel *secure.Channel
@@ -58,18 +61,20 @@
 	log        *platform.Log
 	membership *platform.Membership
 	// client reaches own processes.
-	client   *http.Client
-	settings *settingsStore
-	members  *memberTable
-	claims   *claimStore
-	calls    *callState
+	client     *http.Client
+	settings   *settingsStore
+	members    *memberTable
+	claims     *claimStore
+	calls      *callState
+	open       *openRequests
+	dispatcher *dispatcher
 }
 
 // New returns an entry that is not started yet.
 func New(cfg Config) *Entry {
 	client := &http.Client{Transport: &telemetry.Transport{Base: cfg.Channel.Transport(newTransport())}}
 	platformClient := &http.Client{Transport: &telemetry.Transport{Base: newTransport()}}
-	return &Entry{
+	e := &Entry{
 		cfg:        cfg,
 		logger:     cfg.Logger,
 		log:        platform.NewLog(cfg.LogURL, platformClient),
@@ -79,7 +84,10 @@
 		members:    newMemberTable(),
 		claims:     newClaimStore(),
 		calls:      newCallState(),
+		open:       newOpenRequests(),
 	}
+	e.dispatcher = newDispatcher(cfg.Region, e.servingAgents)
+	return e
 }
 
 func newTransport() *http.Transport {
@@ -107,6 +115,7 @@
 	duties.Go(func() { e.tailSettings(dutyCtx) })
 	duties.Go(func() { e.pollMembers(dutyCtx) })
 	duties.Go(func() { e.tailClaims(dutyCtx) })
+	duties.Go(func() { e.dispatcher.run(dutyCtx) })
 	duties.Go(func() { e.serve(servers[0], public) })
 	duties.Go(func() { e.serve(servers[1], e.cfg.Channel.Listener(peer)) })
 	e.logger.Info("entry started", "listen", public.Addr(), "peer_listen", peer.Addr())
@@ -149,6 +158,7 @@
 	mux.HandleFunc("GET /v1/discovery", e.handleDiscovery)
 	mux.HandleFunc("POST /v1/workspaces/{workspace}/services/{service}/requests", e.handleRequest)
 	e.routeOperations(mux)
+	mux.HandleFunc("DELETE /v1/requests/{id}", e.handleCancel)
 	mux.HandleFunc("GET /v1/status", e.handleStatus)
 	mux.HandleFunc("GET /v1/settings", e.handleSettings)
 	mux.Handle("GET /debug/vars", expvar.Handler())
--- a/node/entry/operations.go
+++ b/node/entry/operations.go
@@ -28,8 +28,8 @@
 	runTimeoutMargin = 5 * time.Second
 )
 
-// errCrossed means that an answer belongs to another ticket.
-var errCrossed = errors.New("agent answered for another ticket")
+// errWrongTicket means that an answer belongs to another ticket.
+var errWrongTicket = errors.New("agent answered for another ticket")
 
 // routeOperations adds the paths of tickets and one-shot calls.
 func (e *Entry) routeOperations(mux *http.ServeMux) {
@@ -37,7 +37,7 @@
 	mux.HandleFunc("POST "+service+"/tickets", e.handleReserve)
 	mux.HandleFunc("POST "+service+"/calls/{method}", e.handleCall)
 	mux.HandleFunc("POST /v1/tickets/{ticket}/run", e.handleRun)
-	mux.HandleFunc("POST /v1/tickets/{ticket}/cancel", e.handleCancel)
+	mux.HandleFunc("POST /v1/tickets/{ticket}/cancel", e.handleCancelTicket)
 	mux.HandleFunc("GET /v1/tickets/{ticket}", e.handleGet)
 }
 
@@ -155,7 +155,7 @@
 	return answer, failure
 }
 
-func (e *Entry) handleCancel(w http.ResponseWriter, r *http.Request) {
+func (e *Entry) handleCancelTicket(w http.ResponseWriter, r *http.Request) {
 	ticket := r.PathValue("ticket")
 	answer, failure := e.cancel(r.Context(), ticket)
 	writeState(w, answer, failure)
@@ -198,7 +198,7 @@
 			return answer, nil
 		}
 		if err == nil {
-			err = errCrossed
+			err = errWrongTicket
 		}
 		if refusal := agentRefusal(err); refusal != nil {
 			return nil, refusal
