--- a/bench/operations/cluster_test.go
+++ b/bench/operations/cluster_test.go
@@ -74,6 +74,7 @@
 		entry, err := cluster.Entry(fmt.Sprintf("entry-%d", id), "priangan", "priangan-a", "--log-url", logURL)
 		c.Assert(err, qt.IsNil)
 		f.entries = append(f.entries, entry)
+		f.urls = append(f.urls, "http://"+entry.Address)
 	}
 	f.agent, err = cluster.Agent("agent-1", "priangan", "priangan-a", "saklar", "plain")
 	c.Assert(err, qt.IsNil)
@@ -138,7 +139,7 @@
 	return r
 }
 
-func (f *fixture) entryURL(i int) string { return "http://" + f.entries[i].Address }
+func (f *fixture) entryURL(i int) string { return f.urls[i] }
 
 func (f *fixture) reserve(i int) string {
 	return f.send(http.MethodPost, f.entryURL(i)+f.workspacePath+"/tickets", "{}").Ticket
--- a/node/entry/calls.go
+++ b/node/entry/calls.go
@@ -76,7 +76,8 @@
 	workspace, service, key string
 	method                  settings.Method
 	body                    []byte
-	// firstUse says that no call with this key can have been made before.
+	// firstUse says that the key was never sent before and is not sent again
+	// before this call is answered.
 	firstUse bool
 }
 
@@ -154,34 +155,28 @@
 
 // callKeyed runs the ticket that the first claim of the key names.
 func (e *Entry) callKeyed(ctx context.Context, call keyedCall) (*rpc.Ticket, *wire.Error) {
-	request := callDigest(call.method.Name, call.body)
+	steps := &operation.Call{Request: callDigest(call.method.Name, call.body), FirstUse: call.firstUse}
 	claim, verdict, _, _ := e.claims.lookup(call.workspace, call.service, call.key)
-	switch verdict {
-	case operation.VerdictUnvouched:
-		return nil, unvouchedKey()
-	case operation.VerdictUnbound:
-		own, failure := e.reserve(ctx, call.workspace, call.service)
-		if failure != nil {
-			failure.Run = call.refusal()
-			return nil, failure
-		}
-		claim, verdict = e.settle(ctx, wire.ClaimRecord{
-			Workspace: call.workspace, Service: call.service, Key: call.key, Ticket: own.GetTicket(), Request: request,
-		})
-		if verdict != operation.VerdictBound {
-			return e.abandon(ctx, call, own.GetTicket(), verdict)
-		}
-		if claim.Ticket != own.GetTicket() {
-			// The reservation expires by itself if this cancel fails.
-			_, _ = e.cancel(ctx, own.GetTicket())
-		}
+	step := steps.Begin(claim, verdict)
+	if step == operation.StepReserve {
+		step = e.reserveFor(ctx, call, steps)
 	}
-	if claim.Request != request {
-		return nil, &wire.Error{
-			Kind: wire.ErrorConflict, Message: "key was used with another method or body", Run: wire.RunUnknown,
-		}
+	if step == operation.StepClaim {
+		step = steps.Settled(e.settle(ctx, wire.ClaimRecord{
+			Workspace: call.workspace, Service: call.service, Key: call.key, Ticket: steps.Ticket(), Request: steps.Request,
+		}))
+	}
+	if step == operation.StepCancel {
+		step = e.cancelFor(ctx, steps)
+	}
+	if step == operation.StepRefuse {
+		return nil, refusal(steps)
 	}
-	answer, failure := e.run(ctx, claim.Ticket, call.method, call.body)
+	if surplus := steps.Surplus(); surplus != "" {
+		// The reservation expires by itself if this cancel fails.
+		_, _ = e.cancel(ctx, surplus)
+	}
+	answer, failure := e.run(ctx, steps.Ticket(), call.method, call.body)
 	if failure != nil && failure.Run == "" {
 		// The claim stands, so a call with the same key may run the ticket.
 		failure.Run = wire.RunUnknown
@@ -189,38 +184,41 @@
 	return answer, failure
 }
 
-// abandon gives up a claim that did not settle or that binds nothing. The
-// claim may stand in the log all the same and another entry may take it up,
-// so only the agent's word that the ticket is cancelled makes it harmless.
-func (e *Entry) abandon(ctx context.Context, call keyedCall, ticket string, verdict operation.Verdict) (*rpc.Ticket, *wire.Error) {
-	answer, failure := e.cancel(context.WithoutCancel(ctx), ticket)
-	if verdict == operation.VerdictUnvouched {
-		return nil, unvouchedKey()
-	}
-	refused := &wire.Error{
-		Kind: wire.ErrorUnavailable, RetryAfterMS: 1000, Run: wire.RunUnknown,
-		Message: "claim did not settle in the log; repeat the call with the same key",
-	}
-	if failure == nil && answer.GetOutcome() == rpc.Outcome_NOT_RUN {
-		refused.Run = call.refusal()
+func (e *Entry) reserveFor(ctx context.Context, call keyedCall, steps *operation.Call) operation.Step {
+	own, failure := e.reserve(ctx, call.workspace, call.service)
+	if failure != nil {
+		return steps.NotReserved()
 	}
-	return nil, refused
+	return steps.Reserved(own.GetTicket())
 }
 
-// refusal is the run status of a call that can't have run itself. An earlier
-// call with the same key may have run at any entry.
-func (c *keyedCall) refusal() wire.RunStatus {
-	if c.firstUse {
-		return wire.RunNotRun
+// cancelFor cancels the ticket of a claim that did not settle, also if the
+// caller has gone.
+func (e *Entry) cancelFor(ctx context.Context, steps *operation.Call) operation.Step {
+	answer, failure := e.cancel(context.WithoutCancel(ctx), steps.Ticket())
+	if failure == nil && answer.GetOutcome() == rpc.Outcome_NOT_RUN {
+		return steps.Cancelled(operation.OutcomeNotRun)
 	}
-	return wire.RunUnknown
+	return steps.Cancelled(operation.OutcomeUnknown)
 }
 
-func unvouchedKey() *wire.Error {
-	return &wire.Error{
-		Kind: wire.ErrorConflict, Run: wire.RunUnknown,
-		Message: "key is older than the claims that are still known; its operation may have run",
-	}
+// refusal returns the error of a keyed call that was refused.
+func refusal(steps *operation.Call) *wire.Error {
+	outcome, reason := steps.Refusal()
+	refused := &wire.Error{Kind: wire.ErrorUnavailable, Run: wire.RunStatus(outcome.String())}
+	switch reason {
+	case operation.ReasonNoAgent:
+		refused.Message, refused.RetryAfterMS = "no agent of the service takes reservations", 1000
+	case operation.ReasonUnsettled:
+		refused.Message, refused.RetryAfterMS = "claim did not settle in the log", 1000
+	case operation.ReasonUnvouched:
+		refused.Kind = wire.ErrorConflict
+		refused.Message = "key is older than the claims that are still known; its operation may have run"
+	case operation.ReasonOtherRequest:
+		refused.Kind = wire.ErrorConflict
+		refused.Message = "key was used with another method or body"
+	}
+	return refused
 }
 
 // callDigest identifies a method and body in a claim.
