Route membership through home entries and drain at a planned stop

Cause: agents synced with all entries and got the whole peer list with each answer; SIGTERM closed the listeners at once, so late callers saw refused connections, and a second signal had no effect.

Change: agents hold a long poll with two home entries and take peers and entries as deltas.

GET /v1/health is new at both. The stand-in list can lag, compresses and answers conditional reads.

--- a/node/agent/agent.go
+++ b/node/agent/agent.go
@@ -16,6 +16,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/laburnumloft/laburnumloft/core/settings"
+	"github.com/laburnumloft/laburnumloft/node/lib/lifecycle"
 	"github.com/laburnumloft/laburnumloft/node/lib/platform"
 	"github.com/laburnumloft/laburnumloft/node/lib/secure"
 	"github.com/laburnumloft/laburnumloft/node/lib/telemetry"
@@ -51,6 +52,10 @@
 	Transport http.RoundTripper
 	// Channel protects the traffic between own processes; nil protects nothing.
 	Channel *secure.Channel
+	// Force ends a planned stop at once; nil means never.
+	Force context.Context
+	// Dial opens connections for membership traffic; nil means a default one.
+	Dial lifecycle.DialFunc
 }
 
 // Agent is one agent process.
@@ -64,6 +69,8 @@
 	engine      *engineClient
 	state       *agentState
 	rollout     *rolloutDuty
+	sync        *syncDuty
+	tracker     *lifecycle.Tracker
 }
 
 // agentState is what the duties of one agent share.
@@ -109,6 +116,8 @@
 		},
 	}
 	a.rollout = newRolloutDuty(a)
+	a.sync = newSyncDuty(a, lifecycle.ControlClient(cfg.Channel, cfg.Dial))
+	a.tracker = lifecycle.NewTracker()
 	return a
 }
 
@@ -134,7 +143,7 @@
 	var duties sync.WaitGroup
 	dutyCtx, stopDuties := context.WithCancel(context.Background())
 	defer stopDuties()
-	duties.Go(func() { a.syncWithEntries(dutyCtx) })
+	duties.Go(func() { a.sync.run(dutyCtx) })
 	if a.cfg.Kind == settings.KindEngine {
 		duties.Go(func() { a.rollout.run(dutyCtx) })
 	} else {
@@ -146,28 +155,28 @@
 		}
 	})
 	a.logger.Info("agent started", "listen", listener.Addr(), "incarnation", a.incarnation)
-	<-ctx.Done()
-	err = a.shutdown(server)
+	select {
+	case <-ctx.Done():
+	case <-a.tracker.Left():
+	}
+	force := a.cfg.Force
+	if force == nil {
+		force = context.Background()
+	}
+	err = a.shutdown(force, server)
 	stopDuties()
 	duties.Wait()
 	return err
 }
 
-func (a *Agent) shutdown(server *http.Server) error {
-	a.logger.Info("agent is leaving")
-	a.state.leave()
-	ctx, cancel := context.WithTimeout(context.Background(), a.cfg.DrainTimeout)
-	defer cancel()
-	return server.Shutdown(ctx)
-}
-
 func (a *Agent) handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /agent/v1/requests", a.handleRequest)
 	mux.HandleFunc("GET /weights/v1/{model}/{version}/data", a.rollout.handleData)
+	mux.HandleFunc("GET /v1/health", a.handleHealth)
 	mux.Handle("GET /debug/vars", expvar.Handler())
 	mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) {
 		wire.WriteError(w, wire.Error{Kind: wire.ErrorNotFound, Message: "no such path: " + r.URL.Path})
 	})
-	return telemetry.Handler("agent", a.cfg.Channel.Handler(mux))
+	return telemetry.Handler("agent", a.cfg.Channel.Handler(a.tracker.Track(mux, isWork, refuse)))
 }
--- /dev/null
+++ b/node/agent/drain.go
@@ -0,0 +1,76 @@
+package agent
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/laburnumloft/laburnumloft/node/lib/lifecycle"
+	"github.com/laburnumloft/laburnumloft/node/lib/wire"
+)
+
+// ErrCut is returned when a forced stop cut requests in flight.
+var ErrCut = eris.New("stop was forced with requests in flight")
+
+// closeTimeout bounds the end of idle connections after the drain.
+const closeTimeout = 3 * time.Second
+
+// health is the answer of GET /v1/health.
+type health struct {
+	Ready   bool `json:"ready"`
+	Leaving bool `json:"leaving"`
+}
+
+func (a *Agent) handleHealth(w http.ResponseWriter, _ *http.Request) {
+	a.state.mu.Lock()
+	serving := a.state.versionState == "serving"
+	a.state.mu.Unlock()
+	leaving := a.tracker.Leaving()
+	h := health{Ready: serving && !leaving, Leaving: leaving}
+	status := http.StatusOK
+	if !h.Ready {
+		status = http.StatusServiceUnavailable
+	}
+	wire.WriteJSON(w, status, h)
+}
+
+// isWork tells the requests that a leaving agent must not start. Weights stay
+// available to peers, and tickets can be read, until the end.
+func isWork(r *http.Request) bool {
+	return r.Method == http.MethodPost && strings.HasPrefix(r.URL.Path, "/agent/")
+}
+
+// refuse answers a late arrival, so that the entry goes on to another agent.
+func refuse(w http.ResponseWriter, r *http.Request) {
+	wire.WriteError(w, wire.Error{
+		Kind: wire.ErrorLeaving, Message: "this agent is leaving",
+		RequestID: r.Header.Get(lifecycle.RequestIDHeader), Run: wire.RunNotRun,
+	})
+}
+
+// shutdown lets everything in flight end, then closes the server. The report
+// of leaving goes out first.
+func (a *Agent) shutdown(force context.Context, server *http.Server) error {
+	a.tracker.Leave()
+	a.state.leave()
+	a.logger.Info("agent is leaving", "in_flight", len(a.tracker.InFlight()))
+	ctx, cancel := context.WithTimeout(force, a.cfg.DrainTimeout)
+	defer cancel()
+	if !a.tracker.Drain(ctx) {
+		cut := a.tracker.InFlight()
+		a.logger.Error("stop was forced; requests were cut", "request_ids", cut)
+		return errors.Join(eris.Wrapf(ErrCut, "%d requests", len(cut)), server.Close())
+	}
+	ctx, cancelClose := context.WithTimeout(ctx, closeTimeout)
+	defer cancelClose()
+	if server.Shutdown(ctx) != nil {
+		// Only transfers to peers are left; they fetch from others.
+		_ = server.Close()
+	}
+	a.logger.Info("agent stopped; nothing was cut")
+	return nil
+}
--- a/node/agent/requests.go
+++ b/node/agent/requests.go
@@ -64,6 +64,7 @@
 		if frame.End != nil {
 			return frames.Encode(wire.Frame{End: &wire.End{
 				RequestID: req.RequestID, Version: frame.End.Version, Tokens: frame.End.Tokens, Finish: "stop",
+				Running: a.state.inFlight() - 1,
 			}})
 		}
 		if frame.Token != nil {
--- a/node/cmd/laburnum-agent/main.go
+++ b/node/cmd/laburnum-agent/main.go
@@ -4,14 +4,13 @@
 import (
 	"context"
 	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"github.com/jessevdk/go-flags"
 
 	"github.com/laburnumloft/laburnumloft/core/settings"
 	"github.com/laburnumloft/laburnumloft/node/agent"
+	"github.com/laburnumloft/laburnumloft/node/lib/lifecycle"
 	"github.com/laburnumloft/laburnumloft/node/lib/options"
 	"github.com/laburnumloft/laburnumloft/node/lib/secure"
 	"github.com/laburnumloft/laburnumloft/node/lib/telemetry"
@@ -45,8 +44,8 @@
 	if err := options.First(options.NoArguments(rest), opts.check()); err != nil {
 		return options.Exit(err)
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
+	ctx, force, release := lifecycle.Signals()
+	defer release()
 	tcfg := opts.Telemetry.Config("agent", opts.ID)
 	logger := telemetry.NewLogger(tcfg)
 	shutdown, err := telemetry.StartTracing(ctx, tcfg)
@@ -64,7 +63,7 @@
 		ID: opts.ID, Region: opts.Region, Zone: opts.Zone, Service: opts.Service,
 		Kind: settings.Kind(opts.Kind), Listen: opts.Listen, BackendURL: opts.BackendURL,
 		WeightsURL: opts.WeightsURL, MembershipURL: opts.MembershipURL,
-		MemoryCeiling: opts.MemoryCeiling, DrainTimeout: opts.DrainTimeout, Logger: logger, Channel: channel,
+		MemoryCeiling: opts.MemoryCeiling, DrainTimeout: opts.DrainTimeout, Logger: logger, Channel: channel, Force: force,
 	}).Run(ctx)
 	if err != nil {
 		logger.Error("agent stopped", "error", err)
--- a/node/cmd/laburnum-entry/main.go
+++ b/node/cmd/laburnum-entry/main.go
@@ -3,14 +3,14 @@
 
 import (
 	"context"
+	"errors"
 	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"github.com/jessevdk/go-flags"
 
 	"github.com/laburnumloft/laburnumloft/node/entry"
+	"github.com/laburnumloft/laburnumloft/node/lib/lifecycle"
 	"github.com/laburnumloft/laburnumloft/node/lib/options"
 	"github.com/laburnumloft/laburnumloft/node/lib/secure"
 	"github.com/laburnumloft/laburnumloft/node/lib/telemetry"
@@ -26,6 +26,9 @@
 		return options.Exit(err)
 	}
 	_, err := parser.Parse()
+	if errors.Is(err, entry.ErrStart) || errors.Is(err, entry.ErrCut) {
+		return 1
+	}
 	return options.Exit(err)
 }
 
@@ -47,8 +50,8 @@
 	if err := options.First(options.NoArguments(rest), c.check()); err != nil {
 		return err
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
+	ctx, force, release := lifecycle.Signals()
+	defer release()
 	tcfg := c.Telemetry.Config("entry", c.ID)
 	shutdown, err := telemetry.StartTracing(ctx, tcfg)
 	if err != nil {
@@ -59,11 +62,16 @@
 	if err != nil {
 		return err
 	}
-	return entry.New(entry.Config{
+	logger := telemetry.NewLogger(tcfg)
+	err = entry.New(entry.Config{
 		ID: c.ID, Region: c.Region, Zone: c.Zone, Listen: c.Listen, PeerListen: c.PeerListen,
 		LogURL: c.LogURL, MembershipURL: c.MembershipURL, MaxBodyBytes: c.MaxBody,
-		DrainTimeout: c.DrainTimeout, Logger: telemetry.NewLogger(tcfg), Channel: channel,
+		DrainTimeout: c.DrainTimeout, Logger: logger, Channel: channel, Force: force,
 	}).Run(ctx)
+	if err != nil {
+		logger.Error("entry stopped", "error", err)
+	}
+	return err
 }
 
 func (c *serveCommand) check() error {
--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -15,6 +15,8 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/rotisserie/eris"
 
+	"github.com/laburnumloft/laburnumloft/core/membership"
+	"github.com/laburnumloft/laburnumloft/node/lib/lifecycle"
 	"github.com/laburnumloft/laburnumloft/node/lib/platform"
 	"github.com/laburnumloft/laburnumloft/node/lib/secure"
 	"github.com/laburnumloft/laburnumloft/node/lib/telemetry"
@@ -45,6 +47,10 @@
 	Logger       hclog.Logger
 	// Channel protects the traffic between own processes; nil protects nothing.
 	Channel *secure.Channel
+	// Force ends a planned stop at once; nil means never.
+	Force context.Context
+	// Dial opens connections for membership traffic; nil means a default one.
+	Dial lifecycle.DialFunc
 }
 
 // Entry is one entry process.
@@ -54,9 +60,13 @@
 	log        *platform.Log
 	membership *platform.Membership
 	// client reaches own processes.
-	client   *http.Client
-	settings *settingsStore
-	members  *memberTable
+	client *http.Client
+	// control reaches other entries for membership.
+	control     *http.Client
+	settings    *settingsStore
+	members     *memberTable
+	tracker     *lifecycle.Tracker
+	incarnation int64
 }
 
 // New returns an entry that is not started yet.
@@ -64,13 +74,16 @@
 	client := &http.Client{Transport: &telemetry.Transport{Base: cfg.Channel.Transport(newTransport())}}
 	platformClient := &http.Client{Transport: &telemetry.Transport{Base: newTransport()}}
 	return &Entry{
-		cfg:        cfg,
-		logger:     cfg.Logger,
-		log:        platform.NewLog(cfg.LogURL, platformClient),
-		membership: platform.NewMembership(cfg.MembershipURL, platformClient),
-		client:     client,
-		settings:   newSettingsStore(),
-		members:    newMemberTable(),
+		cfg:         cfg,
+		logger:      cfg.Logger,
+		log:         platform.NewLog(cfg.LogURL, platformClient),
+		membership:  platform.NewMembership(cfg.MembershipURL, platformClient),
+		client:      client,
+		control:     lifecycle.ControlClient(cfg.Channel, cfg.Dial),
+		settings:    newSettingsStore(),
+		members:     newMemberTable(),
+		tracker:     lifecycle.NewTracker(),
+		incarnation: time.Now().UnixMilli(),
 	}
 }
 
@@ -97,12 +110,21 @@
 	dutyCtx, stopDuties := context.WithCancel(context.Background())
 	defer stopDuties()
 	duties.Go(func() { e.tailSettings(dutyCtx) })
+	duties.Go(func() { e.members.run(dutyCtx, membership.New(time.Now(), e.viewConfig())) })
 	duties.Go(func() { e.pollMembers(dutyCtx) })
+	duties.Go(func() { e.gossip(dutyCtx) })
 	duties.Go(func() { e.serve(servers[0], public) })
 	duties.Go(func() { e.serve(servers[1], e.cfg.Channel.Listener(peer)) })
 	e.logger.Info("entry started", "listen", public.Addr(), "peer_listen", peer.Addr())
-	<-ctx.Done()
-	err = e.shutdown(servers)
+	select {
+	case <-ctx.Done():
+	case <-e.tracker.Left():
+	}
+	force := e.cfg.Force
+	if force == nil {
+		force = context.Background()
+	}
+	err = e.shutdown(force, servers)
 	stopDuties()
 	duties.Wait()
 	return err
@@ -113,6 +135,7 @@
 		Handler:           handler,
 		ReadHeaderTimeout: readHeaderTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
+		Protocols:         lifecycle.ControlProtocols(),
 	}
 }
 
@@ -122,33 +145,22 @@
 	}
 }
 
-func (e *Entry) shutdown(servers []*http.Server) error {
-	e.logger.Info("entry is leaving")
-	ctx, cancel := context.WithTimeout(context.Background(), e.cfg.DrainTimeout)
-	defer cancel()
-	var failures []error
-	for _, server := range servers {
-		if err := server.Shutdown(ctx); err != nil {
-			failures = append(failures, err)
-		}
-	}
-	return errors.Join(failures...)
-}
-
 func (e *Entry) publicHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /v1/discovery", e.handleDiscovery)
 	mux.HandleFunc("POST /v1/workspaces/{workspace}/services/{service}/requests", e.handleRequest)
+	mux.HandleFunc("GET /v1/health", e.handleHealth)
 	mux.HandleFunc("GET /v1/status", e.handleStatus)
 	mux.Handle("GET /debug/vars", expvar.Handler())
 	mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) {
 		wire.WriteError(w, wire.Error{Kind: wire.ErrorNotFound, Message: "no such path: " + r.URL.Path})
 	})
-	return telemetry.Handler("entry", mux)
+	return telemetry.Handler("entry", e.tracker.Track(mux, isWork, e.redirect))
 }
 
 func (e *Entry) peerHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle(rpc.ControlPathPrefix, rpc.NewControlServer(&controlServer{entry: e}))
+	mux.Handle(rpc.PeerPathPrefix, rpc.NewPeerServer(&peerServer{entry: e}))
 	return telemetry.Handler("entry.peer", e.cfg.Channel.Handler(mux))
 }
--- a/node/entry/requests.go
+++ b/node/entry/requests.go
@@ -4,27 +4,32 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"strings"
 	"time"
 
-	"github.com/google/uuid"
-
 	"github.com/laburnumloft/laburnumloft/core/settings"
+	"github.com/laburnumloft/laburnumloft/node/lib/lifecycle"
 	"github.com/laburnumloft/laburnumloft/node/lib/telemetry"
 	"github.com/laburnumloft/laburnumloft/node/lib/wire"
+	"github.com/laburnumloft/laburnumloft/node/rpc"
 )
 
 // defaultDeadline bounds a request that names no deadline.
 const defaultDeadline = 2 * time.Minute
 
 // requestIDHeader carries the id of a request in both directions.
-const requestIDHeader = "Request-Id"
+const requestIDHeader = lifecycle.RequestIDHeader
+
+// maxAttempts bounds how many agents are asked after answers of not_run.
+const maxAttempts = 3
 
 func (e *Entry) handleRequest(w http.ResponseWriter, r *http.Request) {
-	id := uuid.NewString()
+	id := r.Header.Get(requestIDHeader)
 	w.Header().Set(requestIDHeader, id)
 	var body wire.Request
 	if failure := wire.ReadJSON(r, e.cfg.MaxBodyBytes, &body); failure != nil {
@@ -57,33 +62,49 @@
 	if len(agents) == 0 {
 		return &wire.Error{Kind: wire.ErrorUnavailable, Message: "no backend server serves the version yet", RetryAfterMS: 1000}
 	}
-	agent := agents[rand.IntN(len(agents))]
 	req := wire.AgentRequest{
 		RequestID: id, Workspace: workspace, Service: service, Version: svc.Version,
 		Prompt: body.Prompt, MaxTokens: body.MaxTokens, Priority: body.Priority,
 	}
+	var failure *wire.Error
+	first := rand.IntN(len(agents))
+	for i := range min(len(agents), maxAttempts) {
+		if failure = e.attempt(ctx, agents[(first+i)%len(agents)], req, sink); failure == nil || failure.Run != wire.RunNotRun {
+			return failure
+		}
+	}
+	return failure
+}
+
+// attempt sends the request to one agent.
+func (e *Entry) attempt(ctx context.Context, agent *rpc.MemberReport, req wire.AgentRequest, sink *answerSink) *wire.Error {
 	ctx, span := telemetry.Span(ctx, "entry.agent_request")
-	err := e.stream(ctx, agent.GetAddress(), req, sink)
+	err := e.stream(ctx, agent, req, sink)
 	telemetry.EndSpan(span, err)
-	if err == nil {
+	var refused *net.OpError
+	switch failure, ok := err.(*wire.Error); {
+	case err == nil:
 		return nil
-	}
-	if failure, ok := err.(*wire.Error); ok {
+	case ok:
 		return failure
+	case errors.As(err, &refused) && refused.Op == "dial":
+		// The agent was not reached.
+		return &wire.Error{Kind: wire.ErrorUnavailable, Message: err.Error(), Run: wire.RunNotRun}
 	}
 	return &wire.Error{Kind: wire.ErrorUpstream, Message: err.Error(), Run: wire.RunUnknown}
 }
 
-func (e *Entry) stream(ctx context.Context, address string, body wire.AgentRequest, sink *answerSink) error {
+func (e *Entry) stream(ctx context.Context, agent *rpc.MemberReport, body wire.AgentRequest, sink *answerSink) error {
 	encoded, err := json.Marshal(body)
 	if err != nil {
 		return err
 	}
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+"/agent/v1/requests", bytes.NewReader(encoded))
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+agent.GetAddress()+"/agent/v1/requests", bytes.NewReader(encoded))
 	if err != nil {
 		return err
 	}
 	req.Header.Set("Content-Type", "application/json")
+	req.Header.Set(requestIDHeader, body.RequestID)
 	resp, err := e.client.Do(req)
 	if err != nil {
 		return err
@@ -106,6 +127,7 @@
 		case frame.Error != nil:
 			return frame.Error
 		case frame.End != nil:
+			e.members.observeLoad(ctx, agent.GetId(), frame.End.Running, frame.End.Queued)
 			sink.end(*frame.End)
 			return nil
 		default:
--- a/node/entry/status.go
+++ b/node/entry/status.go
@@ -24,13 +24,3 @@
 		Agents:         e.members.all(),
 	})
 }
-
-func (t *memberTable) all() []*rpc.MemberReport {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	all := make([]*rpc.MemberReport, 0, len(t.reports))
-	for _, r := range t.reports {
-		all = append(all, r)
-	}
-	return all
-}
--- a/node/lib/platform/platform.go
+++ b/node/lib/platform/platform.go
@@ -83,12 +83,13 @@
 
 // Membership is a client of the membership list.
 type Membership struct {
-	base *sling.Sling
+	base   *sling.Sling
+	client *http.Client
 }
 
 // NewMembership returns a client of the membership list at baseURL.
 func NewMembership(baseURL string, client *http.Client) *Membership {
-	return &Membership{base: sling.New().Client(client).Base(baseURL)}
+	return &Membership{base: sling.New().Client(client).Base(baseURL), client: client}
 }
 
 // List returns the members that the platform knows.
