--- a/node/agent/agent.go
+++ b/node/agent/agent.go
@@ -71,14 +71,16 @@
 	rollout     *rolloutDuty
 	sync        *syncDuty
 	tracker     *lifecycle.Tracker
+	operations  *operationsDuty
 }
 
 // agentState is what the duties of one agent share.
 type agentState struct {
 	mu       sync.Mutex
 	settings *settings.State
-	// digest is the digest of the settings in force.
-	digest        string
+	// inForce guards the order of the settings; settings is its state.
+	inForce       *settings.InForce
+	gate          settingsGate
 	changed       chan struct{}
 	version       string
 	versionState  string
@@ -111,6 +113,7 @@
 		engine:      newEngineClient(cfg.BackendURL),
 		state: &agentState{
 			settings:      settings.NewState(),
+			inForce:       settings.NewInForce(),
 			changed:       make(chan struct{}),
 			reportChanged: make(chan struct{}, 1),
 		},
@@ -118,6 +121,7 @@
 	a.rollout = newRolloutDuty(a)
 	a.sync = newSyncDuty(a, lifecycle.ControlClient(cfg.Channel, cfg.Dial))
 	a.tracker = lifecycle.NewTracker()
+	a.operations = newOperationsDuty(a)
 	return a
 }
 
@@ -144,6 +148,7 @@
 	dutyCtx, stopDuties := context.WithCancel(context.Background())
 	defer stopDuties()
 	duties.Go(func() { a.sync.run(dutyCtx) })
+	duties.Go(func() { a.operations.run(dutyCtx) })
 	if a.cfg.Kind == settings.KindEngine {
 		duties.Go(func() { a.rollout.run(dutyCtx) })
 	} else {
@@ -174,6 +179,7 @@
 	mux.HandleFunc("POST /agent/v1/requests", a.handleRequest)
 	mux.HandleFunc("GET /weights/v1/{model}/{version}/data", a.rollout.handleData)
 	mux.HandleFunc("GET /v1/health", a.handleHealth)
+	mux.Handle(rpc.OperationsPathPrefix, rpc.NewOperationsServer(a.operations))
 	mux.Handle("GET /debug/vars", expvar.Handler())
 	mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) {
 		wire.WriteError(w, wire.Error{Kind: wire.ErrorNotFound, Message: "no such path: " + r.URL.Path})
--- a/node/agent/drain.go
+++ b/node/agent/drain.go
@@ -65,6 +65,10 @@
 		a.logger.Error("stop was forced; requests were cut", "request_ids", cut)
 		return errors.Join(eris.Wrapf(ErrCut, "%d requests", len(cut)), server.Close())
 	}
+	if err := a.operations.drain(ctx); err != nil {
+		a.logger.Error("stop was forced; operations were cut")
+		return errors.Join(ErrCut, err, server.Close())
+	}
 	ctx, cancelClose := context.WithTimeout(ctx, closeTimeout)
 	defer cancelClose()
 	if server.Shutdown(ctx) != nil {
--- a/node/agent/state.go
+++ b/node/agent/state.go
@@ -5,19 +5,6 @@
 	"github.com/laburnumloft/laburnumloft/node/rpc"
 )
 
-// applySettings puts a state in force unless an equal or newer one is.
-func (s *agentState) applySettings(state *settings.State, digest string) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if state.Offset <= s.settings.Offset {
-		return false
-	}
-	s.settings, s.digest = state, digest
-	close(s.changed)
-	s.changed = make(chan struct{})
-	return true
-}
-
 // current returns the settings in force, which must not be changed, and a
 // channel that is closed at the next change.
 func (s *agentState) current() (*settings.State, <-chan struct{}) {
@@ -37,9 +24,13 @@
 // setProgress records how far the rollout of the intended version is.
 func (s *agentState) setProgress(state string, held, total int, problem string) {
 	s.mu.Lock()
+	changed := s.versionState != state || s.problem != problem
 	s.versionState, s.chunksHeld, s.chunksTotal, s.problem = state, held, total, problem
 	s.mu.Unlock()
-	s.wakeReport()
+	// The count of chunks goes with the next regular report.
+	if changed {
+		s.wakeReport()
+	}
 }
 
 func (s *agentState) leave() {
--- a/node/agent/sync.go
+++ b/node/agent/sync.go
@@ -3,9 +3,6 @@
 import (
 	"cmp"
 	"context"
-	"crypto/sha256"
-	"encoding/hex"
-	"encoding/json"
 	"maps"
 	"math/rand/v2"
 	"net/http"
@@ -13,10 +10,7 @@
 	"sync"
 	"time"
 
-	"github.com/rotisserie/eris"
-
 	"github.com/laburnumloft/laburnumloft/core/membership"
-	"github.com/laburnumloft/laburnumloft/core/settings"
 	"github.com/laburnumloft/laburnumloft/node/lib/wire"
 	"github.com/laburnumloft/laburnumloft/node/rpc"
 )
@@ -194,16 +188,15 @@
 			client := rpc.NewControlProtobufClient("http://"+home.GetPeerAddress(), d.client)
 			callCtx, cancel := context.WithTimeout(ctx, syncRetry)
 			defer cancel()
-			_, _ = client.Sync(callCtx, &rpc.SyncRequest{Report: d.agent.report(), SettingsOffset: maxOffset, ReportOnly: true})
+			report := d.agent.report()
+			// A failed call needs no retry: the held call reports next.
+			_, _ = client.Sync(callCtx, &rpc.SyncRequest{Report: report, SettingsOffset: report.GetSettingsOffset(), ReportOnly: true})
 		})
 	}
 	calls.Wait()
 	pause(ctx, urgentReportInterval)
 }
 
-// maxOffset asks for no settings.
-const maxOffset = 1<<63 - 1
-
 func (d *syncDuty) sync(ctx context.Context, client rpc.Control, id string, wait time.Duration) error {
 	ctx, cancel := context.WithTimeout(ctx, wait+syncTimeout)
 	defer cancel()
@@ -223,7 +216,7 @@
 		d.agent.tracker.Leave()
 	}
 	d.learn(resp, req.GetReportOnly())
-	return d.agent.applySettings(resp.GetSettings())
+	return d.agent.receiveSettings(resp.GetEntryId(), resp.GetSettings())
 }
 
 // learn takes the changes of the lists.
@@ -273,22 +266,3 @@
 	defer s.mu.Unlock()
 	s.peers = peers
 }
-
-// applySettings checks the digest of received settings and puts them in force.
-func (a *Agent) applySettings(received *rpc.SettingsState) error {
-	if received == nil {
-		return nil
-	}
-	sum := sha256.Sum256(received.GetState())
-	if hex.EncodeToString(sum[:]) != received.GetDigest() {
-		return eris.Errorf("settings at offset %d do not match their digest", received.GetOffset())
-	}
-	var state settings.State
-	if err := json.Unmarshal(received.GetState(), &state); err != nil {
-		return eris.Wrap(err, "decoding settings")
-	}
-	if a.state.applySettings(&state, received.GetDigest()) {
-		a.logger.Named("settings").Info("settings in force", "offset", state.Offset)
-	}
-	return nil
-}
--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -40,6 +40,10 @@
 	Listen, PeerListen string
 	LogURL             string
 	MembershipURL      string
+	// LogRetention is the time for which the log keeps settings records.
+	LogRetention time.Duration
+	// SnapshotEvery is the largest number of records between two snapshots.
+	SnapshotEvery int64
 	// MaxBodyBytes bounds the body of a caller's request.
 	MaxBodyBytes int64
 	// DrainTimeout bounds a planned stop.
@@ -67,6 +71,8 @@
 	members     *memberTable
 	tracker     *lifecycle.Tracker
 	incarnation int64
+	claims      *claimStore
+	calls       *callState
 }
 
 // New returns an entry that is not started yet.
@@ -84,6 +90,8 @@
 		members:     newMemberTable(),
 		tracker:     lifecycle.NewTracker(),
 		incarnation: time.Now().UnixMilli(),
+		claims:      newClaimStore(),
+		calls:       newCallState(),
 	}
 }
 
@@ -113,6 +121,7 @@
 	duties.Go(func() { e.members.run(dutyCtx, membership.New(time.Now(), e.viewConfig())) })
 	duties.Go(func() { e.pollMembers(dutyCtx) })
 	duties.Go(func() { e.gossip(dutyCtx) })
+	duties.Go(func() { e.tailClaims(dutyCtx) })
 	duties.Go(func() { e.serve(servers[0], public) })
 	duties.Go(func() { e.serve(servers[1], e.cfg.Channel.Listener(peer)) })
 	e.logger.Info("entry started", "listen", public.Addr(), "peer_listen", peer.Addr())
@@ -150,7 +159,9 @@
 	mux.HandleFunc("GET /v1/discovery", e.handleDiscovery)
 	mux.HandleFunc("POST /v1/workspaces/{workspace}/services/{service}/requests", e.handleRequest)
 	mux.HandleFunc("GET /v1/health", e.handleHealth)
+	e.routeOperations(mux)
 	mux.HandleFunc("GET /v1/status", e.handleStatus)
+	mux.HandleFunc("GET /v1/settings", e.handleSettings)
 	mux.Handle("GET /debug/vars", expvar.Handler())
 	mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) {
 		wire.WriteError(w, wire.Error{Kind: wire.ErrorNotFound, Message: "no such path: " + r.URL.Path})
--- a/node/entry/gossip.go
+++ b/node/entry/gossip.go
@@ -22,14 +22,10 @@
 	urgentJitter = 50 * time.Millisecond
 )
 
-// peerServer implements rpc.Peer.
-type peerServer struct {
-	entry *Entry
-}
-
 // Exchange implements rpc.Peer.
 func (p *peerServer) Exchange(ctx context.Context, req *rpc.ExchangeRequest) (*rpc.ExchangeResponse, error) {
 	e := p.entry
+	e.settings.heard(req.GetSettingsOffset())
 	_, encoded, _ := e.settings.current()
 	var reply membership.Message
 	msg := fromMessage(req.GetMembers())
@@ -44,15 +40,6 @@
 	return &rpc.ExchangeResponse{SettingsOffset: encoded.GetOffset(), Members: toMessage(reply)}, nil
 }
 
-// FetchSettings implements rpc.Peer.
-func (p *peerServer) FetchSettings(_ context.Context, req *rpc.FetchSettingsRequest) (*rpc.SettingsState, error) {
-	_, encoded, _ := p.entry.settings.current()
-	if encoded.GetOffset() <= req.GetNewerThan() {
-		return &rpc.SettingsState{}, nil
-	}
-	return encoded, nil
-}
-
 // gossip exchanges deltas with other entries for as long as ctx lasts.
 func (e *Entry) gossip(ctx context.Context) {
 	var exchanges sync.WaitGroup
@@ -126,6 +113,7 @@
 	if err != nil {
 		return membership.Message{}, err
 	}
+	e.settings.heard(resp.GetSettingsOffset())
 	return fromMessage(resp.GetMembers()), nil
 }
 
