--- a/node/agent/agent.go
+++ b/node/agent/agent.go
@@ -16,6 +16,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/laburnumloft/laburnumloft/core/settings"
+	"github.com/laburnumloft/laburnumloft/node/lib/lifecycle"
 	"github.com/laburnumloft/laburnumloft/node/lib/platform"
 	"github.com/laburnumloft/laburnumloft/node/lib/ring"
 	"github.com/laburnumloft/laburnumloft/node/lib/secure"
@@ -58,6 +59,10 @@
 	// WrapListener wraps the listening socket; nil means to use it as it is.
 	WrapListener func(net.Listener) net.Listener
 	Rollout      RolloutConfig
+	// Force ends a planned stop at once; nil means never.
+	Force context.Context
+	// Dial opens connections for membership traffic; nil means a default one.
+	Dial lifecycle.DialFunc
 }
 
 // Agent is one agent process.
@@ -71,6 +76,8 @@
 	engine      *engineClient
 	state       *agentState
 	rollout     *rolloutDuty
+	sync        *syncDuty
+	tracker     *lifecycle.Tracker
 	operations  *operationsDuty
 	admission   *admission
 	cancels     *ring.Ring[string]
@@ -125,6 +132,8 @@
 		},
 	}
 	a.rollout = newRolloutDuty(a)
+	a.sync = newSyncDuty(a, lifecycle.ControlClient(cfg.Channel, cfg.Dial))
+	a.tracker = lifecycle.NewTracker()
 	a.operations = newOperationsDuty(a)
 	if cfg.Kind == settings.KindEngine {
 		a.state.gate = a.rollout
@@ -159,7 +168,7 @@
 	var duties sync.WaitGroup
 	dutyCtx, stopDuties := context.WithCancel(context.Background())
 	defer stopDuties()
-	duties.Go(func() { a.syncWithEntries(dutyCtx) })
+	duties.Go(func() { a.sync.run(dutyCtx) })
 	duties.Go(func() { a.operations.run(dutyCtx) })
 	duties.Go(func() { a.admission.run(dutyCtx) })
 	duties.Go(func() { a.cancelAbandoned(dutyCtx) })
@@ -174,30 +183,30 @@
 		}
 	})
 	a.logger.Info("agent started", "listen", listener.Addr(), "incarnation", a.incarnation)
-	<-ctx.Done()
-	err = a.shutdown(server)
+	select {
+	case <-ctx.Done():
+	case <-a.tracker.Left():
+	}
+	force := a.cfg.Force
+	if force == nil {
+		force = context.Background()
+	}
+	err = a.shutdown(force, server)
 	stopDuties()
 	duties.Wait()
 	return err
 }
 
-func (a *Agent) shutdown(server *http.Server) error {
-	a.logger.Info("agent is leaving")
-	a.state.leave()
-	ctx, cancel := context.WithTimeout(context.Background(), a.cfg.DrainTimeout)
-	defer cancel()
-	return errors.Join(server.Shutdown(ctx), a.operations.drain(ctx))
-}
-
 func (a *Agent) handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /agent/v1/requests", a.handleRequest)
 	mux.HandleFunc("GET /weights/v1/{model}/{version}/manifest", a.rollout.handleManifest)
 	mux.HandleFunc("GET /weights/v1/{model}/{version}/chunks/{index}", a.rollout.handleChunk)
+	mux.HandleFunc("GET /v1/health", a.handleHealth)
 	mux.Handle(rpc.OperationsPathPrefix, rpc.NewOperationsServer(a.operations))
 	mux.Handle("GET /debug/vars", expvar.Handler())
 	mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) {
 		wire.WriteError(w, wire.Error{Kind: wire.ErrorNotFound, Message: "no such path: " + r.URL.Path})
 	})
-	return telemetry.Handler("agent", a.cfg.Channel.Handler(mux))
+	return telemetry.Handler("agent", a.cfg.Channel.Handler(a.tracker.Count(a.tracker.Track(mux, isWork, refuse), isOperation)))
 }
--- a/node/entry/requests_dispatch.go
+++ b/node/entry/requests_dispatch.go
@@ -52,6 +52,7 @@
 // grant is a backend server chosen for a placement.
 type grant struct {
 	handle  routing.Handle
+	agent   string
 	address string
 	// version is the one that the backend server serves.
 	version string
@@ -265,12 +266,12 @@
 	p.item.ID = d.nextID
 	result := l.queue.Push(now, p.item)
 	if result.Refused != "" {
-		p.reply <- placed{failure: refusal(result.Refused, result.RetryAfter)}
+		p.reply <- placed{failure: queueRefusal(result.Refused, result.RetryAfter)}
 		return
 	}
 	l.waiting[p.item.ID] = p
 	if result.Displaced != 0 {
-		l.answer(result.Displaced, placed{failure: refusal(limits.RefusedDisplaced, time.Second)})
+		l.answer(result.Displaced, placed{failure: queueRefusal(limits.RefusedDisplaced, time.Second)})
 	}
 }
 
@@ -316,7 +317,7 @@
 	p.reply <- answer
 }
 
-func refusal(reason limits.Refusal, after time.Duration) *wire.Error {
+func queueRefusal(reason limits.Refusal, after time.Duration) *wire.Error {
 	entryRefusals.Add(string(reason), 1)
 	return &wire.Error{
 		Kind: wire.ErrorOverloaded, Message: "service is busy: " + string(reason),
@@ -347,7 +348,7 @@
 	}
 	item, ok, expired := l.queue.Pop(now, free, nil)
 	for _, id := range expired {
-		l.answer(id, placed{failure: refusal(limits.RefusedDeadline, time.Second)})
+		l.answer(id, placed{failure: queueRefusal(limits.RefusedDeadline, time.Second)})
 	}
 	if !ok {
 		return false
@@ -360,7 +361,7 @@
 	case miss == routing.Found:
 		s.inFlight++
 		entryInFlight.Add(1)
-		l.answer(item.ID, placed{grant: grant{choice.Handle, choice.Address, choice.Version}})
+		l.answer(item.ID, placed{grant: grant{choice.Handle, choice.ID, choice.Address, choice.Version}})
 	case miss == routing.Full && len(p.tried) == 0:
 		l.queue.Unpop(item)
 		return false
--- a/node/entry/settings_peers.go
+++ b/node/entry/settings_peers.go
@@ -7,8 +7,6 @@
 	"sync"
 	"time"
 
-	"github.com/twitchtv/twirp"
-
 	"github.com/laburnumloft/laburnumloft/core/settings"
 	"github.com/laburnumloft/laburnumloft/node/lib/wire"
 	"github.com/laburnumloft/laburnumloft/node/rpc"
@@ -38,11 +36,6 @@
 	return encoded, nil
 }
 
-// Exchange implements rpc.Peer.
-func (p *peerServer) Exchange(context.Context, *rpc.ExchangeRequest) (*rpc.ExchangeResponse, error) {
-	return nil, twirp.NewError(twirp.Unimplemented, "membership deltas are not exchanged yet")
-}
-
 // handleSettings answers operators with the settings in force.
 func (e *Entry) handleSettings(w http.ResponseWriter, _ *http.Request) {
 	_, encoded, _ := e.settings.current()
--- a/node/entry/status.go
+++ b/node/entry/status.go
@@ -88,13 +88,3 @@
 		row.Problems = append(row.Problems, wire.AgentProblem{Agent: r.GetId(), Problem: problem})
 	}
 }
-
-func (t *memberTable) all() []*rpc.MemberReport {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	all := make([]*rpc.MemberReport, 0, len(t.reports))
-	for _, r := range t.reports {
-		all = append(all, r)
-	}
-	return all
-}
