Remove an unused count of the agent's state

Change: the method is gone. Conclusion: the lifecycle tracker is the one count of requests in flight.

--- a/node/agent/state.go
+++ b/node/agent/state.go
@@ -89,13 +89,6 @@
 	}
 }
 
-// inFlight returns the number of admitted requests.
-func (s *agentState) inFlight() int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.running
-}
-
 // report returns the next report of the agent.
 func (a *Agent) report() *rpc.MemberReport {
 	s := a.state
