Keep serving during a rollout: load new versions in turns

Cause: with the demo, all engines of a service stopped serving the old version at the same moment, because each loaded the new one as soon as it was whole; agents also refused requests while they fetched, since the queue checked the rollout state in place of the served version; and entries with a lagging view asked for versions that were just replaced. Change: the agents of a region form chains and each loads after its predecessor serves, so that at most 25% (a setting) are out of service at once. A request gets the version that its agent serves at that moment, which the start frame names and every later frame must match. status counts agents behind only among those that report to the asked entry, whose offsets are current.

--- a/core/rollout/version.go
+++ b/core/rollout/version.go
@@ -99,6 +99,8 @@
 	// ChecksFence says that the engine records fencing numbers and refuses
 	// old ones, so that its report must show the fence of the last order.
 	ChecksFence bool
+	// TakeTurns makes a served version go on until Proceed is called.
+	TakeTurns bool
 }
 
 // maxSilentChecks is how many status checks in a row may stay unanswered
@@ -110,6 +112,8 @@
 	intent Intent
 	state  VersionState
 	digest string
+	// proceed means that the agent has its turn to load the version.
+	proceed bool
 }
 
 // ordered is the version of the last load order.
@@ -210,6 +214,24 @@
 	return true
 }
 
+// AwaitsTurn returns the verified version that waits until the agent may take
+// its backend server out of service.
+func (m *Machine) AwaitsTurn(now time.Time) (Intent, bool) {
+	waits := m.cfg.TakeTurns && m.target != nil && m.target.state == StateVerified && !m.target.proceed &&
+		m.ordered != nil && m.ordered.state == StateServing && !now.Before(m.target.intent.StartAt)
+	if !waits {
+		return Intent{}, false
+	}
+	return m.target.intent, true
+}
+
+// Proceed lets the agent load the version.
+func (m *Machine) Proceed(intent Intent) {
+	if m.target != nil && m.target.intent.same(intent) {
+		m.target.proceed = true
+	}
+}
+
 // Lost records that the bytes of the ordered version were freed, so that a
 // repeated order needs them fetched again.
 func (m *Machine) Lost(intent Intent) {
@@ -249,6 +271,9 @@
 	if serves && now.Before(m.target.intent.StartAt) {
 		return Action{At: m.target.intent.StartAt}
 	}
+	if serves && m.cfg.TakeTurns && !m.target.proceed {
+		return Action{}
+	}
 	if serves {
 		m.history.Addf("retire %s with %d running", m.ordered.order.Intent.Version, m.running)
 		m.ordered.state = StateRetiring
@@ -351,6 +376,13 @@
 	return true
 }
 
+// Runs reports whether the engine is confirmed to run the version. Requests
+// that were admitted may go on while it is retired.
+func (m *Machine) Runs(version string) bool {
+	o := m.ordered
+	return o != nil && (o.state == StateServing || o.state == StateRetiring) && o.order.Intent.Version == version
+}
+
 // Release counts an admitted request out.
 func (m *Machine) Release() {
 	m.history.Check(m.running > 0, "request released that was not admitted")
--- a/node/agent/drain.go
+++ b/node/agent/drain.go
@@ -22,16 +22,20 @@
 
 // health is the answer of GET /v1/health.
 type health struct {
-	Ready   bool `json:"ready"`
-	Leaving bool `json:"leaving"`
+	Ready   bool   `json:"ready"`
+	Leaving bool   `json:"leaving"`
+	Version string `json:"version,omitempty"`
+	// Problem is why the agent does not get on to the intended version.
+	Problem string `json:"problem,omitempty"`
 }
 
 func (a *Agent) handleHealth(w http.ResponseWriter, _ *http.Request) {
 	a.state.mu.Lock()
 	serving := a.state.versionState == "serving"
+	version, problem := a.state.version, a.state.problem
 	a.state.mu.Unlock()
 	leaving := a.tracker.Leaving()
-	h := health{Ready: serving && !leaving, Leaving: leaving}
+	h := health{Ready: serving && !leaving, Leaving: leaving, Version: version, Problem: problem}
 	status := http.StatusOK
 	if !h.Ready {
 		status = http.StatusServiceUnavailable
--- a/node/agent/requests.go
+++ b/node/agent/requests.go
@@ -45,10 +45,14 @@
 		a.refuse(w, req.RequestID, *failure)
 		return
 	}
-	if !a.state.admit(req.Version) {
-		a.refuse(w, req.RequestID, wire.Error{Kind: wire.ErrorUnavailable, Message: "version is not served here"})
+	// The entry's view of versions lags during a rollout. The request gets the
+	// version that is served now, which the answer's start frame names.
+	version, admitted := a.state.admit()
+	if !admitted {
+		a.refuse(w, req.RequestID, wire.Error{Kind: wire.ErrorUnavailable, Message: "no version is served here"})
 		return
 	}
+	req.Version = version
 	// The count taken by admit covers the wait in the queue as well, so that
 	// a planned stop waits for queued requests.
 	defer a.state.release()
@@ -61,8 +65,8 @@
 	}
 	served := 0
 	defer func() { turn.leave(served) }()
-	if !a.stillServes(req.Version) {
-		a.refuse(w, req.RequestID, wire.Error{Kind: wire.ErrorUnavailable, Message: "version was replaced while the request waited"})
+	if !a.state.runs(req.Version) {
+		a.refuse(w, req.RequestID, wire.Error{Kind: wire.ErrorUnavailable, Message: "engine lost the version while the request waited"})
 		return
 	}
 	ctx, span := telemetry.Span(ctx, "agent.generate")
@@ -72,8 +76,8 @@
 
 func checkRequest(req *wire.AgentRequest) *wire.Error {
 	switch {
-	case req.RequestID == "" || req.Version == "":
-		return &wire.Error{Kind: wire.ErrorBadRequest, Message: "request_id and version are required"}
+	case req.RequestID == "":
+		return &wire.Error{Kind: wire.ErrorBadRequest, Message: "request_id is required"}
 	case req.MaxTokens < 0 || req.MaxTokens > maxRequestTokens:
 		return &wire.Error{Kind: wire.ErrorBadRequest, Message: fmt.Sprintf("max_tokens must be 0 to %d", maxRequestTokens)}
 	}
@@ -96,13 +100,6 @@
 	}
 }
 
-// stillServes reports whether the version is served at this moment.
-func (a *Agent) stillServes(version string) bool {
-	a.state.mu.Lock()
-	defer a.state.mu.Unlock()
-	return a.state.versionState == "serving" && a.state.version == version
-}
-
 // refuse answers a request that did not reach the backend server.
 func (a *Agent) refuse(w http.ResponseWriter, id string, failure wire.Error) {
 	failure.RequestID, failure.Run = id, wire.RunNotRun
--- a/node/agent/rollout.go
+++ b/node/agent/rollout.go
@@ -75,15 +75,23 @@
 		upPace:   &pacer{rate: cfg.UploadRate},
 		downPace: &pacer{rate: cfg.DownloadRate},
 		wake:     make(chan struct{}, 1),
-		machine:  rollout.NewMachine(rollout.MachineConfig{StartMS: a.incarnation, OrderRetry: orderRetry}),
+		machine:  rollout.NewMachine(rollout.MachineConfig{StartMS: a.incarnation, OrderRetry: orderRetry, TakeTurns: true}),
 	}
 }
 
 // admit implements admissionGate.
-func (d *rolloutDuty) admit(version string) bool {
+func (d *rolloutDuty) admit() (version string, ok bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.machine.Admit(version)
+	version = d.machine.Status().Serving
+	return version, version != "" && d.machine.Admit(version)
+}
+
+// runs implements admissionGate.
+func (d *rolloutDuty) runs(version string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.machine.Runs(version)
 }
 
 // release implements admissionGate.
@@ -121,6 +129,7 @@
 	defer duties.Wait()
 	duties.Go(func() { d.watchEngine(ctx, answers) })
 	duties.Go(func() { d.freeMemory(ctx) })
+	duties.Go(func() { d.takeTurns(ctx) })
 	l := &rolloutLoop{rolloutDuty: d, fetched: make(chan fetchResult, 1)}
 	defer l.stopFetch()
 	for ctx.Err() == nil {
--- a/node/agent/rollout_config.go
+++ b/node/agent/rollout_config.go
@@ -31,6 +31,11 @@
 	// WeightsHold is how long after the last request of a peer the chunks
 	// that other agents keep as well are freed.
 	WeightsHold time.Duration `long:"weights-hold" env:"LABURNUM_WEIGHTS_HOLD" default:"1m" description:"how long after a peer's last request all chunks stay in memory"`
+	// MaxUnavailablePercent bounds the share of a region's agents, rounded up,
+	// that load a new version at once, so that the others go on serving.
+	MaxUnavailablePercent int `long:"max-unavailable-percent" env:"LABURNUM_MAX_UNAVAILABLE_PERCENT" default:"25" description:"share of a region's agents that load a new version at once"`
+	// TurnTimeout is how long one agent that does not get on holds up others.
+	TurnTimeout time.Duration `long:"turn-timeout" env:"LABURNUM_TURN_TIMEOUT" default:"2m" description:"how long an agent that fails to load holds up the next one"`
 	// Strategy is StrategyTree but for measurements.
 	Strategy rollout.Strategy `no-flag:"true"`
 }
@@ -43,6 +48,7 @@
 	maxChunkDeadline = 5 * time.Minute
 	minWeightsHold   = time.Second
 	maxWeightsHold   = 24 * time.Hour
+	maxTurnTimeout   = time.Hour
 )
 
 // Check reports the first setting that is out of range.
@@ -54,6 +60,8 @@
 		between("download-bytes-per-second", c.DownloadRate, 0, math.MaxInt64),
 		between("chunk-deadline", c.ChunkDeadline, minChunkDeadline, maxChunkDeadline),
 		between("weights-hold", c.WeightsHold, minWeightsHold, maxWeightsHold),
+		between("max-unavailable-percent", c.MaxUnavailablePercent, 1, 100),
+		between("turn-timeout", c.TurnTimeout, time.Second, maxTurnTimeout),
 	)
 }
 
@@ -71,6 +79,9 @@
 	DefaultUploadSlots   = 2
 	DefaultChunkDeadline = 10 * time.Second
 	DefaultWeightsHold   = time.Minute
+
+	DefaultMaxUnavailablePercent = 25
+	DefaultTurnTimeout           = 2 * time.Minute
 )
 
 func (c RolloutConfig) withDefaults() RolloutConfig {
@@ -86,6 +97,12 @@
 	if c.WeightsHold == 0 {
 		c.WeightsHold = DefaultWeightsHold
 	}
+	if c.MaxUnavailablePercent == 0 {
+		c.MaxUnavailablePercent = DefaultMaxUnavailablePercent
+	}
+	if c.TurnTimeout == 0 {
+		c.TurnTimeout = DefaultTurnTimeout
+	}
 	return c
 }
 
--- a/node/agent/state.go
+++ b/node/agent/state.go
@@ -58,35 +58,36 @@
 // admissionGate decides whether the backend server may answer requests for
 // a version at this moment.
 type admissionGate interface {
-	admit(version string) bool
+	admit() (version string, ok bool)
+	runs(version string) bool
 	release()
 }
 
-// admit counts a request in if the backend server serves the version.
-func (s *agentState) admit(version string) bool {
+// admit counts a request in if the backend server serves a version, and
+// returns that version.
+func (s *agentState) admit() (version string, ok bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.leaving {
-		return false
+	if s.leaving || s.gate == nil {
+		return "", false
 	}
-	if s.gate != nil {
-		if !s.gate.admit(version) {
-			return false
-		}
-	} else if s.versionState != "serving" || s.version != version {
-		return false
+	if version, ok = s.gate.admit(); ok {
+		s.running++
 	}
-	s.running++
-	return true
+	return version, ok
+}
+
+// runs reports whether the backend server is confirmed to run the version,
+// also while it is being retired.
+func (s *agentState) runs(version string) bool {
+	return s.gate.runs(version)
 }
 
 func (s *agentState) release() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.running--
-	if s.gate != nil {
-		s.gate.release()
-	}
+	s.gate.release()
 }
 
 // report returns the next report of the agent.
--- a/node/entry/control.go
+++ b/node/entry/control.go
@@ -28,6 +28,7 @@
 func (c *controlServer) Sync(ctx context.Context, req *rpc.SyncRequest) (*rpc.SyncResponse, error) {
 	e := c.entry
 	e.members.report(ctx, req.GetReport())
+	e.direct.note(req.GetReport().GetId(), time.Now())
 	e.settings.heard(req.GetSettingsOffset())
 	_, encoded, changed := e.settings.current()
 	if encoded.GetOffset() <= req.GetSettingsOffset() && req.GetWaitMs() > 0 {
--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -73,6 +73,7 @@
 	control     *http.Client
 	settings    *settingsStore
 	members     *memberTable
+	direct      directReports
 	tracker     *lifecycle.Tracker
 	incarnation int64
 	claims      *claimStore
--- a/node/entry/requests_stream.go
+++ b/node/entry/requests_stream.go
@@ -47,7 +47,7 @@
 	if resp.StatusCode != http.StatusOK {
 		return e.refusalOf(c, g, resp.StatusCode, lines)
 	}
-	frames := frameCheck{id: c.id, version: g.version}
+	frames := frameCheck{id: c.id}
 	for {
 		var frame wire.Frame
 		if err := lines.Next(&frame); err != nil {
@@ -150,7 +150,8 @@
 	return failure
 }
 
-// frameCheck checks that frames are those of one whole answer.
+// frameCheck checks that frames are those of one whole answer from the one
+// version that the start frame names.
 type frameCheck struct {
 	id, version string
 	started     bool
@@ -167,10 +168,10 @@
 	case frame.Error != nil:
 		return nil
 	case frame.Start != nil:
-		if f.started || frame.Start.RequestID != f.id || frame.Start.Version != f.version {
+		if f.started || frame.Start.RequestID != f.id || frame.Start.Version == "" {
 			return errCrossed
 		}
-		f.started = true
+		f.started, f.version = true, frame.Start.Version
 	case frame.Token != nil:
 		if !f.started || frame.Token.Index != f.next {
 			return errCrossed
--- a/node/entry/status.go
+++ b/node/entry/status.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"net/http"
 	"slices"
+	"sync"
+	"time"
 
 	"github.com/laburnumloft/laburnumloft/core/settings"
 	"github.com/laburnumloft/laburnumloft/node/lib/wire"
@@ -13,6 +15,41 @@
 // maxStatusProblems bounds the problems listed for one service and region.
 const maxStatusProblems = 8
 
+// directReports remembers which agents report to this entry itself. Only
+// their settings offsets are current: entries do not pass on offsets, which
+// would cost a delta for each agent at each change.
+type directReports struct {
+	mu   sync.Mutex
+	seen map[string]time.Time
+}
+
+// directReportTime is how long an agent counts after its latest report.
+const directReportTime = 5 * time.Second
+
+func (d *directReports) note(id string, now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.seen == nil {
+		d.seen = map[string]time.Time{}
+	}
+	d.seen[id] = now
+}
+
+// current returns the agents that report here and forgets the others.
+func (d *directReports) current(now time.Time) map[string]bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	ids := map[string]bool{}
+	for id, at := range d.seen {
+		if now.Sub(at) > directReportTime {
+			delete(d.seen, id)
+			continue
+		}
+		ids[id] = true
+	}
+	return ids
+}
+
 // Status is what an entry knows of the system.
 type Status struct {
 	Entry          string               `json:"entry"`
@@ -29,14 +66,14 @@
 		Entry:          e.cfg.ID,
 		SettingsOffset: encoded.GetOffset(),
 		SettingsDigest: encoded.GetDigest(),
-		Services:       summarise(state, agents),
+		Services:       summarise(state, agents, e.direct.current(time.Now())),
 		Agents:         agents,
 	})
 }
 
 // summarise counts the agents of each service and region. A service without
 // agents has one row with an empty region.
-func summarise(state *settings.State, agents []*rpc.MemberReport) []wire.ServiceStatus {
+func summarise(state *settings.State, agents []*rpc.MemberReport, direct map[string]bool) []wire.ServiceStatus {
 	rows := map[[2]string]*wire.ServiceStatus{}
 	row := func(service, region string) *wire.ServiceStatus {
 		key := [2]string{service, region}
@@ -52,7 +89,7 @@
 			continue
 		}
 		staffed[r.GetService()] = true
-		count(row(r.GetService(), r.GetRegion()), r, state.Offset)
+		count(row(r.GetService(), r.GetRegion()), r, direct[r.GetId()] && r.GetSettingsOffset() < state.Offset)
 	}
 	for _, name := range state.ServiceNames() {
 		if !staffed[name] {
@@ -69,13 +106,13 @@
 	return list
 }
 
-func count(row *wire.ServiceStatus, r *rpc.MemberReport, offset int64) {
+func count(row *wire.ServiceStatus, r *rpc.MemberReport, behind bool) {
 	if r.GetState() == rpc.AgentState_LEAVING {
 		row.Leaving++
 		return
 	}
 	row.Agents++
-	if r.GetSettingsOffset() < offset {
+	if behind {
 		row.Behind++
 	}
 	if r.GetState() == rpc.AgentState_SERVING && r.GetVersion() == row.Version {
--- a/node/lib/wire/status.go
+++ b/node/lib/wire/status.go
@@ -9,7 +9,8 @@
 	// Version is the intended version; empty for plain services.
 	Version string `json:"version"`
 	// Agents counts all agents but the Leaving ones, Serving those that serve
-	// the intended version, Behind those with older settings than the entry.
+	// the intended version, Behind those with older settings than the entry
+	// among the agents that report to it directly.
 	Agents  int `json:"agents"`
 	Serving int `json:"serving"`
 	Behind  int `json:"behind"`
