--- a/node/agent/settings.go
+++ b/node/agent/settings.go
@@ -40,7 +40,7 @@
 	if err != nil {
 		return err
 	}
-	gate := &a.state.gate
+	gate := &a.state.settingsGate
 	gate.mu.Lock()
 	defer gate.mu.Unlock()
 	if gate.open {
@@ -63,7 +63,7 @@
 
 // openSettingsGate puts the newest settings in force that were received.
 func (a *Agent) openSettingsGate() {
-	gate := &a.state.gate
+	gate := &a.state.settingsGate
 	gate.mu.Lock()
 	defer gate.mu.Unlock()
 	if gate.open {
--- a/node/cmd/laburnum-agent/main.go
+++ b/node/cmd/laburnum-agent/main.go
@@ -21,15 +21,17 @@
 type agentOptions struct {
 	options.Place
 	options.Telemetry
-	Security      secure.Options `group:"traffic between own processes"`
-	Listen        string         `long:"listen" env:"LABURNUM_LISTEN" required:"true" description:"IP:PORT for own processes"`
-	Service       string         `long:"service" env:"LABURNUM_SERVICE" required:"true" description:"service of the backend server"`
-	Kind          string         `long:"kind" env:"LABURNUM_KIND" default:"engine" description:"engine or plain"`
-	BackendURL    string         `long:"backend-url" env:"LABURNUM_BACKEND_URL" required:"true" description:"URL of the backend server"`
-	WeightsURL    string         `long:"weights-url" env:"LABURNUM_WEIGHTS_URL" description:"URL of the weight store; engines only"`
-	MembershipURL string         `long:"membership-url" env:"LABURNUM_MEMBERSHIP_URL" required:"true" description:"URL of the membership list"`
-	MemoryCeiling int64          `long:"memory-ceiling-bytes" env:"LABURNUM_MEMORY_CEILING_BYTES" default:"17179869184" description:"largest size of held weights in bytes"`
-	DrainTimeout  time.Duration  `long:"drain-timeout" env:"LABURNUM_DRAIN_TIMEOUT" default:"10m" description:"limit of a planned stop"`
+	Security      secure.Options      `group:"traffic between own processes"`
+	Rollout       agent.RolloutConfig `group:"weights"`
+	Listen        string              `long:"listen" env:"LABURNUM_LISTEN" required:"true" description:"IP:PORT for own processes"`
+	Service       string              `long:"service" env:"LABURNUM_SERVICE" required:"true" description:"service of the backend server"`
+	Kind          string              `long:"kind" env:"LABURNUM_KIND" default:"engine" description:"engine or plain"`
+	BackendURL    string              `long:"backend-url" env:"LABURNUM_BACKEND_URL" required:"true" description:"URL of the backend server"`
+	WeightsURL    string              `long:"weights-url" env:"LABURNUM_WEIGHTS_URL" description:"URL of the weight store; engines only"`
+	MembershipURL string              `long:"membership-url" env:"LABURNUM_MEMBERSHIP_URL" required:"true" description:"URL of the membership list"`
+	MemoryCeiling int64               `long:"memory-ceiling-bytes" env:"LABURNUM_MEMORY_CEILING_BYTES" default:"17179869184" description:"largest size of held weights in bytes"`
+	DrainTimeout  time.Duration       `long:"drain-timeout" env:"LABURNUM_DRAIN_TIMEOUT" default:"10m" description:"limit of a planned stop"`
+	StallTimeout  time.Duration       `long:"stall-timeout" env:"LABURNUM_STALL_TIMEOUT" default:"15s" description:"how long the backend server may make no progress on an answer"`
 }
 
 func main() {
@@ -65,6 +67,7 @@
 		Kind: settings.Kind(opts.Kind), Listen: opts.Listen, BackendURL: opts.BackendURL,
 		WeightsURL: opts.WeightsURL, MembershipURL: opts.MembershipURL,
 		MemoryCeiling: opts.MemoryCeiling, DrainTimeout: opts.DrainTimeout, Logger: logger, Channel: channel,
+		Rollout: opts.Rollout, StallTimeout: opts.StallTimeout,
 	}).Run(ctx)
 	if err != nil {
 		logger.Error("agent stopped", "error", err)
@@ -88,5 +91,7 @@
 		options.URL("membership-url", o.MembershipURL),
 		options.Positive("memory-ceiling-bytes", o.MemoryCeiling),
 		options.Positive("drain-timeout", o.DrainTimeout),
+		options.Positive("stall-timeout", o.StallTimeout),
+		o.Rollout.Check(),
 	)
 }
