--- a/core/settings/fold.go
+++ b/core/settings/fold.go
@@ -143,8 +143,8 @@
 			if f.blockedBy(err) {
 				return v
 			}
-		} else {
-			f.snapshot = SnapshotInfo{Offset: rec.Offset, TimeMS: rec.TimeMS}
+		} else if snapshot.Covers >= f.snapshot.Covers {
+			f.snapshot = SnapshotInfo{Offset: rec.Offset, Covers: snapshot.Covers, TimeMS: rec.TimeMS}
 		}
 	}
 	if f.snapshot.TimeMS == 0 {
@@ -205,7 +205,7 @@
 		}
 		f.unconfirmed = true
 		f.scan = 0
-		f.snapshot = SnapshotInfo{Offset: rec.Offset, TimeMS: rec.TimeMS}
+		f.snapshot = SnapshotInfo{Offset: rec.Offset, Covers: snapshot.Covers, TimeMS: rec.TimeMS}
 		f.moveTo(state)
 		result.Status = f.status()
 		return
@@ -256,7 +256,8 @@
 	if f.state.Offset == 0 || f.state.Offset+1 != f.next || f.Unsettled() {
 		return false
 	}
-	if f.oldest > max(f.snapshot.Offset, 1) {
+	// A late append may be retained although records after its state expired.
+	if f.oldest > max(f.snapshot.Offset, 1) || f.oldest > f.snapshot.Covers+1 {
 		return true
 	}
 	age := now.Sub(time.UnixMilli(f.snapshot.TimeMS))
--- a/core/settings/snapshot.go
+++ b/core/settings/snapshot.go
@@ -30,6 +30,8 @@
 type SnapshotInfo struct {
 	// Offset is the offset of the snapshot record, 0 if none is known.
 	Offset int64
+	// Covers is the offset of the state in it.
+	Covers int64
 	// TimeMS is the log's time of the record in Unix milliseconds.
 	TimeMS int64
 }
--- a/node/entry/settings.go
+++ b/node/entry/settings.go
@@ -64,7 +64,7 @@
 	data, _ := state.Encode()
 	return &rpc.SettingsState{
 		Offset: state.Offset, Digest: digest, State: data,
-		SnapshotOffset: snapshot.Offset, SnapshotTimeMs: snapshot.TimeMS,
+		SnapshotOffset: snapshot.Offset, SnapshotCovers: snapshot.Covers, SnapshotTimeMs: snapshot.TimeMS,
 	}
 }
 
--- a/node/entry/settings_peers.go
+++ b/node/entry/settings_peers.go
@@ -84,7 +84,9 @@
 		if answer.GetOffset() == 0 {
 			continue
 		}
-		snapshot := settings.SnapshotInfo{Offset: answer.GetSnapshotOffset(), TimeMS: answer.GetSnapshotTimeMs()}
+		snapshot := settings.SnapshotInfo{
+			Offset: answer.GetSnapshotOffset(), Covers: answer.GetSnapshotCovers(), TimeMS: answer.GetSnapshotTimeMs(),
+		}
 		if err := d.fold.Adopt(answer.GetState(), answer.GetDigest(), snapshot); err != nil {
 			settingsCounters.Add("peer_states_refused", 1)
 			d.logger.Error("peer's settings were refused", "offset", answer.GetOffset(), "error", err)
