--- a/node/cmd/laburnum-entry/main.go
+++ b/node/cmd/laburnum-entry/main.go
@@ -6,14 +6,13 @@
 	"errors"
 	"fmt"
 	"os"
-	"os/signal"
 	"strings"
-	"syscall"
 	"time"
 
 	"github.com/jessevdk/go-flags"
 
 	"github.com/laburnumloft/laburnumloft/node/entry"
+	"github.com/laburnumloft/laburnumloft/node/lib/lifecycle"
 	"github.com/laburnumloft/laburnumloft/node/lib/options"
 	"github.com/laburnumloft/laburnumloft/node/lib/secure"
 	"github.com/laburnumloft/laburnumloft/node/lib/telemetry"
@@ -89,8 +88,8 @@
 	if err := options.First(options.NoArguments(rest), c.check()); err != nil {
 		return err
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
+	ctx, force, release := lifecycle.Signals()
+	defer release()
 	tcfg := c.Telemetry.Config("entry", c.ID)
 	shutdown, err := telemetry.StartTracing(ctx, tcfg)
 	if err != nil {
@@ -104,7 +103,7 @@
 	err = entry.New(entry.Config{
 		ID: c.ID, Region: c.Region, Zone: c.Zone, Listen: c.Listen, PeerListen: c.PeerListen,
 		LogURL: c.LogURL, LogRetention: c.LogRetention, SnapshotEvery: c.SnapshotEvery, MembershipURL: c.MembershipURL, MaxBodyBytes: c.MaxBody,
-		DrainTimeout: c.DrainTimeout, StallTimeout: c.StallTimeout, Logger: telemetry.NewLogger(tcfg), Channel: channel,
+		DrainTimeout: c.DrainTimeout, StallTimeout: c.StallTimeout, Logger: telemetry.NewLogger(tcfg), Channel: channel, Force: force,
 	}).Run(ctx)
 	if err != nil {
 		return &failure{err}
--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -12,9 +12,12 @@
 	"sync"
 	"time"
 
+	"github.com/google/uuid"
 	"github.com/hashicorp/go-hclog"
 	"github.com/rotisserie/eris"
 
+	"github.com/laburnumloft/laburnumloft/core/membership"
+	"github.com/laburnumloft/laburnumloft/node/lib/lifecycle"
 	"github.com/laburnumloft/laburnumloft/node/lib/platform"
 	"github.com/laburnumloft/laburnumloft/node/lib/secure"
 	"github.com/laburnumloft/laburnumloft/node/lib/telemetry"
@@ -52,6 +55,10 @@
 	Logger       hclog.Logger
 	// Channel protects the traffic between own processes; nil protects nothing.
 	Channel *secure.Channel
+	// Force ends a planned stop at once; nil means never.
+	Force context.Context
+	// Dial opens connections for membership traffic; nil means a default one.
+	Dial lifecycle.DialFunc
 }
 
 // Entry is one entry process.
@@ -61,13 +68,17 @@
 	log        *platform.Log
 	membership *platform.Membership
 	// client reaches own processes.
-	client     *http.Client
-	settings   *settingsStore
-	members    *memberTable
-	claims     *claimStore
-	calls      *callState
-	open       *openRequests
-	dispatcher *dispatcher
+	client *http.Client
+	// control reaches other entries for membership.
+	control     *http.Client
+	settings    *settingsStore
+	members     *memberTable
+	tracker     *lifecycle.Tracker
+	incarnation int64
+	claims      *claimStore
+	calls       *callState
+	open        *openRequests
+	dispatcher  *dispatcher
 }
 
 // New returns an entry that is not started yet.
@@ -75,16 +86,19 @@
 	client := &http.Client{Transport: &telemetry.Transport{Base: cfg.Channel.Transport(newTransport())}}
 	platformClient := &http.Client{Transport: &telemetry.Transport{Base: newTransport()}}
 	e := &Entry{
-		cfg:        cfg,
-		logger:     cfg.Logger,
-		log:        platform.NewLog(cfg.LogURL, platformClient),
-		membership: platform.NewMembership(cfg.MembershipURL, platformClient),
-		client:     client,
-		settings:   newSettingsStore(),
-		members:    newMemberTable(),
-		claims:     newClaimStore(),
-		calls:      newCallState(),
-		open:       newOpenRequests(),
+		cfg:         cfg,
+		logger:      cfg.Logger,
+		log:         platform.NewLog(cfg.LogURL, platformClient),
+		membership:  platform.NewMembership(cfg.MembershipURL, platformClient),
+		client:      client,
+		control:     lifecycle.ControlClient(cfg.Channel, cfg.Dial),
+		settings:    newSettingsStore(),
+		members:     newMemberTable(),
+		tracker:     lifecycle.NewTracker(),
+		incarnation: time.Now().UnixMilli(),
+		claims:      newClaimStore(),
+		calls:       newCallState(),
+		open:        newOpenRequests(),
 	}
 	e.dispatcher = newDispatcher(cfg.Region, e.servingAgents)
 	return e
@@ -113,14 +127,23 @@
 	dutyCtx, stopDuties := context.WithCancel(context.Background())
 	defer stopDuties()
 	duties.Go(func() { e.tailSettings(dutyCtx) })
+	duties.Go(func() { e.members.run(dutyCtx, membership.New(time.Now(), e.viewConfig())) })
 	duties.Go(func() { e.pollMembers(dutyCtx) })
+	duties.Go(func() { e.gossip(dutyCtx) })
 	duties.Go(func() { e.tailClaims(dutyCtx) })
 	duties.Go(func() { e.dispatcher.run(dutyCtx) })
 	duties.Go(func() { e.serve(servers[0], public) })
 	duties.Go(func() { e.serve(servers[1], e.cfg.Channel.Listener(peer)) })
 	e.logger.Info("entry started", "listen", public.Addr(), "peer_listen", peer.Addr())
-	<-ctx.Done()
-	err = e.shutdown(servers)
+	select {
+	case <-ctx.Done():
+	case <-e.tracker.Left():
+	}
+	force := e.cfg.Force
+	if force == nil {
+		force = context.Background()
+	}
+	err = e.shutdown(force, servers)
 	stopDuties()
 	duties.Wait()
 	return err
@@ -131,6 +154,7 @@
 		Handler:           handler,
 		ReadHeaderTimeout: readHeaderTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
+		Protocols:         lifecycle.ControlProtocols(),
 	}
 }
 
@@ -140,23 +164,11 @@
 	}
 }
 
-func (e *Entry) shutdown(servers []*http.Server) error {
-	e.logger.Info("entry is leaving")
-	ctx, cancel := context.WithTimeout(context.Background(), e.cfg.DrainTimeout)
-	defer cancel()
-	var failures []error
-	for _, server := range servers {
-		if err := server.Shutdown(ctx); err != nil {
-			failures = append(failures, err)
-		}
-	}
-	return errors.Join(failures...)
-}
-
 func (e *Entry) publicHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /v1/discovery", e.handleDiscovery)
 	mux.HandleFunc("POST /v1/workspaces/{workspace}/services/{service}/requests", e.handleRequest)
+	mux.HandleFunc("GET /v1/health", e.handleHealth)
 	e.routeOperations(mux)
 	mux.HandleFunc("DELETE /v1/requests/{id}", e.handleCancel)
 	mux.HandleFunc("GET /v1/status", e.handleStatus)
@@ -165,7 +177,7 @@
 	mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) {
 		wire.WriteError(w, wire.Error{Kind: wire.ErrorNotFound, Message: "no such path: " + r.URL.Path})
 	})
-	return telemetry.Handler("entry", mux)
+	return telemetry.Handler("entry", ownRequestID(e.tracker.Track(mux, isWork, e.redirect)))
 }
 
 func (e *Entry) peerHandler() http.Handler {
@@ -174,3 +186,12 @@
 	mux.Handle(rpc.PeerPathPrefix, rpc.NewPeerServer(&peerServer{entry: e}))
 	return telemetry.Handler("entry.peer", e.cfg.Channel.Handler(mux))
 }
+
+// ownRequestID drops the id that a caller sends: two callers with the same
+// id could otherwise cancel each other's requests.
+func ownRequestID(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		r.Header.Set(requestIDHeader, uuid.NewString())
+		next.ServeHTTP(w, r)
+	})
+}
--- a/node/entry/requests.go
+++ b/node/entry/requests.go
@@ -10,10 +10,9 @@
 	"sync"
 	"time"
 
-	"github.com/google/uuid"
-
 	"github.com/laburnumloft/laburnumloft/core/routing"
 	"github.com/laburnumloft/laburnumloft/core/settings"
+	"github.com/laburnumloft/laburnumloft/node/lib/lifecycle"
 	"github.com/laburnumloft/laburnumloft/node/lib/telemetry"
 	"github.com/laburnumloft/laburnumloft/node/lib/wire"
 	"github.com/laburnumloft/laburnumloft/node/rpc"
@@ -39,7 +38,7 @@
 )
 
 // requestIDHeader carries the id of a request in both directions.
-const requestIDHeader = "Request-Id"
+const requestIDHeader = lifecycle.RequestIDHeader
 
 var (
 	entryRequests    = expvar.NewMap("entry_requests_total")
@@ -104,7 +103,7 @@
 // handleRequest serves POST /v1/workspaces/{w}/services/{s}/requests.
 func (e *Entry) handleRequest(w http.ResponseWriter, r *http.Request) {
 	begun := time.Now()
-	id := uuid.NewString()
+	id := r.Header.Get(requestIDHeader)
 	w.Header().Set(requestIDHeader, id)
 	call, failure := e.prepare(r, id)
 	if failure != nil {
