--- a/bench/operations/cluster_test.go
+++ b/bench/operations/cluster_test.go
@@ -34,7 +34,9 @@
 	testing.TB
 	cluster *harness.Cluster
 	entries []*harness.Process
-	agent   *harness.Process
+	// urls are those of the entries, which keep them over a restart.
+	urls  []string
+	agent *harness.Process
 	// proxy stands between the first entry and the log.
 	proxy         *logProxy
 	workspacePath string
