--- a/node/agent/agent.go
+++ b/node/agent/agent.go
@@ -17,6 +17,7 @@
 
 	"github.com/laburnumloft/laburnumloft/core/settings"
 	"github.com/laburnumloft/laburnumloft/node/lib/platform"
+	"github.com/laburnumloft/laburnumloft/node/lib/ring"
 	"github.com/laburnumloft/laburnumloft/node/lib/secure"
 	"github.com/laburnumloft/laburnumloft/node/lib/telemetry"
 	"github.com/laburnumloft/laburnumloft/node/lib/wire"
@@ -46,11 +47,17 @@
 	// MemoryCeiling bounds the bytes of weights held in memory.
 	MemoryCeiling int64
 	DrainTimeout  time.Duration
-	Logger        hclog.Logger
+	// StallTimeout bounds how long the backend server may make no progress
+	// on an answer; 0 means DefaultStallTimeout.
+	StallTimeout time.Duration
+	Logger       hclog.Logger
 	// Transport is used towards other VMs; nil means a default one.
 	Transport http.RoundTripper
 	// Channel protects the traffic between own processes; nil protects nothing.
 	Channel *secure.Channel
+	// WrapListener wraps the listening socket; nil means to use it as it is.
+	WrapListener func(net.Listener) net.Listener
+	Rollout      RolloutConfig
 }
 
 // Agent is one agent process.
@@ -65,14 +72,17 @@
 	state       *agentState
 	rollout     *rolloutDuty
 	operations  *operationsDuty
+	admission   *admission
+	cancels     *ring.Ring[string]
 }
 
 // agentState is what the duties of one agent share.
 type agentState struct {
 	mu       sync.Mutex
 	settings *settings.State
-	// digest is the digest of the settings in force.
-	digest        string
+	// inForce guards the order of the settings; settings is its state.
+	inForce       *settings.InForce
+	settingsGate  settingsGate
 	changed       chan struct{}
 	version       string
 	versionState  string
@@ -85,10 +95,14 @@
 	sequence      uint64
 	peers         []*rpc.PeerAddress
 	reportChanged chan struct{}
+	// gate decides on the admission of requests; nil admits those for the
+	// reported version.
+	gate admissionGate
 }
 
 // New returns an agent that is not started yet.
 func New(cfg Config) *Agent {
+	cfg.Rollout = cfg.Rollout.withDefaults()
 	base, platformBase := cfg.Transport, cfg.Transport
 	if base == nil {
 		base, platformBase = cfg.Channel.Transport(newTransport()), newTransport()
@@ -105,12 +119,18 @@
 		engine:      newEngineClient(cfg.BackendURL),
 		state: &agentState{
 			settings:      settings.NewState(),
+			inForce:       settings.NewInForce(),
 			changed:       make(chan struct{}),
 			reportChanged: make(chan struct{}, 1),
 		},
 	}
 	a.rollout = newRolloutDuty(a)
 	a.operations = newOperationsDuty(a)
+	if cfg.Kind == settings.KindEngine {
+		a.state.gate = a.rollout
+	}
+	a.admission = newAdmission()
+	a.cancels = newCancelRing()
 	return a
 }
 
@@ -128,6 +148,9 @@
 	if err != nil {
 		return eris.Wrap(errors.Join(ErrStart, err), "listening")
 	}
+	if a.cfg.WrapListener != nil {
+		listener = a.cfg.WrapListener(listener)
+	}
 	server := &http.Server{
 		Handler:           a.handler(),
 		ReadHeaderTimeout: readHeaderTimeout,
@@ -138,6 +161,8 @@
 	defer stopDuties()
 	duties.Go(func() { a.syncWithEntries(dutyCtx) })
 	duties.Go(func() { a.operations.run(dutyCtx) })
+	duties.Go(func() { a.admission.run(dutyCtx) })
+	duties.Go(func() { a.cancelAbandoned(dutyCtx) })
 	if a.cfg.Kind == settings.KindEngine {
 		duties.Go(func() { a.rollout.run(dutyCtx) })
 	} else {
@@ -167,7 +192,8 @@
 func (a *Agent) handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /agent/v1/requests", a.handleRequest)
-	mux.HandleFunc("GET /weights/v1/{model}/{version}/data", a.rollout.handleData)
+	mux.HandleFunc("GET /weights/v1/{model}/{version}/manifest", a.rollout.handleManifest)
+	mux.HandleFunc("GET /weights/v1/{model}/{version}/chunks/{index}", a.rollout.handleChunk)
 	mux.Handle(rpc.OperationsPathPrefix, rpc.NewOperationsServer(a.operations))
 	mux.Handle("GET /debug/vars", expvar.Handler())
 	mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) {
