--- a/node/entry/calls.go
+++ b/node/entry/calls.go
@@ -170,7 +170,7 @@
 		step = e.cancelFor(ctx, steps)
 	}
 	if step == operation.StepRefuse {
-		return nil, refusal(steps)
+		return nil, keyedRefusal(steps)
 	}
 	if surplus := steps.Surplus(); surplus != "" {
 		// The reservation expires by itself if this cancel fails.
@@ -202,8 +202,8 @@
 	return steps.Cancelled(operation.OutcomeUnknown)
 }
 
-// refusal returns the error of a keyed call that was refused.
-func refusal(steps *operation.Call) *wire.Error {
+// keyedRefusal returns the error of a keyed call that was refused.
+func keyedRefusal(steps *operation.Call) *wire.Error {
 	outcome, reason := steps.Refusal()
 	refused := &wire.Error{Kind: wire.ErrorUnavailable, Run: wire.RunStatus(outcome.String())}
 	switch reason {
