--- a/bench/operations/cluster_test.go
+++ b/bench/operations/cluster_test.go
@@ -34,7 +34,7 @@
 	testing.TB
 	cluster *harness.Cluster
 	entries []*harness.Process
-	// urls are those of the entries, which keep them over a restart.
+	// urls are those of the entries; a restarted entry keeps its address.
 	urls  []string
 	agent *harness.Process
 	// proxy stands between the first entry and the log.
--- a/node/entry/requests_stream.go
+++ b/node/entry/requests_stream.go
@@ -60,6 +60,7 @@
 		}
 		if load := frameLoad(frame); load != nil {
 			e.dispatcher.measured(p, g, *load)
+			e.members.observeLoad(ctx, g.agent, load.Running, load.Queued)
 		}
 		switch {
 		case frame.Error != nil:
@@ -90,6 +91,7 @@
 		return nil, err
 	}
 	req.Header.Set("Content-Type", "application/json")
+	req.Header.Set(requestIDHeader, c.id)
 	return e.client.Do(req)
 }
 
