--- a/core/operation/claim.go
+++ b/core/operation/claim.go
@@ -79,20 +79,25 @@
 	// horizonMS is the latest log time of a record that may be unknown here.
 	// It is math.MaxInt64 until the first record after a gap gives a bound.
 	horizonMS int64
-	claims    map[scope]boundClaim
-	order     []scope
-	history   invariant.History
+	claims    map[scope]*boundClaim
+	// order holds the claims in log order.
+	order   []*boundClaim
+	history invariant.History
 }
 
 type boundClaim struct {
 	Claim
-	offset, timeMS int64
+	timeMS int64
+}
+
+func (c *Claim) scope() scope {
+	return scope{c.Workspace, c.Service, c.Key}
 }
 
 // NewIndex returns an index that has read nothing and keeps at most limit
 // claims.
 func NewIndex(limit int) *Index {
-	return &Index{limit: limit, next: 1, horizonMS: math.MinInt64, claims: map[scope]boundClaim{}}
+	return &Index{limit: limit, next: 1, horizonMS: math.MinInt64, claims: map[scope]*boundClaim{}}
 }
 
 // Next returns the offset of the next record to read.
@@ -128,12 +133,13 @@
 	}
 	// A claim of a key that this index can't vouch for binds nothing: an
 	// earlier claim may stand in a record that was missed.
-	s := scope{claim.Workspace, claim.Service, claim.Key}
+	s := claim.scope()
 	if _, bound := x.claims[s]; bound || !x.vouches(issued) {
 		return
 	}
-	x.claims[s] = boundClaim{Claim: *claim, offset: offset, timeMS: timeMS}
-	x.order = append(x.order, s)
+	bound := &boundClaim{Claim: *claim, timeMS: timeMS}
+	x.claims[s] = bound
+	x.order = append(x.order, bound)
 	x.history.Addf("bind %s to %s at %d", claim.Key, claim.Ticket, offset)
 	x.evict()
 }
@@ -169,8 +175,8 @@
 	if len(x.order) <= x.limit {
 		return
 	}
-	oldest := x.claims[x.order[0]]
-	delete(x.claims, x.order[0])
+	oldest := x.order[0]
+	delete(x.claims, oldest.scope())
 	x.order = x.order[1:]
 	x.horizonMS = max(x.horizonMS, oldest.timeMS)
 	x.history.Check(len(x.claims) <= x.limit, "%d claims are kept", len(x.claims))
--- a/node/entry/calls.go
+++ b/node/entry/calls.go
@@ -7,7 +7,6 @@
 	"encoding/json"
 	"errors"
 	"io"
-	"math/rand/v2"
 	"net/http"
 	"sync"
 
@@ -99,7 +98,9 @@
 		return
 	}
 	if method.Idempotent {
-		writeTicket(w, func() (*rpc.Ticket, *wire.Error) { return e.callIdempotent(r.Context(), service, method, body) })
+		writeTicket(w, func() (*rpc.Ticket, *wire.Error) {
+			return e.callIdempotent(r.Context(), workspace, service, method, body)
+		})
 		return
 	}
 	key := r.Header.Get(wire.KeyHeader)
@@ -132,9 +133,8 @@
 
 // callIdempotent calls agents of the service until one gives an answer or
 // the retry budget is used up.
-func (e *Entry) callIdempotent(ctx context.Context, service string, method settings.Method, body []byte) (*rpc.Ticket, *wire.Error) {
-	agents := e.members.serving(service, "")
-	rand.Shuffle(len(agents), func(i, j int) { agents[i], agents[j] = agents[j], agents[i] })
+func (e *Entry) callIdempotent(ctx context.Context, workspace, service string, method settings.Method, body []byte) (*rpc.Ticket, *wire.Error) {
+	agents := e.plainAgents(workspace, service)
 	e.calls.deposit()
 	failure := &wire.Error{Kind: wire.ErrorUnavailable, Message: "no agent serves the service", RetryAfterMS: 1000}
 	for attempt, agent := range agents[:min(len(agents), agentAttempts)] {
--- a/node/entry/claims.go
+++ b/node/entry/claims.go
@@ -18,8 +18,8 @@
 	// claimsReadTimeout ends a read that the log holds for too long.
 	claimsReadTimeout = 25 * time.Second
 	claimsRetry       = 200 * time.Millisecond
-	// maxClaims at about 400 bytes each keeps the index under 20 MiB.
-	maxClaims = 50_000
+	// maxClaims at about 500 bytes each keeps the index under 20 MiB.
+	maxClaims = 40_000
 	// claimTimeout bounds how long a keyed call waits for its claim to settle.
 	claimTimeout = 3 * time.Second
 	// appendTimeout bounds one append, after which it is repeated. A second
--- a/node/entry/drain.go
+++ b/node/entry/drain.go
@@ -5,6 +5,7 @@
 	"errors"
 	"math/rand/v2"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -54,6 +55,9 @@
 	body := leavingBody{Error: wire.Error{
 		Kind: wire.ErrorLeaving, Message: "this entry is leaving", RequestID: id, Run: wire.RunNotRun,
 	}}
+	if concernsOperation(r) {
+		body.Error.Run = wire.RunUnknown
+	}
 	other := e.otherEntry()
 	if other == nil {
 		body.Error.RetryAfterMS = 1000
@@ -66,6 +70,12 @@
 	wire.WriteJSON(w, http.StatusTemporaryRedirect, body)
 }
 
+// concernsOperation tells the requests whose ticket or key may have been run
+// before, so that a refusal must not say that their operation was not run.
+func concernsOperation(r *http.Request) bool {
+	return strings.HasPrefix(r.URL.Path, "/v1/tickets/") || strings.Contains(r.URL.Path, "/calls/")
+}
+
 // otherEntry returns a live entry, near if there is one.
 func (e *Entry) otherEntry() *wire.DiscoveryEntry {
 	var best []wire.DiscoveryEntry
--- a/node/entry/operations.go
+++ b/node/entry/operations.go
@@ -6,6 +6,7 @@
 	"errors"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/google/uuid"
@@ -80,10 +81,29 @@
 	})
 }
 
+// plainAgents returns the agents of a plain service that the workspace may
+// use, in random order with those of the entry's region first.
+func (e *Entry) plainAgents(workspace, service string) []*rpc.MemberReport {
+	state, _, _ := e.settings.current()
+	params, _ := state.Workspace(workspace)
+	agents := slices.Clone(e.members.serving(service, ""))
+	if len(params.Regions) > 0 {
+		agents = slices.DeleteFunc(agents, func(a *rpc.MemberReport) bool { return !slices.Contains(params.Regions, a.GetRegion()) })
+	}
+	rand.Shuffle(len(agents), func(i, j int) { agents[i], agents[j] = agents[j], agents[i] })
+	remote := func(a *rpc.MemberReport) int {
+		if a.GetRegion() == e.cfg.Region {
+			return 0
+		}
+		return 1
+	}
+	slices.SortStableFunc(agents, func(a, b *rpc.MemberReport) int { return remote(a) - remote(b) })
+	return agents
+}
+
 // reserve takes a ticket at one of the agents of the service.
 func (e *Entry) reserve(ctx context.Context, workspace, service string) (*rpc.Ticket, *wire.Error) {
-	agents := e.members.serving(service, "")
-	rand.Shuffle(len(agents), func(i, j int) { agents[i], agents[j] = agents[j], agents[i] })
+	agents := e.plainAgents(workspace, service)
 	req := &rpc.ReserveRequest{RequestId: uuid.NewString(), Service: service, Workspace: workspace}
 	for _, agent := range agents[:min(len(agents), agentAttempts)] {
 		ticket, err := e.operations(agent).Reserve(ctx, req)
