--- a/bench/routing/cluster.go
+++ b/bench/routing/cluster.go
@@ -42,6 +42,8 @@
 type ClusterConfig struct {
 	Entries, Engines int
 	Engine           engine.Config
+	// StallTimeout of the agents; 0 means their default.
+	StallTimeout time.Duration
 	// Workspaces are the names of the workspaces, each with share 1.
 	Workspaces []string
 }
@@ -74,7 +76,7 @@
 		}
 	}
 	for i := range cfg.Engines {
-		if err := c.startAgent(ctx, fmt.Sprintf("agent-%d", i), cfg.Engine, weightsURL, membersURL); err != nil {
+		if err := c.startAgent(ctx, fmt.Sprintf("agent-%d", i), cfg, weightsURL, membersURL); err != nil {
 			return c, err
 		}
 	}
@@ -140,17 +142,17 @@
 	}, nil)
 }
 
-func (c *Cluster) startAgent(ctx context.Context, id string, cfg engine.Config, weightsURL, membersURL string) error {
+func (c *Cluster) startAgent(ctx context.Context, id string, cfg ClusterConfig, weightsURL, membersURL string) error {
 	address, err := harness.FreeAddress()
 	if err != nil {
 		return err
 	}
-	backend := engine.New(cfg)
+	backend := engine.New(cfg.Engine)
 	url := c.serve(backend.Handler())
 	a := agent.New(agent.Config{
 		ID: id, Region: region, Zone: zone, Service: service, Kind: settings.KindEngine, Listen: address,
 		BackendURL: url, WeightsURL: weightsURL, MembershipURL: membersURL,
-		MemoryCeiling: 1 << 20, DrainTimeout: time.Second, Logger: hclog.NewNullLogger(),
+		MemoryCeiling: 1 << 20, DrainTimeout: time.Second, StallTimeout: cfg.StallTimeout, Logger: hclog.NewNullLogger(),
 	})
 	c.running.Go(func() { _ = a.Run(ctx) })
 	c.Engines = append(c.Engines, backend)
--- a/node/agent/requests.go
+++ b/node/agent/requests.go
@@ -238,8 +238,8 @@
 		return fmt.Errorf("engine answered with version %q instead of %q", frame.End.Version, s.req.Version)
 	case frame.End != nil && frame.End.Tokens != s.tokens:
 		return fmt.Errorf("engine counts %d tokens, %d arrived", frame.End.Tokens, s.tokens)
-	case frame.End == nil && frame.Token == nil:
-		return errors.New("engine sent a frame without content")
+	case (frame.End == nil) == (frame.Token == nil):
+		return errors.New("engine sent a frame that is not exactly one of token and end")
 	case frame.Token != nil && s.tokens >= s.req.MaxTokens:
 		return errors.New("engine sent more tokens than asked for")
 	}
--- a/node/agent/requests_admission.go
+++ b/node/agent/requests_admission.go
@@ -16,10 +16,16 @@
 const (
 	maxQueued             = 64
 	maxQueuedPerWorkspace = 32
-	headroomShare         = 0.2
-	creditTokens          = 1024
-	admissionBacklog      = 1024
-	admissionTick         = 20 * time.Millisecond
+	// headroomShare is below that of entries, so that requests rarely wait
+	// here for the headroom of this one backend server.
+	headroomShare = 0.1
+	// maxWait is how long a request waits before it is sent back as not run.
+	// It is shorter than the time after which entries take a silent agent
+	// for dead.
+	maxWait          = time.Second
+	creditTokens     = 1024
+	admissionBacklog = 1024
+	admissionTick    = 20 * time.Millisecond
 )
 
 var (
@@ -85,7 +91,12 @@
 	if !a.events.Push(ctx, admissionEvent{item: &item, reply: reply}) {
 		return nil, &wire.Error{Kind: wire.ErrorOverloaded, Message: "agent is busy", RetryAfterMS: 1000}
 	}
+	patience := time.NewTimer(maxWait)
+	defer patience.Stop()
 	select {
+	case <-patience.C:
+		t.leave(0)
+		return nil, &wire.Error{Kind: wire.ErrorOverloaded, Message: "request waited too long at the agent", RetryAfterMS: jittered(1000)}
 	case failure := <-reply:
 		if failure != nil {
 			return nil, failure
--- a/node/cmd/laburnum-agent/main.go
+++ b/node/cmd/laburnum-agent/main.go
@@ -73,6 +73,7 @@
 		options.OneOf("kind", o.Kind, string(settings.KindEngine), string(settings.KindPlain)),
 		options.URL("backend-url", o.BackendURL),
 		options.URL("membership-url", o.MembershipURL),
+		checkStallTimeout(o.StallTimeout),
 	}
 	if o.Kind == string(settings.KindEngine) {
 		checks = append(checks, options.URL("weights-url", o.WeightsURL))
@@ -84,3 +85,13 @@
 	}
 	return nil
 }
+
+// minStallTimeout is longer than a request may wait at an agent.
+const minStallTimeout = 2 * time.Second
+
+func checkStallTimeout(d time.Duration) error {
+	if d < minStallTimeout {
+		return &options.Invalid{Name: "stall-timeout", Value: d.String(), Allowed: "at least " + minStallTimeout.String()}
+	}
+	return nil
+}
--- a/node/cmd/laburnum-entry/main.go
+++ b/node/cmd/laburnum-entry/main.go
@@ -68,6 +68,7 @@
 		options.Address("peer-listen", c.PeerListen),
 		options.URL("log-url", c.LogURL),
 		options.URL("membership-url", c.MembershipURL),
+		checkStallTimeout(c.StallTimeout),
 	}
 	for _, err := range checks {
 		if err != nil {
@@ -76,3 +77,13 @@
 	}
 	return nil
 }
+
+// minStallTimeout is longer than a request may wait at an agent.
+const minStallTimeout = 2 * time.Second
+
+func checkStallTimeout(d time.Duration) error {
+	if d < minStallTimeout {
+		return &options.Invalid{Name: "stall-timeout", Value: d.String(), Allowed: "at least " + minStallTimeout.String()}
+	}
+	return nil
+}
--- a/node/entry/requests_stream.go
+++ b/node/entry/requests_stream.go
@@ -26,6 +26,7 @@
 var (
 	errSilent   = errors.New("agent was silent for too long")
 	errCrossed  = errors.New("agent sent the answer of another request")
+	errParts    = errors.New("agent sent a frame that is not exactly one of start, token, end and error")
 	errTooLarge = errors.New("answer is too large for one body; use stream")
 )
 
@@ -161,6 +162,9 @@
 	if frame.RequestID != f.id {
 		return errCrossed
 	}
+	if parts(frame) != 1 {
+		return errParts
+	}
 	switch {
 	case frame.Error != nil:
 		return nil
@@ -178,12 +182,22 @@
 		if !f.started || frame.End.RequestID != f.id || frame.End.Version != f.version || frame.End.Tokens != f.next {
 			return errCrossed
 		}
-	default:
-		return errors.New("agent sent a frame without content")
 	}
 	return nil
 }
 
+// parts counts what a frame holds. A frame with several parts would be
+// checked as one and used as another.
+func parts(frame wire.Frame) int {
+	n := 0
+	for _, set := range [...]bool{frame.Start != nil, frame.Token != nil, frame.End != nil, frame.Error != nil} {
+		if set {
+			n++
+		}
+	}
+	return n
+}
+
 // answerSink writes an answer to the caller, as server-sent events or as
 // one JSON body.
 type answerSink struct {
--- a/standin/engine/batch.go
+++ b/standin/engine/batch.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/laburnumloft/laburnumloft/node/lib/wire"
@@ -141,6 +142,9 @@
 		return
 	}
 	out := output{owner: owner.id, text: fmt.Sprintf("%s-%d ", owner.version, s.produced)}
+	if pad := e.cfg.TokenBytes - len(out.text); pad > 0 {
+		out.text += strings.Repeat("x", pad)
+	}
 	if s.produced == s.count {
 		out = output{owner: owner.id, end: true}
 	}
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -38,6 +38,8 @@
 	// PrefillBytes is how much of a prompt that is not in the prefix cache
 	// one step reads; 0 means a default.
 	PrefillBytes int
+	// TokenBytes pads the text of a token to this size.
+	TokenBytes int
 	// LoadLag is how old the reported load may be.
 	LoadLag time.Duration
 	// ChecksFence makes the engine refuse orders with an old fencing number.
