--- a/bench/routing/cluster.go
+++ b/bench/routing/cluster.go
@@ -66,7 +66,7 @@
 	c := &Cluster{stop: stop}
 	store := weightstore.New()
 	digest := store.Add(model, Version, 64<<10, 16<<10, 1)
-	logURL, weightsURL, membersURL := c.serve(logservice.New().Handler()), c.serve(store.Handler()), c.serve(memberlist.New().Handler())
+	logURL, weightsURL, membersURL := c.serve(logservice.New(logservice.Control{}).Handler()), c.serve(store.Handler()), c.serve(memberlist.New().Handler())
 	if err := publish(logURL, digest, cfg.Workspaces); err != nil {
 		return c, err
 	}
--- a/node/agent/agent.go
+++ b/node/agent/agent.go
@@ -16,8 +16,10 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/laburnumloft/laburnumloft/core/settings"
+	"github.com/laburnumloft/laburnumloft/node/lib/lifecycle"
 	"github.com/laburnumloft/laburnumloft/node/lib/platform"
 	"github.com/laburnumloft/laburnumloft/node/lib/ring"
+	"github.com/laburnumloft/laburnumloft/node/lib/secure"
 	"github.com/laburnumloft/laburnumloft/node/lib/telemetry"
 	"github.com/laburnumloft/laburnumloft/node/lib/wire"
 	"github.com/laburnumloft/laburnumloft/node/rpc"
@@ -52,6 +54,15 @@
 	Logger       hclog.Logger
 	// Transport is used towards other VMs; nil means a default one.
 	Transport http.RoundTripper
+	// Channel protects the traffic between own processes; nil protects nothing.
+	Channel *secure.Channel
+	// WrapListener wraps the listening socket; nil means to use it as it is.
+	WrapListener func(net.Listener) net.Listener
+	Rollout      RolloutConfig
+	// Force ends a planned stop at once; nil means never.
+	Force context.Context
+	// Dial opens connections for membership traffic; nil means a default one.
+	Dial lifecycle.DialFunc
 }
 
 // Agent is one agent process.
@@ -65,6 +76,9 @@
 	engine      *engineClient
 	state       *agentState
 	rollout     *rolloutDuty
+	sync        *syncDuty
+	tracker     *lifecycle.Tracker
+	operations  *operationsDuty
 	admission   *admission
 	cancels     *ring.Ring[string]
 }
@@ -73,8 +87,9 @@
 type agentState struct {
 	mu       sync.Mutex
 	settings *settings.State
-	// digest is the digest of the settings in force.
-	digest        string
+	// inForce guards the order of the settings; settings is its state.
+	inForce       *settings.InForce
+	settingsGate  settingsGate
 	changed       chan struct{}
 	version       string
 	versionState  string
@@ -87,45 +102,64 @@
 	sequence      uint64
 	peers         []*rpc.PeerAddress
 	reportChanged chan struct{}
+	// gate decides on the admission of requests; nil admits those for the
+	// reported version.
+	gate admissionGate
 }
 
 // New returns an agent that is not started yet.
 func New(cfg Config) *Agent {
-	base := cfg.Transport
+	cfg.Rollout = cfg.Rollout.withDefaults()
+	base, platformBase := cfg.Transport, cfg.Transport
 	if base == nil {
-		base = &http.Transport{
-			MaxIdleConnsPerHost: 16,
-			IdleConnTimeout:     90 * time.Second,
-			DialContext:         (&net.Dialer{Timeout: 2 * time.Second}).DialContext,
-		}
+		base, platformBase = cfg.Channel.Transport(newTransport()), newTransport()
 	}
 	client := &http.Client{Transport: &telemetry.Transport{Base: base}}
+	platformClient := &http.Client{Transport: &telemetry.Transport{Base: platformBase}}
 	a := &Agent{
 		cfg:         cfg,
 		logger:      cfg.Logger,
 		incarnation: time.Now().UnixMilli(),
 		client:      client,
-		weights:     platform.NewWeights(cfg.WeightsURL, client),
-		membership:  platform.NewMembership(cfg.MembershipURL, client),
+		weights:     platform.NewWeights(cfg.WeightsURL, platformClient),
+		membership:  platform.NewMembership(cfg.MembershipURL, platformClient),
 		engine:      newEngineClient(cfg.BackendURL),
 		state: &agentState{
 			settings:      settings.NewState(),
+			inForce:       settings.NewInForce(),
 			changed:       make(chan struct{}),
 			reportChanged: make(chan struct{}, 1),
 		},
 	}
 	a.rollout = newRolloutDuty(a)
+	a.sync = newSyncDuty(a, lifecycle.ControlClient(cfg.Channel, cfg.Dial))
+	a.tracker = lifecycle.NewTracker()
+	a.operations = newOperationsDuty(a)
+	if cfg.Kind == settings.KindEngine {
+		a.state.gate = a.rollout
+	}
 	a.admission = newAdmission()
 	a.cancels = newCancelRing()
 	return a
 }
 
+func newTransport() *http.Transport {
+	return &http.Transport{
+		MaxIdleConnsPerHost: 16,
+		IdleConnTimeout:     90 * time.Second,
+		DialContext:         (&net.Dialer{Timeout: 2 * time.Second}).DialContext,
+	}
+}
+
 // Run serves until ctx ends, then lets requests in flight end.
 func (a *Agent) Run(ctx context.Context) error {
 	listener, err := net.Listen("tcp", a.cfg.Listen)
 	if err != nil {
 		return eris.Wrap(errors.Join(ErrStart, err), "listening")
 	}
+	if a.cfg.WrapListener != nil {
+		listener = a.cfg.WrapListener(listener)
+	}
 	server := &http.Server{
 		Handler:           a.handler(),
 		ReadHeaderTimeout: readHeaderTimeout,
@@ -134,7 +168,8 @@
 	var duties sync.WaitGroup
 	dutyCtx, stopDuties := context.WithCancel(context.Background())
 	defer stopDuties()
-	duties.Go(func() { a.syncWithEntries(dutyCtx) })
+	duties.Go(func() { a.sync.run(dutyCtx) })
+	duties.Go(func() { a.operations.run(dutyCtx) })
 	duties.Go(func() { a.admission.run(dutyCtx) })
 	duties.Go(func() { a.cancelAbandoned(dutyCtx) })
 	if a.cfg.Kind == settings.KindEngine {
@@ -143,33 +178,35 @@
 		a.state.setServing("")
 	}
 	duties.Go(func() {
-		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		if err := server.Serve(a.cfg.Channel.Listener(listener)); !errors.Is(err, http.ErrServerClosed) {
 			a.logger.Error("server stopped", "error", err)
 		}
 	})
 	a.logger.Info("agent started", "listen", listener.Addr(), "incarnation", a.incarnation)
-	<-ctx.Done()
-	err = a.shutdown(server)
+	select {
+	case <-ctx.Done():
+	case <-a.tracker.Left():
+	}
+	force := a.cfg.Force
+	if force == nil {
+		force = context.Background()
+	}
+	err = a.shutdown(force, server)
 	stopDuties()
 	duties.Wait()
 	return err
 }
 
-func (a *Agent) shutdown(server *http.Server) error {
-	a.logger.Info("agent is leaving")
-	a.state.leave()
-	ctx, cancel := context.WithTimeout(context.Background(), a.cfg.DrainTimeout)
-	defer cancel()
-	return server.Shutdown(ctx)
-}
-
 func (a *Agent) handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /agent/v1/requests", a.handleRequest)
-	mux.HandleFunc("GET /weights/v1/{model}/{version}/data", a.rollout.handleData)
+	mux.HandleFunc("GET /weights/v1/{model}/{version}/manifest", a.rollout.handleManifest)
+	mux.HandleFunc("GET /weights/v1/{model}/{version}/chunks/{index}", a.rollout.handleChunk)
+	mux.HandleFunc("GET /v1/health", a.handleHealth)
+	mux.Handle(rpc.OperationsPathPrefix, rpc.NewOperationsServer(a.operations))
 	mux.Handle("GET /debug/vars", expvar.Handler())
 	mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) {
 		wire.WriteError(w, wire.Error{Kind: wire.ErrorNotFound, Message: "no such path: " + r.URL.Path})
 	})
-	return telemetry.Handler("agent", mux)
+	return telemetry.Handler("agent", a.cfg.Channel.Handler(a.tracker.Count(a.tracker.Track(mux, isWork, refuse), isOperation)))
 }
--- a/node/agent/requests.go
+++ b/node/agent/requests.go
@@ -49,8 +49,8 @@
 		a.refuse(w, req.RequestID, wire.Error{Kind: wire.ErrorUnavailable, Message: "version is not served here"})
 		return
 	}
-	// The count taken by admit covers the wait in the queue as well, so that
-	// a planned stop waits for queued requests.
+	// The count taken by admit covers the wait in the queue as well: neither a
+	// planned stop nor a load of another version begins before it is released.
 	defer a.state.release()
 	ctx, cancel := context.WithTimeout(r.Context(), time.Duration(req.DeadlineMS)*time.Millisecond)
 	defer cancel()
@@ -61,10 +61,6 @@
 	}
 	served := 0
 	defer func() { turn.leave(served) }()
-	if !a.stillServes(req.Version) {
-		a.refuse(w, req.RequestID, wire.Error{Kind: wire.ErrorUnavailable, Message: "version was replaced while the request waited"})
-		return
-	}
 	ctx, span := telemetry.Span(ctx, "agent.generate")
 	served, err := a.generate(ctx, w, req)
 	telemetry.EndSpan(span, err)
@@ -96,13 +92,6 @@
 	}
 }
 
-// stillServes reports whether the version is served at this moment.
-func (a *Agent) stillServes(version string) bool {
-	a.state.mu.Lock()
-	defer a.state.mu.Unlock()
-	return a.state.versionState == "serving" && a.state.version == version
-}
-
 // refuse answers a request that did not reach the backend server.
 func (a *Agent) refuse(w http.ResponseWriter, id string, failure wire.Error) {
 	failure.RequestID, failure.Run = id, wire.RunNotRun
--- a/node/agent/requests_admission.go
+++ b/node/agent/requests_admission.go
@@ -19,10 +19,10 @@
 	// headroomShare is below that of entries, so that requests rarely wait
 	// here for the headroom of this one backend server.
 	headroomShare = 0.1
-	// maxWait is how long a request waits before it is sent back as not run.
+	// maxQueueWait is how long a request waits before it is sent back as not run.
 	// It is shorter than the time after which entries take a silent agent
 	// for dead.
-	maxWait          = time.Second
+	maxQueueWait     = time.Second
 	creditTokens     = 1024
 	admissionBacklog = 1024
 	admissionTick    = 20 * time.Millisecond
@@ -91,7 +91,7 @@
 	if !a.events.Push(ctx, admissionEvent{item: &item, reply: reply}) {
 		return nil, &wire.Error{Kind: wire.ErrorOverloaded, Message: "agent is busy", RetryAfterMS: 1000}
 	}
-	patience := time.NewTimer(maxWait)
+	patience := time.NewTimer(maxQueueWait)
 	defer patience.Stop()
 	select {
 	case <-patience.C:
--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -12,10 +12,14 @@
 	"sync"
 	"time"
 
+	"github.com/google/uuid"
 	"github.com/hashicorp/go-hclog"
 	"github.com/rotisserie/eris"
 
+	"github.com/laburnumloft/laburnumloft/core/membership"
+	"github.com/laburnumloft/laburnumloft/node/lib/lifecycle"
 	"github.com/laburnumloft/laburnumloft/node/lib/platform"
+	"github.com/laburnumloft/laburnumloft/node/lib/secure"
 	"github.com/laburnumloft/laburnumloft/node/lib/telemetry"
 	"github.com/laburnumloft/laburnumloft/node/lib/wire"
 	"github.com/laburnumloft/laburnumloft/node/rpc"
@@ -37,6 +41,10 @@
 	Listen, PeerListen string
 	LogURL             string
 	MembershipURL      string
+	// LogRetention is the time for which the log keeps settings records.
+	LogRetention time.Duration
+	// SnapshotEvery is the largest number of records between two snapshots.
+	SnapshotEvery int64
 	// MaxBodyBytes bounds the body of a caller's request.
 	MaxBodyBytes int64
 	// DrainTimeout bounds a planned stop.
@@ -45,6 +53,12 @@
 	// means DefaultStallTimeout.
 	StallTimeout time.Duration
 	Logger       hclog.Logger
+	// Channel protects the traffic between own processes; nil protects nothing.
+	Channel *secure.Channel
+	// Force ends a planned stop at once; nil means never.
+	Force context.Context
+	// Dial opens connections for membership traffic; nil means a default one.
+	Dial lifecycle.DialFunc
 }
 
 // Entry is one entry process.
@@ -53,34 +67,51 @@
 	logger     hclog.Logger
 	log        *platform.Log
 	membership *platform.Membership
-	client     *http.Client
-	settings   *settingsStore
-	members    *memberTable
-	open       *openRequests
-	dispatcher *dispatcher
+	// client reaches own processes.
+	client *http.Client
+	// control reaches other entries for membership.
+	control     *http.Client
+	settings    *settingsStore
+	members     *memberTable
+	tracker     *lifecycle.Tracker
+	incarnation int64
+	claims      *claimStore
+	calls       *callState
+	open        *openRequests
+	dispatcher  *dispatcher
 }
 
 // New returns an entry that is not started yet.
 func New(cfg Config) *Entry {
-	client := &http.Client{Transport: &telemetry.Transport{Base: &http.Transport{
-		MaxIdleConnsPerHost: 64,
-		IdleConnTimeout:     90 * time.Second,
-		DialContext:         (&net.Dialer{Timeout: 2 * time.Second}).DialContext,
-	}}}
+	client := &http.Client{Transport: &telemetry.Transport{Base: cfg.Channel.Transport(newTransport())}}
+	platformClient := &http.Client{Transport: &telemetry.Transport{Base: newTransport()}}
 	e := &Entry{
-		cfg:        cfg,
-		logger:     cfg.Logger,
-		log:        platform.NewLog(cfg.LogURL, client),
-		membership: platform.NewMembership(cfg.MembershipURL, client),
-		client:     client,
-		settings:   newSettingsStore(),
-		members:    newMemberTable(),
-		open:       newOpenRequests(),
+		cfg:         cfg,
+		logger:      cfg.Logger,
+		log:         platform.NewLog(cfg.LogURL, platformClient),
+		membership:  platform.NewMembership(cfg.MembershipURL, platformClient),
+		client:      client,
+		control:     lifecycle.ControlClient(cfg.Channel, cfg.Dial),
+		settings:    newSettingsStore(),
+		members:     newMemberTable(),
+		tracker:     lifecycle.NewTracker(),
+		incarnation: time.Now().UnixMilli(),
+		claims:      newClaimStore(),
+		calls:       newCallState(),
+		open:        newOpenRequests(),
 	}
 	e.dispatcher = newDispatcher(cfg.Region, e.servingAgents)
 	return e
 }
 
+func newTransport() *http.Transport {
+	return &http.Transport{
+		MaxIdleConnsPerHost: 64,
+		IdleConnTimeout:     90 * time.Second,
+		DialContext:         (&net.Dialer{Timeout: 2 * time.Second}).DialContext,
+	}
+}
+
 // Run serves until ctx ends, then lets requests in flight end.
 func (e *Entry) Run(ctx context.Context) error {
 	public, err := net.Listen("tcp", e.cfg.Listen)
@@ -96,13 +127,23 @@
 	dutyCtx, stopDuties := context.WithCancel(context.Background())
 	defer stopDuties()
 	duties.Go(func() { e.tailSettings(dutyCtx) })
+	duties.Go(func() { e.members.run(dutyCtx, membership.New(time.Now(), e.viewConfig())) })
 	duties.Go(func() { e.pollMembers(dutyCtx) })
+	duties.Go(func() { e.gossip(dutyCtx) })
+	duties.Go(func() { e.tailClaims(dutyCtx) })
 	duties.Go(func() { e.dispatcher.run(dutyCtx) })
 	duties.Go(func() { e.serve(servers[0], public) })
-	duties.Go(func() { e.serve(servers[1], peer) })
+	duties.Go(func() { e.serve(servers[1], e.cfg.Channel.Listener(peer)) })
 	e.logger.Info("entry started", "listen", public.Addr(), "peer_listen", peer.Addr())
-	<-ctx.Done()
-	err = e.shutdown(servers)
+	select {
+	case <-ctx.Done():
+	case <-e.tracker.Left():
+	}
+	force := e.cfg.Force
+	if force == nil {
+		force = context.Background()
+	}
+	err = e.shutdown(force, servers)
 	stopDuties()
 	duties.Wait()
 	return err
@@ -113,6 +154,7 @@
 		Handler:           handler,
 		ReadHeaderTimeout: readHeaderTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
+		Protocols:         lifecycle.ControlProtocols(),
 	}
 }
 
@@ -122,34 +164,34 @@
 	}
 }
 
-func (e *Entry) shutdown(servers []*http.Server) error {
-	e.logger.Info("entry is leaving")
-	ctx, cancel := context.WithTimeout(context.Background(), e.cfg.DrainTimeout)
-	defer cancel()
-	var failures []error
-	for _, server := range servers {
-		if err := server.Shutdown(ctx); err != nil {
-			failures = append(failures, err)
-		}
-	}
-	return errors.Join(failures...)
-}
-
 func (e *Entry) publicHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /v1/discovery", e.handleDiscovery)
 	mux.HandleFunc("POST /v1/workspaces/{workspace}/services/{service}/requests", e.handleRequest)
+	mux.HandleFunc("GET /v1/health", e.handleHealth)
+	e.routeOperations(mux)
 	mux.HandleFunc("DELETE /v1/requests/{id}", e.handleCancel)
 	mux.HandleFunc("GET /v1/status", e.handleStatus)
+	mux.HandleFunc("GET /v1/settings", e.handleSettings)
 	mux.Handle("GET /debug/vars", expvar.Handler())
 	mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) {
 		wire.WriteError(w, wire.Error{Kind: wire.ErrorNotFound, Message: "no such path: " + r.URL.Path})
 	})
-	return telemetry.Handler("entry", mux)
+	return telemetry.Handler("entry", ownRequestID(e.tracker.Track(mux, isWork, e.redirect)))
 }
 
 func (e *Entry) peerHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle(rpc.ControlPathPrefix, rpc.NewControlServer(&controlServer{entry: e}))
-	return telemetry.Handler("entry.peer", mux)
+	mux.Handle(rpc.PeerPathPrefix, rpc.NewPeerServer(&peerServer{entry: e}))
+	return telemetry.Handler("entry.peer", e.cfg.Channel.Handler(mux))
+}
+
+// ownRequestID drops the id that a caller sends: two callers with the same
+// id could otherwise cancel each other's requests.
+func ownRequestID(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		r.Header.Set(requestIDHeader, uuid.NewString())
+		next.ServeHTTP(w, r)
+	})
 }
--- a/node/entry/requests_test.go
+++ b/node/entry/requests_test.go
@@ -25,7 +25,10 @@
 		Name: "t", Services: []settings.Service{{Name: "s", Kind: settings.KindEngine, Model: "m", Version: "v1"}},
 	}}
 	state.Parameters["w"] = settings.Revision[settings.Parameters]{Document: settings.Parameters{Workspace: "w", Template: "t"}}
-	e.settings.publish(state)
+	state.Offset = 1
+	newer, err := e.settings.publish(state, "digest", settings.SnapshotInfo{})
+	c.Assert(err, qt.IsNil)
+	c.Assert(newer, qt.IsTrue)
 	good, json := "/v1/workspaces/w/services/s/requests", "application/json"
 	cases := map[string]struct {
 		path, contentType, body string
--- a/standin/engine/batch.go
+++ b/standin/engine/batch.go
@@ -38,6 +38,9 @@
 func (e *Engine) admit(req wire.GenerateRequest) (*sequence, bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if e.status.State != wire.EngineReady {
+		return nil, false
+	}
 	if len(e.batch) >= e.cfg.MaxBatch && len(e.queue) >= e.cfg.MaxQueue {
 		return nil, false
 	}
@@ -141,7 +144,10 @@
 	if e.faults.StallAfter > 0 && s.produced >= e.faults.StallAfter {
 		return
 	}
-	out := output{owner: owner.id, text: fmt.Sprintf("%s-%d ", owner.version, s.produced)}
+	// The version is read for each token, as an engine would answer from the
+	// weights that are loaded at that moment.
+	s.version = e.status.Version
+	out := output{owner: owner.id, text: fmt.Sprintf("%s-%d ", s.version, s.produced)}
 	if pad := e.cfg.TokenBytes - len(out.text); pad > 0 {
 		out.text += strings.Repeat("x", pad)
 	}
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -104,9 +104,13 @@
 		wire.WriteError(w, wire.Error{Kind: wire.ErrorConflict, Message: "fencing number is old"})
 		return
 	}
+	// A repeated order for the loaded version must not disturb requests.
+	held := e.status.State == wire.EngineReady && e.status.Model == order.Model && e.status.Version == order.Version && e.status.Digest == order.Digest
 	e.status.Fence = order.Fence
-	e.status.State = wire.EngineLoading
-	go e.load(order)
+	if !held {
+		e.status.State = wire.EngineLoading
+		go e.load(order)
+	}
 	w.WriteHeader(http.StatusAccepted)
 }
 
@@ -117,6 +121,13 @@
 	return a.StartMS < b.StartMS
 }
 
+// Restart drops the version, as a restarted engine process would.
+func (e *Engine) Restart() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.status = wire.EngineStatus{State: wire.EngineEmpty}
+}
+
 // load reads the version and reports the digest of the bytes that it read.
 func (e *Engine) load(order wire.LoadOrder) {
 	digest, err := read(order.Source)
--- a/standin/engine/generate.go
+++ b/standin/engine/generate.go
@@ -88,7 +88,7 @@
 	}
 	s, ok := e.admit(req)
 	if !ok {
-		wire.WriteError(w, wire.Error{Kind: wire.ErrorOverloaded, Message: "batch and queue are full", RetryAfterMS: 1000, Run: wire.RunNotRun})
+		wire.WriteError(w, wire.Error{Kind: wire.ErrorOverloaded, Message: "no version is loaded, or batch and queue are full", RetryAfterMS: 1000, Run: wire.RunNotRun})
 		return
 	}
 	defer e.cancel(req.RequestID)
@@ -114,7 +114,7 @@
 // send writes one frame and reports whether the answer goes on.
 func (e *Engine) send(frames *json.Encoder, s *sequence, out output, sent int) bool {
 	e.mu.Lock()
-	faults := e.faults
+	faults, version := e.faults, s.version
 	e.stats.Tokens++
 	if out.end {
 		e.stats.Finished++
@@ -131,7 +131,7 @@
 	case faults.FailAfter > 0 && sent >= faults.FailAfter:
 		frame.Error = "fault: generation failed"
 	case out.end:
-		frame.End = &wire.GenerateEnd{Tokens: s.count, Version: s.version}
+		frame.End = &wire.GenerateEnd{Tokens: s.count, Version: version}
 		if faults.Version != "" {
 			frame.End.Version = faults.Version
 		}
