--- a/node/agent/requests.go
+++ b/node/agent/requests.go
@@ -53,8 +53,8 @@
 		return
 	}
 	req.Version = version
-	// The count taken by admit covers the wait in the queue as well, so that
-	// a planned stop waits for queued requests.
+	// The count taken by admit covers the wait in the queue as well: neither a
+	// planned stop nor a load of another version begins before it is released.
 	defer a.state.release()
 	ctx, cancel := context.WithTimeout(r.Context(), time.Duration(req.DeadlineMS)*time.Millisecond)
 	defer cancel()
@@ -235,8 +235,8 @@
 		return fmt.Errorf("engine answered with version %q instead of %q", frame.End.Version, s.req.Version)
 	case frame.End != nil && frame.End.Tokens != s.tokens:
 		return fmt.Errorf("engine counts %d tokens, %d arrived", frame.End.Tokens, s.tokens)
-	case frame.End == nil && frame.Token == nil:
-		return errors.New("engine sent a frame without content")
+	case (frame.End == nil) == (frame.Token == nil):
+		return errors.New("engine sent a frame that is not exactly one of token and end")
 	case frame.Token != nil && s.tokens >= s.req.MaxTokens:
 		return errors.New("engine sent more tokens than asked for")
 	}
--- a/node/cmd/laburnum-agent/main.go
+++ b/node/cmd/laburnum-agent/main.go
@@ -90,7 +90,7 @@
 		options.URL("membership-url", o.MembershipURL),
 		options.Positive("memory-ceiling-bytes", o.MemoryCeiling),
 		options.Positive("drain-timeout", o.DrainTimeout),
-		options.Positive("stall-timeout", o.StallTimeout),
+		options.AtLeast("stall-timeout", o.StallTimeout, options.MinStallTimeout),
 		o.Rollout.Check(),
 	)
 }
