--- a/node/agent/drain.go
+++ b/node/agent/drain.go
@@ -19,6 +19,9 @@
 // closeTimeout bounds the end of idle connections after the drain.
 const closeTimeout = 3 * time.Second
 
+// lastLook is the time to see whether operations are in flight.
+const lastLook = 100 * time.Millisecond
+
 // health is the answer of GET /v1/health.
 type health struct {
 	Ready   bool `json:"ready"`
@@ -65,7 +68,7 @@
 		a.logger.Error("stop was forced; requests were cut", "request_ids", cut)
 		return errors.Join(eris.Wrapf(ErrCut, "%d requests", len(cut)), server.Close())
 	}
-	if err := a.operations.drain(ctx); err != nil {
+	if err := a.drainOperations(ctx); err != nil {
 		a.logger.Error("stop was forced; operations were cut")
 		return errors.Join(ErrCut, err, server.Close())
 	}
@@ -78,3 +81,14 @@
 	a.logger.Info("agent stopped; nothing was cut")
 	return nil
 }
+
+// drainOperations waits for the operations in flight. It looks at them even if
+// ctx has ended, because a stop with nothing in flight is no forced one.
+func (a *Agent) drainOperations(ctx context.Context) error {
+	if ctx.Err() == nil {
+		return a.operations.drain(ctx)
+	}
+	last, cancel := context.WithTimeout(context.Background(), lastLook)
+	defer cancel()
+	return a.operations.drain(last)
+}
--- a/node/lib/lifecycle/tracker.go
+++ b/node/lib/lifecycle/tracker.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"expvar"
 	"net/http"
 	"slices"
 	"sync"
@@ -18,6 +19,10 @@
 // when nothing is in flight. Callers and entries may hold its address as long.
 const Grace = 3 * time.Second
 
+// workTotal counts the requests that were begun and those that were refused
+// because the process was leaving.
+var workTotal = expvar.NewMap("work_total")
+
 // Tracker knows the requests in flight and whether the process is leaving.
 type Tracker struct {
 	mu       sync.Mutex
@@ -61,8 +66,10 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.leaving {
+		workTotal.Add("refused", 1)
 		return false
 	}
+	workTotal.Add("begun", 1)
 	t.inFlight[id]++
 	return true
 }
