--- a/node/agent/agent.go
+++ b/node/agent/agent.go
@@ -18,6 +18,7 @@
 	"github.com/laburnumloft/laburnumloft/core/settings"
 	"github.com/laburnumloft/laburnumloft/node/lib/lifecycle"
 	"github.com/laburnumloft/laburnumloft/node/lib/platform"
+	"github.com/laburnumloft/laburnumloft/node/lib/ring"
 	"github.com/laburnumloft/laburnumloft/node/lib/secure"
 	"github.com/laburnumloft/laburnumloft/node/lib/telemetry"
 	"github.com/laburnumloft/laburnumloft/node/lib/wire"
@@ -47,11 +48,17 @@
 	// MemoryCeiling bounds the bytes of weights held in memory.
 	MemoryCeiling int64
 	DrainTimeout  time.Duration
-	Logger        hclog.Logger
+	// StallTimeout bounds how long the backend server may make no progress
+	// on an answer; 0 means DefaultStallTimeout.
+	StallTimeout time.Duration
+	Logger       hclog.Logger
 	// Transport is used towards other VMs; nil means a default one.
 	Transport http.RoundTripper
 	// Channel protects the traffic between own processes; nil protects nothing.
 	Channel *secure.Channel
+	// WrapListener wraps the listening socket; nil means to use it as it is.
+	WrapListener func(net.Listener) net.Listener
+	Rollout      RolloutConfig
 	// Force ends a planned stop at once; nil means never.
 	Force context.Context
 	// Dial opens connections for membership traffic; nil means a default one.
@@ -72,6 +79,8 @@
 	sync        *syncDuty
 	tracker     *lifecycle.Tracker
 	operations  *operationsDuty
+	admission   *admission
+	cancels     *ring.Ring[string]
 }
 
 // agentState is what the duties of one agent share.
@@ -80,7 +89,7 @@
 	settings *settings.State
 	// inForce guards the order of the settings; settings is its state.
 	inForce       *settings.InForce
-	gate          settingsGate
+	settingsGate  settingsGate
 	changed       chan struct{}
 	version       string
 	versionState  string
@@ -93,10 +102,14 @@
 	sequence      uint64
 	peers         []*rpc.PeerAddress
 	reportChanged chan struct{}
+	// gate decides on the admission of requests; nil admits those for the
+	// reported version.
+	gate admissionGate
 }
 
 // New returns an agent that is not started yet.
 func New(cfg Config) *Agent {
+	cfg.Rollout = cfg.Rollout.withDefaults()
 	base, platformBase := cfg.Transport, cfg.Transport
 	if base == nil {
 		base, platformBase = cfg.Channel.Transport(newTransport()), newTransport()
@@ -122,6 +135,11 @@
 	a.sync = newSyncDuty(a, lifecycle.ControlClient(cfg.Channel, cfg.Dial))
 	a.tracker = lifecycle.NewTracker()
 	a.operations = newOperationsDuty(a)
+	if cfg.Kind == settings.KindEngine {
+		a.state.gate = a.rollout
+	}
+	a.admission = newAdmission()
+	a.cancels = newCancelRing()
 	return a
 }
 
@@ -139,6 +157,9 @@
 	if err != nil {
 		return eris.Wrap(errors.Join(ErrStart, err), "listening")
 	}
+	if a.cfg.WrapListener != nil {
+		listener = a.cfg.WrapListener(listener)
+	}
 	server := &http.Server{
 		Handler:           a.handler(),
 		ReadHeaderTimeout: readHeaderTimeout,
@@ -149,6 +170,8 @@
 	defer stopDuties()
 	duties.Go(func() { a.sync.run(dutyCtx) })
 	duties.Go(func() { a.operations.run(dutyCtx) })
+	duties.Go(func() { a.admission.run(dutyCtx) })
+	duties.Go(func() { a.cancelAbandoned(dutyCtx) })
 	if a.cfg.Kind == settings.KindEngine {
 		duties.Go(func() { a.rollout.run(dutyCtx) })
 	} else {
@@ -177,12 +200,13 @@
 func (a *Agent) handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /agent/v1/requests", a.handleRequest)
-	mux.HandleFunc("GET /weights/v1/{model}/{version}/data", a.rollout.handleData)
+	mux.HandleFunc("GET /weights/v1/{model}/{version}/manifest", a.rollout.handleManifest)
+	mux.HandleFunc("GET /weights/v1/{model}/{version}/chunks/{index}", a.rollout.handleChunk)
 	mux.HandleFunc("GET /v1/health", a.handleHealth)
 	mux.Handle(rpc.OperationsPathPrefix, rpc.NewOperationsServer(a.operations))
 	mux.Handle("GET /debug/vars", expvar.Handler())
 	mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) {
 		wire.WriteError(w, wire.Error{Kind: wire.ErrorNotFound, Message: "no such path: " + r.URL.Path})
 	})
-	return telemetry.Handler("agent", a.cfg.Channel.Handler(a.tracker.Track(mux, isWork, refuse)))
+	return telemetry.Handler("agent", a.cfg.Channel.Handler(a.tracker.Count(a.tracker.Track(mux, isWork, refuse), isOperation)))
 }
--- a/node/agent/drain.go
+++ b/node/agent/drain.go
@@ -11,6 +11,7 @@
 
 	"github.com/laburnumloft/laburnumloft/node/lib/lifecycle"
 	"github.com/laburnumloft/laburnumloft/node/lib/wire"
+	"github.com/laburnumloft/laburnumloft/node/rpc"
 )
 
 // ErrCut is returned when a forced stop cut requests in flight.
@@ -47,6 +48,13 @@
 	return r.Method == http.MethodPost && strings.HasPrefix(r.URL.Path, "/agent/")
 }
 
+// isOperation tells the calls that are counted as in flight but pass while
+// the agent is leaving: the ticket table refuses new ones itself and still
+// tells recorded outcomes.
+func isOperation(r *http.Request) bool {
+	return strings.HasPrefix(r.URL.Path, rpc.OperationsPathPrefix)
+}
+
 // refuse answers a late arrival, so that the entry goes on to another agent.
 func refuse(w http.ResponseWriter, r *http.Request) {
 	wire.WriteError(w, wire.Error{
--- a/node/cmd/laburnum-entry/main.go
+++ b/node/cmd/laburnum-entry/main.go
@@ -80,6 +80,7 @@
 	MembershipURL string         `long:"membership-url" env:"LABURNUM_MEMBERSHIP_URL" required:"true" description:"URL of the membership list"`
 	MaxBody       int64          `long:"max-body-bytes" env:"LABURNUM_MAX_BODY_BYTES" default:"1048576" description:"largest request body in bytes"`
 	DrainTimeout  time.Duration  `long:"drain-timeout" env:"LABURNUM_DRAIN_TIMEOUT" default:"10m" description:"limit of a planned stop"`
+	StallTimeout  time.Duration  `long:"stall-timeout" env:"LABURNUM_STALL_TIMEOUT" default:"20s" description:"how long an agent may be silent on an answer"`
 }
 
 // Execute implements flags.Commander.
@@ -102,7 +103,7 @@
 	err = entry.New(entry.Config{
 		ID: c.ID, Region: c.Region, Zone: c.Zone, Listen: c.Listen, PeerListen: c.PeerListen,
 		LogURL: c.LogURL, LogRetention: c.LogRetention, SnapshotEvery: c.SnapshotEvery, MembershipURL: c.MembershipURL, MaxBodyBytes: c.MaxBody,
-		DrainTimeout: c.DrainTimeout, Logger: telemetry.NewLogger(tcfg), Channel: channel, Force: force,
+		DrainTimeout: c.DrainTimeout, StallTimeout: c.StallTimeout, Logger: telemetry.NewLogger(tcfg), Channel: channel, Force: force,
 	}).Run(ctx)
 	if err != nil {
 		return &failure{err}
@@ -122,5 +123,6 @@
 		options.Positive("log-retention", c.LogRetention),
 		options.Positive("snapshot-every", c.SnapshotEvery),
 		options.Positive("drain-timeout", c.DrainTimeout),
+		options.Positive("stall-timeout", c.StallTimeout),
 	)
 }
--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -12,6 +12,7 @@
 	"sync"
 	"time"
 
+	"github.com/google/uuid"
 	"github.com/hashicorp/go-hclog"
 	"github.com/rotisserie/eris"
 
@@ -48,6 +49,9 @@
 	MaxBodyBytes int64
 	// DrainTimeout bounds a planned stop.
 	DrainTimeout time.Duration
+	// StallTimeout bounds how long an agent may be silent on an answer; 0
+	// means DefaultStallTimeout.
+	StallTimeout time.Duration
 	Logger       hclog.Logger
 	// Channel protects the traffic between own processes; nil protects nothing.
 	Channel *secure.Channel
@@ -73,13 +77,15 @@
 	incarnation int64
 	claims      *claimStore
 	calls       *callState
+	open        *openRequests
+	dispatcher  *dispatcher
 }
 
 // New returns an entry that is not started yet.
 func New(cfg Config) *Entry {
 	client := &http.Client{Transport: &telemetry.Transport{Base: cfg.Channel.Transport(newTransport())}}
 	platformClient := &http.Client{Transport: &telemetry.Transport{Base: newTransport()}}
-	return &Entry{
+	e := &Entry{
 		cfg:         cfg,
 		logger:      cfg.Logger,
 		log:         platform.NewLog(cfg.LogURL, platformClient),
@@ -92,7 +98,10 @@
 		incarnation: time.Now().UnixMilli(),
 		claims:      newClaimStore(),
 		calls:       newCallState(),
+		open:        newOpenRequests(),
 	}
+	e.dispatcher = newDispatcher(cfg.Region, e.servingAgents)
+	return e
 }
 
 func newTransport() *http.Transport {
@@ -122,6 +131,7 @@
 	duties.Go(func() { e.pollMembers(dutyCtx) })
 	duties.Go(func() { e.gossip(dutyCtx) })
 	duties.Go(func() { e.tailClaims(dutyCtx) })
+	duties.Go(func() { e.dispatcher.run(dutyCtx) })
 	duties.Go(func() { e.serve(servers[0], public) })
 	duties.Go(func() { e.serve(servers[1], e.cfg.Channel.Listener(peer)) })
 	e.logger.Info("entry started", "listen", public.Addr(), "peer_listen", peer.Addr())
@@ -160,13 +170,14 @@
 	mux.HandleFunc("POST /v1/workspaces/{workspace}/services/{service}/requests", e.handleRequest)
 	mux.HandleFunc("GET /v1/health", e.handleHealth)
 	e.routeOperations(mux)
+	mux.HandleFunc("DELETE /v1/requests/{id}", e.handleCancel)
 	mux.HandleFunc("GET /v1/status", e.handleStatus)
 	mux.HandleFunc("GET /v1/settings", e.handleSettings)
 	mux.Handle("GET /debug/vars", expvar.Handler())
 	mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) {
 		wire.WriteError(w, wire.Error{Kind: wire.ErrorNotFound, Message: "no such path: " + r.URL.Path})
 	})
-	return telemetry.Handler("entry", e.tracker.Track(mux, isWork, e.redirect))
+	return telemetry.Handler("entry", ownRequestID(e.tracker.Track(mux, isWork, e.redirect)))
 }
 
 func (e *Entry) peerHandler() http.Handler {
@@ -175,3 +186,12 @@
 	mux.Handle(rpc.PeerPathPrefix, rpc.NewPeerServer(&peerServer{entry: e}))
 	return telemetry.Handler("entry.peer", e.cfg.Channel.Handler(mux))
 }
+
+// ownRequestID drops the id that a caller sends: two callers with the same
+// id could otherwise cancel each other's requests.
+func ownRequestID(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		r.Header.Set(requestIDHeader, uuid.NewString())
+		next.ServeHTTP(w, r)
+	})
+}
--- a/node/lib/lifecycle/tracker.go
+++ b/node/lib/lifecycle/tracker.go
@@ -1,6 +1,7 @@
 package lifecycle
 
 import (
+	"cmp"
 	"context"
 	"expvar"
 	"net/http"
@@ -126,6 +127,23 @@
 	}
 }
 
+// Count counts requests for which isCounted holds in and out of the tracker
+// and refuses none.
+func (t *Tracker) Count(next http.Handler, isCounted func(*http.Request) bool) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if !isCounted(r) {
+			next.ServeHTTP(w, r)
+			return
+		}
+		id := cmp.Or(r.Header.Get(RequestIDHeader), r.URL.Path)
+		t.mu.Lock()
+		t.inFlight[id]++
+		t.mu.Unlock()
+		defer t.End(id)
+		next.ServeHTTP(w, r)
+	})
+}
+
 // Track counts requests for which isWork holds in and out of the tracker, and
 // gives each an id in its header. refuse answers those that come too late.
 func (t *Tracker) Track(next http.Handler, isWork func(*http.Request) bool, refuse http.HandlerFunc) http.Handler {
