--- a/node/cmd/laburnum-agent/main.go
+++ b/node/cmd/laburnum-agent/main.go
@@ -4,14 +4,13 @@
 import (
 	"context"
 	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"github.com/jessevdk/go-flags"
 
 	"github.com/laburnumloft/laburnumloft/core/settings"
 	"github.com/laburnumloft/laburnumloft/node/agent"
+	"github.com/laburnumloft/laburnumloft/node/lib/lifecycle"
 	"github.com/laburnumloft/laburnumloft/node/lib/options"
 	"github.com/laburnumloft/laburnumloft/node/lib/secure"
 	"github.com/laburnumloft/laburnumloft/node/lib/telemetry"
@@ -31,6 +30,7 @@
 	MembershipURL string              `long:"membership-url" env:"LABURNUM_MEMBERSHIP_URL" required:"true" description:"URL of the membership list"`
 	MemoryCeiling int64               `long:"memory-ceiling-bytes" env:"LABURNUM_MEMORY_CEILING_BYTES" default:"17179869184" description:"largest size of held weights in bytes"`
 	DrainTimeout  time.Duration       `long:"drain-timeout" env:"LABURNUM_DRAIN_TIMEOUT" default:"10m" description:"limit of a planned stop"`
+	StallTimeout  time.Duration       `long:"stall-timeout" env:"LABURNUM_STALL_TIMEOUT" default:"15s" description:"how long the backend server may make no progress on an answer"`
 }
 
 func main() {
@@ -46,8 +46,8 @@
 	if err := options.First(options.NoArguments(rest), opts.check()); err != nil {
 		return options.Exit(err)
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
+	ctx, force, release := lifecycle.Signals()
+	defer release()
 	tcfg := opts.Telemetry.Config("agent", opts.ID)
 	logger := telemetry.NewLogger(tcfg)
 	shutdown, err := telemetry.StartTracing(ctx, tcfg)
@@ -65,8 +65,8 @@
 		ID: opts.ID, Region: opts.Region, Zone: opts.Zone, Service: opts.Service,
 		Kind: settings.Kind(opts.Kind), Listen: opts.Listen, BackendURL: opts.BackendURL,
 		WeightsURL: opts.WeightsURL, MembershipURL: opts.MembershipURL,
-		MemoryCeiling: opts.MemoryCeiling, DrainTimeout: opts.DrainTimeout, Logger: logger, Channel: channel,
-		Rollout: opts.Rollout,
+		MemoryCeiling: opts.MemoryCeiling, DrainTimeout: opts.DrainTimeout, Logger: logger, Channel: channel, Force: force,
+		Rollout: opts.Rollout, StallTimeout: opts.StallTimeout,
 	}).Run(ctx)
 	if err != nil {
 		logger.Error("agent stopped", "error", err)
@@ -90,6 +90,7 @@
 		options.URL("membership-url", o.MembershipURL),
 		options.Positive("memory-ceiling-bytes", o.MemoryCeiling),
 		options.Positive("drain-timeout", o.DrainTimeout),
+		options.AtLeast("stall-timeout", o.StallTimeout, options.MinStallTimeout),
 		o.Rollout.Check(),
 	)
 }
--- a/node/cmd/laburnum-entry/main.go
+++ b/node/cmd/laburnum-entry/main.go
@@ -3,30 +3,68 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
 	"os"
-	"os/signal"
-	"syscall"
+	"strings"
 	"time"
 
 	"github.com/jessevdk/go-flags"
 
 	"github.com/laburnumloft/laburnumloft/node/entry"
+	"github.com/laburnumloft/laburnumloft/node/lib/lifecycle"
 	"github.com/laburnumloft/laburnumloft/node/lib/options"
 	"github.com/laburnumloft/laburnumloft/node/lib/secure"
 	"github.com/laburnumloft/laburnumloft/node/lib/telemetry"
 )
 
+// exitFailed is the exit code of a command that was refused or failed.
+const exitFailed = 1
+
+// exitCodes is part of the help text of each operators' command.
+const exitCodes = " Exit codes: 0 done, 1 refused or failed, 2 wrong usage."
+
+// failure is an error after the settings of a command were accepted.
+type failure struct {
+	err error
+}
+
+// Error implements error.
+func (f *failure) Error() string { return f.err.Error() }
+
+// errReported is the failure of a command that has printed the reason.
+var errReported = errors.New("reported")
+
 func main() {
 	os.Exit(run())
 }
 
 func run() int {
 	parser := flags.NewParser(nil, flags.HelpFlag|flags.PassDoubleDash)
-	if _, err := parser.AddCommand("serve", "run an entry", "Runs an entry until SIGTERM.", &serveCommand{}); err != nil {
-		return options.Exit(err)
+	for _, c := range []struct {
+		name, short, long string
+		command           flags.Commander
+	}{
+		{"serve", "run an entry", "Runs an entry until SIGTERM.", &serveCommand{}},
+		{"check", "check documents before publishing", checkHelp, &checkCommand{}},
+		{"publish", "publish documents", publishHelp, &publishCommand{}},
+		{"get", "print the document in force", getHelp, &getCommand{}},
+		{"history", "list the records of a document", historyHelp, &historyCommand{}},
+		{"status", "show how far the fleet has converged", statusHelp, &statusCommand{}},
+	} {
+		if _, err := parser.AddCommand(c.name, c.short, c.long, c.command); err != nil {
+			return options.Exit(err)
+		}
 	}
 	_, err := parser.Parse()
-	return options.Exit(err)
+	var failed *failure
+	if !errors.As(err, &failed) {
+		return options.Exit(err)
+	}
+	if !errors.Is(failed.err, errReported) {
+		fmt.Fprintln(os.Stderr, strings.ReplaceAll(failed.Error(), "\n", ": "))
+	}
+	return exitFailed
 }
 
 // serveCommand runs an entry.
@@ -37,9 +75,12 @@
 	Listen        string         `long:"listen" env:"LABURNUM_LISTEN" required:"true" description:"IP:PORT for callers and operators"`
 	PeerListen    string         `long:"peer-listen" env:"LABURNUM_PEER_LISTEN" required:"true" description:"IP:PORT for own processes"`
 	LogURL        string         `long:"log-url" env:"LABURNUM_LOG_URL" required:"true" description:"URL of the log service"`
+	LogRetention  time.Duration  `long:"log-retention" env:"LABURNUM_LOG_RETENTION" default:"168h" description:"time for which the log keeps settings records"`
+	SnapshotEvery int64          `long:"snapshot-every" env:"LABURNUM_SNAPSHOT_EVERY" default:"1000" description:"largest number of settings records between two snapshots; at most a quarter of what the log keeps"`
 	MembershipURL string         `long:"membership-url" env:"LABURNUM_MEMBERSHIP_URL" required:"true" description:"URL of the membership list"`
 	MaxBody       int64          `long:"max-body-bytes" env:"LABURNUM_MAX_BODY_BYTES" default:"1048576" description:"largest request body in bytes"`
 	DrainTimeout  time.Duration  `long:"drain-timeout" env:"LABURNUM_DRAIN_TIMEOUT" default:"10m" description:"limit of a planned stop"`
+	StallTimeout  time.Duration  `long:"stall-timeout" env:"LABURNUM_STALL_TIMEOUT" default:"20s" description:"how long an agent may be silent on an answer"`
 }
 
 // Execute implements flags.Commander.
@@ -47,8 +88,8 @@
 	if err := options.First(options.NoArguments(rest), c.check()); err != nil {
 		return err
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
+	ctx, force, release := lifecycle.Signals()
+	defer release()
 	tcfg := c.Telemetry.Config("entry", c.ID)
 	shutdown, err := telemetry.StartTracing(ctx, tcfg)
 	if err != nil {
@@ -59,11 +100,15 @@
 	if err != nil {
 		return err
 	}
-	return entry.New(entry.Config{
+	err = entry.New(entry.Config{
 		ID: c.ID, Region: c.Region, Zone: c.Zone, Listen: c.Listen, PeerListen: c.PeerListen,
-		LogURL: c.LogURL, MembershipURL: c.MembershipURL, MaxBodyBytes: c.MaxBody,
-		DrainTimeout: c.DrainTimeout, Logger: telemetry.NewLogger(tcfg), Channel: channel,
+		LogURL: c.LogURL, LogRetention: c.LogRetention, SnapshotEvery: c.SnapshotEvery, MembershipURL: c.MembershipURL, MaxBodyBytes: c.MaxBody,
+		DrainTimeout: c.DrainTimeout, StallTimeout: c.StallTimeout, Logger: telemetry.NewLogger(tcfg), Channel: channel, Force: force,
 	}).Run(ctx)
+	if err != nil {
+		return &failure{err}
+	}
+	return nil
 }
 
 func (c *serveCommand) check() error {
@@ -75,6 +120,9 @@
 		options.URL("log-url", c.LogURL),
 		options.URL("membership-url", c.MembershipURL),
 		options.Positive("max-body-bytes", c.MaxBody),
+		options.Positive("log-retention", c.LogRetention),
+		options.Positive("snapshot-every", c.SnapshotEvery),
 		options.Positive("drain-timeout", c.DrainTimeout),
+		options.AtLeast("stall-timeout", c.StallTimeout, options.MinStallTimeout),
 	)
 }
--- a/node/lib/options/options.go
+++ b/node/lib/options/options.go
@@ -8,6 +8,7 @@
 	"os"
 	"slices"
 	"strings"
+	"time"
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/jessevdk/go-flags"
@@ -84,6 +85,18 @@
 	return &Invalid{name, fmt.Sprint(value), "values above zero"}
 }
 
+// MinStallTimeout is longer than a request may wait in an agent's queue, so
+// that waiting is not taken for a stall.
+const MinStallTimeout = 2 * time.Second
+
+// AtLeast checks that value is not below least.
+func AtLeast[T ~int | ~int64](name string, value, least T) error {
+	if value >= least {
+		return nil
+	}
+	return &Invalid{name, fmt.Sprint(value), fmt.Sprintf("at least %v", least)}
+}
+
 // NoArguments refuses words that belong to no flag.
 func NoArguments(rest []string) error {
 	if len(rest) == 0 {
