--- a/Makefile
+++ b/Makefile
@@ -3,6 +3,7 @@
 SEED ?= 1
 RUNS ?= 1000
 BENCH ?= .
+FUZZTIME ?= 30s
 BIN := bin
 PACKAGES := $(MODULES:%=./%/...)
 
@@ -40,6 +41,11 @@
 bench: ## benchmarks: make bench BENCH=regexp
 	cd bench && go test -run '^$$' -bench '$(BENCH)' -benchtime 1x -timeout 60m ./...
 
+fuzz: ## fuzz what our own code parses: make fuzz FUZZTIME=30s
+	cd core && go test ./settings -run '^$$' -fuzz FuzzParse -fuzztime $(FUZZTIME)
+	cd core && go test ./rollout -run '^$$' -fuzz FuzzManifest -fuzztime $(FUZZTIME)
+	cd node && go test ./entry -run '^$$' -fuzz FuzzAgentFrames -fuzztime $(FUZZTIME)
+
 generate: ## regenerate node/rpc (needs protoc, protoc-gen-go, protoc-gen-twirp)
 	protoc -I node/proto --go_out=node/rpc --go_opt=paths=source_relative --twirp_out=node/rpc --twirp_opt=paths=source_relative node/proto/laburnum.proto
 
--- a/bench/harness/process.go
+++ b/bench/harness/process.go
@@ -35,6 +35,16 @@
 	return nil
 }
 
+// Named returns the latest process with the name.
+func (c *Cluster) Named(name string) *Process {
+	for i := len(c.processes) - 1; i >= 0; i-- {
+		if c.processes[i].Name == name {
+			return c.processes[i]
+		}
+	}
+	return nil
+}
+
 // Restart starts a new process with the arguments and the address of one
 // that has ended.
 func (c *Cluster) Restart(p *Process) (*Process, error) {
--- a/bench/path/path_test.go
+++ b/bench/path/path_test.go
@@ -21,11 +21,26 @@
 	cluster, err := harness.Start("../../bin", os.Stderr)
 	c.Assert(err, qt.IsNil)
 	defer cluster.Close()
+	entry := startOne(c, cluster)
+	var answer wire.Answer
+	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
+	defer cancel()
+	c.Assert(harness.Until(ctx, func() bool {
+		return harness.PostJSON(requestURL(entry), wire.Request{Prompt: "rotation notice", MaxTokens: 4}, &answer) == nil
+	}), qt.IsNil)
+	c.Assert(answer.End, qt.IsTrue)
+	c.Assert(answer.Version, qt.Equals, "v1")
+	c.Assert(answer.Text, qt.Equals, "v1-0 v1-1 v1-2 v1-3 ")
+}
+
+// startOne starts an entry and an engine with its agent, and publishes their
+// settings.
+func startOne(c *qt.C, cluster *harness.Cluster, args ...string) *harness.Process {
 	digest, err := cluster.AddVersion("notices", "v1", 1<<20, 64<<10)
 	c.Assert(err, qt.IsNil)
-	entry, err := cluster.Entry("entry-1", "priangan", "priangan-a")
+	entry, err := cluster.Entry("entry-1", "priangan", "priangan-a", args...)
 	c.Assert(err, qt.IsNil)
-	_, err = cluster.Agent("agent-1", "priangan", "priangan-a", "juru-tulis", "engine")
+	_, err = cluster.Agent("agent-1", "priangan", "priangan-a", "juru-tulis", "engine", args...)
 	c.Assert(err, qt.IsNil)
 	records := cluster.LogURL + "/v1/streams/settings/records"
 	c.Assert(harness.PostJSON(records, record("template/notices", "template", settings.Template{
@@ -37,16 +52,20 @@
 		Workspace: "dispatch", Template: "notices",
 	}), nil), qt.IsNil)
 
-	var answer wire.Answer
+	return entry
+}
+
+func requestURL(entry *harness.Process) string {
+	return "http://" + entry.Address + "/v1/workspaces/dispatch/services/juru-tulis/requests"
+}
+
+// ask sends requests until one is answered.
+func ask(entry *harness.Process) error {
 	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
 	defer cancel()
-	url := "http://" + entry.Address + "/v1/workspaces/dispatch/services/juru-tulis/requests"
-	c.Assert(harness.Until(ctx, func() bool {
-		return harness.PostJSON(url, wire.Request{Prompt: "rotation notice", MaxTokens: 4}, &answer) == nil
-	}), qt.IsNil)
-	c.Assert(answer.End, qt.IsTrue)
-	c.Assert(answer.Version, qt.Equals, "v1")
-	c.Assert(answer.Text, qt.Equals, "v1-0 v1-1 v1-2 v1-3 ")
+	return harness.Until(ctx, func() bool {
+		return harness.PostJSON(requestURL(entry), wire.Request{Prompt: "rotation notice", MaxTokens: 4}, nil) == nil
+	})
 }
 
 func record(key, kind string, body any) map[string]any {
--- a/node/lib/telemetry/telemetry.go
+++ b/node/lib/telemetry/telemetry.go
@@ -86,16 +86,27 @@
 	span.End()
 }
 
-// Transport adds the trace context to outgoing requests.
+// Transport adds the trace context to outgoing requests and a span to those
+// within a trace.
 type Transport struct {
 	Base http.RoundTripper
 }
 
-// RoundTrip implements http.RoundTripper.
+// RoundTrip implements http.RoundTripper. The span ends with the response's
+// header; a body may be streamed for long after it.
 func (t *Transport) RoundTrip(req *http.Request) (*http.Response, error) {
-	req = req.Clone(req.Context())
-	otel.GetTextMapPropagator().Inject(req.Context(), propagation.HeaderCarrier(req.Header))
-	return t.Base.RoundTrip(req)
+	if !trace.SpanContextFromContext(req.Context()).IsValid() {
+		return t.Base.RoundTrip(req)
+	}
+	ctx, span := Span(req.Context(), "http.client",
+		attribute.String("http.request.method", req.Method),
+		attribute.String("server.address", req.URL.Host),
+		attribute.String("url.path", req.URL.Path))
+	req = req.Clone(ctx)
+	otel.GetTextMapPropagator().Inject(ctx, propagation.HeaderCarrier(req.Header))
+	resp, err := t.Base.RoundTrip(req)
+	EndSpan(span, err)
+	return resp, err
 }
 
 // Handler takes the trace context from incoming requests and starts a span.
