Trace operations at the agent and the fetch of versions

Cause: the trace of an operation ended at the agent's door, since its one request does not depend on the caller's context, and rollouts had no span. Change: spans agent.run_operation and agent.fetch_version; the first keeps only the span context of the caller, not its cancellation. Figures: TestTraceCoversEachHop also asks for the rollout's spans; it fails without them and passes with them. Conclusion: requests, operations and rollouts have a span for each hop.

--- a/bench/path/trace_test.go
+++ b/bench/path/trace_test.go
@@ -47,7 +47,7 @@
 }
 
 // TestTraceCoversEachHop guards against a hop that is missing from the trace
-// of a request, or that starts a trace of its own.
+// of a request or a rollout, or that starts a trace of its own.
 func TestTraceCoversEachHop(t *testing.T) {
 	c := qt.New(t)
 	output := &lockedBuffer{}
@@ -67,12 +67,12 @@
 	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
 	defer cancel()
 	c.Assert(harness.Until(ctx, func() bool {
+		request, rollout := false, false
 		for _, names := range output.spans() {
-			if hasAll(names, "entry", "entry.agent_request", "agent", "agent.generate", "http.client") {
-				return true
-			}
+			request = request || hasAll(names, "entry", "entry.agent_request", "agent", "agent.generate", "http.client")
+			rollout = rollout || hasAll(names, "agent.fetch_version", "http.client")
 		}
-		return false
+		return request && rollout
 	}), qt.IsNil, qt.Commentf("%v", output.spans()))
 }
 
--- a/node/agent/operations.go
+++ b/node/agent/operations.go
@@ -10,10 +10,12 @@
 
 	"github.com/rotisserie/eris"
 	"github.com/twitchtv/twirp"
+	"go.opentelemetry.io/otel/trace"
 
 	"github.com/laburnumloft/laburnumloft/core/operation"
 	"github.com/laburnumloft/laburnumloft/core/settings"
 	"github.com/laburnumloft/laburnumloft/node/lib/ring"
+	"github.com/laburnumloft/laburnumloft/node/lib/telemetry"
 	"github.com/laburnumloft/laburnumloft/node/lib/wire"
 	"github.com/laburnumloft/laburnumloft/node/rpc"
 )
@@ -52,7 +54,9 @@
 	body            []byte
 	timeout         time.Duration
 	fence           wire.Fence
-	reply           chan commandReply
+	// caller is the span that asked.
+	caller trace.SpanContext
+	reply  chan commandReply
 }
 
 type commandReply struct {
@@ -147,6 +151,8 @@
 func (d *operationsDuty) send(c command) {
 	ctx, cancel := context.WithTimeout(context.Background(), c.timeout)
 	defer cancel()
+	ctx, span := telemetry.Span(trace.ContextWithSpanContext(ctx, c.caller), "agent.run_operation")
+	defer span.End()
 	result := d.backend.send(ctx, c.id, c.fence, c.method, c.body)
 	d.ends.Push(context.Background(), finished{ticket: c.id, result: result})
 }
@@ -168,7 +174,7 @@
 
 // ask passes a command to the table and waits for its answer.
 func (d *operationsDuty) ask(ctx context.Context, c command) (*rpc.Ticket, error) {
-	c.reply = make(chan commandReply, 1)
+	c.reply, c.caller = make(chan commandReply, 1), trace.SpanContextFromContext(ctx)
 	if !d.commands.Push(ctx, c) {
 		return nil, twirp.NewError(twirp.ResourceExhausted, "too many ticket requests wait")
 	}
--- a/node/agent/rollout.go
+++ b/node/agent/rollout.go
@@ -9,10 +9,12 @@
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/rotisserie/eris"
+	"go.opentelemetry.io/otel/attribute"
 
 	"github.com/laburnumloft/laburnumloft/core/rollout"
 	"github.com/laburnumloft/laburnumloft/core/settings"
 	"github.com/laburnumloft/laburnumloft/node/lib/ring"
+	"github.com/laburnumloft/laburnumloft/node/lib/telemetry"
 	"github.com/laburnumloft/laburnumloft/node/lib/wire"
 )
 
@@ -263,7 +265,9 @@
 }
 
 // fetch gets the manifest and all chunks and checks the hash over all.
-func (d *rolloutDuty) fetch(ctx context.Context, intent rollout.Intent) (string, error) {
+func (d *rolloutDuty) fetch(ctx context.Context, intent rollout.Intent) (digest string, err error) {
+	ctx, span := telemetry.Span(ctx, "agent.fetch_version", attribute.String("version", intent.Version))
+	defer func() { telemetry.EndSpan(span, err) }()
 	key := versionKey{intent.Model, intent.Version}
 	view := d.peers()
 	f := &fetcher{duty: d, intent: intent, key: key, peers: view, planner: rollout.NewPlanner(d.plannerConfig(), d.tree(view))}
