--- a/core/rollout/rollout_test.go
+++ b/core/rollout/rollout_test.go
@@ -119,7 +119,7 @@
 			}
 		}
 		for id, count := range uploads {
-			if count > chunks*5/4 {
+			if count > chunks*11/10 {
 				t.Errorf("n=%d: %s uploads %d of %d chunks", n, id, count, chunks)
 			}
 		}
