Reach an entry that is cut off from the log, and bound what it reads

Cause: an entry whose poll was stalled put new settings in force only after the poll's limit of 25 s; a report that it lags, left over from an earlier moment, ended later polls for nothing; answers of the log had no size limit.

Change: a poll ends 1 s after a member reported newer settings if that still holds, and the entry then asks a peer without a back-off. A starting entry waits 1 s for a log that does not answer instead of 5 s. Answers of the platform are cut at 32 MiB, and the page size halves from 64 records after a failure.

--- a/bench/settings/faults_test.go
+++ b/bench/settings/faults_test.go
@@ -133,6 +133,71 @@
 	}, "settings at "+agent.Name)
 }
 
+// TestEntryCutOffFromLog guards against settings that stay old at an entry
+// whose own way to the log is stalled while other entries go on.
+func TestEntryCutOffFromLog(t *testing.T) {
+	s := start(t)
+	s.publishBasics()
+	first := s.entry("entry-1")
+	s.reaches(first, 3)
+	address, err := harness.FreeAddress()
+	s.c.Assert(err, qt.IsNil)
+	_, err = s.Spawn("stalled-log", address, "standin", "log", "--listen", address)
+	s.c.Assert(err, qt.IsNil)
+	stalled := "http://" + address
+	s.c.Assert(harness.PostJSON(stalled+"/faults", faults.Switches{PathPrefix: logFaults, Stall: true}, nil), qt.IsNil)
+	second := s.entry("entry-2", "--log-url", stalled)
+	s.reaches(second, 3)
+	for offset := int64(4); offset < 7; offset++ {
+		_, code := s.publish(s.write(parameters("ana") + fmt.Sprintf("share: %d\n", offset)))
+		s.c.Assert(code, qt.Equals, 0)
+		s.reaches(second, offset)
+	}
+	s.c.Assert(s.inForce(second).Digest, qt.Equals, s.inForce(first).Digest)
+}
+
+// TestStatusWaits guards against a fleet that is called converged although
+// an agent has old settings, and against a wait that never ends.
+func TestStatusWaits(t *testing.T) {
+	s := start(t)
+	s.publishBasics()
+	entry := s.entry("entry-1")
+	url := "http://" + entry.Address
+	out, code := s.command("status", "--entry", url, "--wait", "--timeout", "1s")
+	s.c.Assert(code, qt.Equals, 1)
+	s.c.Assert(out, qt.Contains, "0 of 0")
+	_, err := s.Agent("agent-1", "norte", "norte-a", "lesson-desk", "plain", "--log-level", "warn")
+	s.c.Assert(err, qt.IsNil)
+	out, code = s.command("status", "--entry", url, "--wait", "--timeout", "60s")
+	s.c.Assert(code, qt.Equals, 0, qt.Commentf("%s", out))
+	s.c.Assert(out, qt.Contains, "1 of 1")
+}
+
+// TestWrongUsage guards against commands that start with a setting that they
+// can't use, and against messages that do not name it.
+func TestWrongUsage(t *testing.T) {
+	s := start(t)
+	file := s.write(plainTemplate)
+	for want, args := range map[string][]string{
+		`--log-url has value "ftp://x"; allowed: an http or https URL`: {"publish", "--log-url", "ftp://x", file},
+		`--log-url has value ""; allowed: an http or https URL`:        {"history", "template/lessons"},
+		`--base has value "-2"; allowed: -1 or an offset`:              {"publish", "--log-url", s.LogURL, "--base=-2", file},
+		`--timeout has value "0s"; allowed: values above zero`:         {"check", "--timeout", "0s", file},
+		`argument KEY has value "lessons"; allowed: template/NAME`:     {"get", "--log-url", s.LogURL, "lessons"},
+		`argument FILE has value "/nosuch"; allowed: a readable file`:  {"check", "/nosuch"},
+		`--entry has value ""; allowed: an http or https URL`:          {"status"},
+		`required argument`: {"publish", "--log-url", s.LogURL},
+	} {
+		out, code := s.command(args...)
+		s.c.Check(code, qt.Equals, 2, qt.Commentf("%v", args))
+		s.c.Check(out, qt.Contains, want)
+		s.c.Check(strings.Count(out, "\n"), qt.Equals, 1)
+	}
+	out, code := s.command("publish", "--help")
+	s.c.Check(code, qt.Equals, 0)
+	s.c.Check(strings.Join(strings.Fields(out), " "), qt.Contains, "Exit codes: 0 done, 1 refused or failed, 2 wrong usage.")
+}
+
 // TestOldTail guards against settings that revert when a lagging log replica
 // answers, at a running entry and at one that starts.
 func TestOldTail(t *testing.T) {
--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -84,7 +84,7 @@
 // New returns an entry that is not started yet.
 func New(cfg Config) *Entry {
 	client := &http.Client{Transport: &telemetry.Transport{Base: cfg.Channel.Transport(newTransport())}}
-	platformClient := &http.Client{Transport: &telemetry.Transport{Base: newTransport()}}
+	platformClient := &http.Client{Transport: &telemetry.Transport{Base: platform.LimitBody(newTransport(), settingsPageBytes)}}
 	e := &Entry{
 		cfg:         cfg,
 		logger:      cfg.Logger,
--- a/node/entry/settings.go
+++ b/node/entry/settings.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"errors"
 	"expvar"
 	"math/rand/v2"
 	"sync"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
+	"github.com/rotisserie/eris"
 
 	"github.com/laburnumloft/laburnumloft/core/settings"
 	"github.com/laburnumloft/laburnumloft/node/lib/platform"
@@ -18,7 +20,10 @@
 
 // Settings stream and polling.
 const (
-	settingsPageSize = 256
+	// settingsPageSize halves after each failure, so that records which exceed
+	// settingsPageBytes together are read one by one.
+	settingsPageSize  = 64
+	settingsPageBytes = 32 << 20
 	// settingsPollWait is long, because 410 entries then make 20 requests/s.
 	settingsPollWait = 20 * time.Second
 	// settingsPollShare bounds the wait to a share of the retention, because
@@ -28,6 +33,9 @@
 	settingsGapWait = time.Second
 	// settingsReadSlack is how long an answer may take beyond the wait.
 	settingsReadSlack = 5 * time.Second
+	// settingsStartSlack is short, because a starting entry that has a peer's
+	// state should not wait long for a log that does not answer.
+	settingsStartSlack = time.Second
 	// settingsBehindGrace is how long a poll goes on after a member reported
 	// newer settings. The log usually answers first.
 	settingsBehindGrace = time.Second
@@ -49,7 +57,9 @@
 	inForce *settings.InForce
 	encoded *rpc.SettingsState
 	changed chan struct{}
-	// behind is signalled when a member reported newer settings.
+	// newest is the largest offset that a member reported; behind is signalled
+	// when it is larger than the one in force.
+	newest int64
 	behind chan struct{}
 }
 
@@ -93,8 +103,10 @@
 
 // heard notes the offset that a member has in force.
 func (s *settingsStore) heard(offset int64) {
-	state, _, _ := s.current()
-	if offset <= state.Offset {
+	s.mu.Lock()
+	s.newest = max(s.newest, offset)
+	s.mu.Unlock()
+	if !s.isBehind() {
 		return
 	}
 	select {
@@ -103,6 +115,14 @@
 	}
 }
 
+// isBehind reports whether a member has newer settings in force.
+func (s *settingsStore) isBehind() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	state, _ := s.inForce.Current()
+	return s.newest > state.Offset
+}
+
 // settingsDuty follows the settings log and puts its state in force.
 type settingsDuty struct {
 	entry  *Entry
@@ -119,6 +139,7 @@
 	caughtUp bool
 	status   settings.Status
 	retry    time.Duration
+	pageSize int
 }
 
 func newSettingsDuty(e *Entry) *settingsDuty {
@@ -129,6 +150,7 @@
 		policy:    settings.SnapshotPolicy{Retention: e.cfg.LogRetention, Every: e.cfg.SnapshotEvery},
 		snapshots: ring.New[settings.Record]("settings_snapshots", 1, ring.DropOldest),
 		retry:     settingsRetryMin,
+		pageSize:  settingsPageSize,
 	}
 }
 
@@ -150,15 +172,22 @@
 	if ctx.Err() != nil {
 		return
 	}
+	if errors.Is(err, errBehind) {
+		d.askAnyPeer(ctx)
+		d.putInForce()
+		return
+	}
 	if err != nil {
 		d.logger.Warn("settings log read failed", "error", err)
 		settingsCounters.Add("log_failures", 1)
+		d.pageSize = max(d.pageSize/2, 1)
 		d.caughtUp = true
 		d.askAnyPeer(ctx)
 		d.putInForce()
 		d.backOff(ctx)
 		return
 	}
+	d.pageSize = min(2*d.pageSize, settingsPageSize)
 	result := d.fold.Page(platform.SettingsPage(page))
 	d.report(result)
 	d.status = result.Status
@@ -178,21 +207,42 @@
 	d.planSnapshot(time.Now())
 }
 
-// read polls the log. It returns early when a member has newer settings than
-// the log gives, as happens when only this entry is cut off from the log.
+// errBehind means that a poll was ended because a member has newer settings.
+var errBehind = eris.New("a member has newer settings")
+
+// read polls the log. It returns errBehind when a member has newer settings
+// than the log gives, as happens when only this entry is cut off from the log.
 func (d *settingsDuty) read(ctx context.Context) (*wire.LogPage, error) {
-	wait := d.wait(time.Now())
-	ctx, cancel := context.WithTimeout(ctx, wait+settingsReadSlack)
+	wait, slack := d.wait(time.Now()), settingsReadSlack
+	if !d.caughtUp {
+		slack = settingsStartSlack
+	}
+	ctx, cancel := context.WithTimeout(ctx, wait+slack)
 	defer cancel()
-	go func() {
+	ctx, end := context.WithCancelCause(ctx)
+	defer end(nil)
+	go d.endWhenBehind(ctx, end)
+	page, err := d.entry.log.Read(ctx, platform.SettingsStream, d.fold.Next(), d.pageSize, wait)
+	if err != nil && errors.Is(context.Cause(ctx), errBehind) {
+		return nil, errBehind
+	}
+	return page, err
+}
+
+func (d *settingsDuty) endWhenBehind(ctx context.Context, end context.CancelCauseFunc) {
+	store := d.entry.settings
+	for {
 		select {
 		case <-ctx.Done():
-		case <-d.entry.settings.behind:
-			sleep(ctx, settingsBehindGrace)
-			cancel()
+			return
+		case <-store.behind:
 		}
-	}()
-	return d.entry.log.Read(ctx, platform.SettingsStream, d.fold.Next(), settingsPageSize, wait)
+		sleep(ctx, settingsBehindGrace)
+		if store.isBehind() {
+			end(errBehind)
+			return
+		}
+	}
 }
 
 func (d *settingsDuty) wait(now time.Time) time.Duration {
--- /dev/null
+++ b/node/lib/platform/limit.go
@@ -0,0 +1,32 @@
+package platform
+
+import (
+	"io"
+	"net/http"
+)
+
+// LimitBody cuts the bodies of responses after limit bytes, which makes the
+// decoding of a larger one fail. It bounds the memory of a client.
+func LimitBody(base http.RoundTripper, limit int64) http.RoundTripper {
+	return &bodyLimiter{base: base, limit: limit}
+}
+
+type bodyLimiter struct {
+	base  http.RoundTripper
+	limit int64
+}
+
+// RoundTrip implements http.RoundTripper.
+func (b *bodyLimiter) RoundTrip(req *http.Request) (*http.Response, error) {
+	resp, err := b.base.RoundTrip(req)
+	if err != nil {
+		return nil, err
+	}
+	resp.Body = &limitedBody{Reader: io.LimitReader(resp.Body, b.limit), Closer: resp.Body}
+	return resp, nil
+}
+
+type limitedBody struct {
+	io.Reader
+	io.Closer
+}
