--- a/core/rollout/version.go
+++ b/core/rollout/version.go
@@ -99,6 +99,8 @@
 	// ChecksFence says that the engine records fencing numbers and refuses
 	// old ones, so that its report must show the fence of the last order.
 	ChecksFence bool
+	// TakeTurns makes a served version go on until Proceed is called.
+	TakeTurns bool
 }
 
 // maxSilentChecks is how many status checks in a row may stay unanswered
@@ -110,6 +112,8 @@
 	intent Intent
 	state  VersionState
 	digest string
+	// proceed means that the agent has its turn to load the version.
+	proceed bool
 }
 
 // ordered is the version of the last load order.
@@ -210,6 +214,24 @@
 	return true
 }
 
+// AwaitsTurn returns the verified version that waits until the agent may take
+// its backend server out of service.
+func (m *Machine) AwaitsTurn(now time.Time) (Intent, bool) {
+	waits := m.cfg.TakeTurns && m.target != nil && m.target.state == StateVerified && !m.target.proceed &&
+		m.ordered != nil && m.ordered.state == StateServing && !now.Before(m.target.intent.StartAt)
+	if !waits {
+		return Intent{}, false
+	}
+	return m.target.intent, true
+}
+
+// Proceed lets the agent load the version.
+func (m *Machine) Proceed(intent Intent) {
+	if m.target != nil && m.target.intent.same(intent) {
+		m.target.proceed = true
+	}
+}
+
 // Lost records that the bytes of the ordered version were freed, so that a
 // repeated order needs them fetched again.
 func (m *Machine) Lost(intent Intent) {
@@ -238,7 +260,7 @@
 	if now.Before(m.ordered.retryAt) || m.running > 0 {
 		return Action{At: m.ordered.retryAt}
 	}
-	return m.give(m.ordered.order.Intent, m.ordered.order.Digest, now)
+	return m.give(m.ordered.order, now)
 }
 
 func (m *Machine) nextTarget(now time.Time) Action {
@@ -249,6 +271,9 @@
 	if serves && now.Before(m.target.intent.StartAt) {
 		return Action{At: m.target.intent.StartAt}
 	}
+	if serves && m.cfg.TakeTurns && !m.target.proceed {
+		return Action{}
+	}
 	if serves {
 		m.history.Addf("retire %s with %d running", m.ordered.order.Intent.Version, m.running)
 		m.ordered.state = StateRetiring
@@ -259,9 +284,11 @@
 	if m.unsettled() {
 		return m.repeat(now)
 	}
-	intent, digest := m.target.intent, m.target.digest
+	order := Order{
+		Intent: m.target.intent, Digest: m.target.digest, Fence: Fence{Offset: m.offset, StartMS: m.cfg.StartMS},
+	}
 	m.target = nil
-	return m.give(intent, digest, now)
+	return m.give(order, now)
 }
 
 // unsettled reports whether the last order may still reach the engine. An
@@ -280,17 +307,17 @@
 	}
 }
 
-// give moves to the state loading and returns the order.
-func (m *Machine) give(intent Intent, digest string, now time.Time) Action {
-	m.history.Check(m.running == 0, "load order for %s while %d requests run", intent.Version, m.running)
-	m.history.Check(digest != "", "load order for %s that is not whole", intent.Version)
-	m.history.Check(m.ordered == nil || m.ordered.state != StateServing, "load order for %s while another version is served", intent.Version)
-	m.history.Addf("order %s", intent.Version)
-	// The fence carries the newest settings offset, so that an order after a
-	// return to an earlier version is newer than the orders before it.
-	order := Order{Intent: intent, Digest: digest, Fence: Fence{Offset: m.offset, StartMS: m.cfg.StartMS}}
+// give moves to the state loading and returns the order. A repeated order
+// keeps its fence: with a newer one, a late copy of it could override the
+// order of a version that settings at the same offset named.
+func (m *Machine) give(order Order, now time.Time) Action {
+	version := order.Intent.Version
+	m.history.Check(m.running == 0, "load order for %s while %d requests run", version, m.running)
+	m.history.Check(order.Digest != "", "load order for %s that is not whole", version)
+	m.history.Check(m.ordered == nil || m.ordered.state != StateServing, "load order for %s while another version is served", version)
+	m.history.Addf("order %s", version)
 	m.ordered = &ordered{order: order, state: StateLoading, retryAt: now.Add(m.cfg.OrderRetry)}
-	return Action{Kind: ActionOrder, Intent: intent, Order: order}
+	return Action{Kind: ActionOrder, Intent: order.Intent, Order: order}
 }
 
 // EngineSays takes the engine's own report, which alone can make a version
@@ -351,6 +378,13 @@
 	return true
 }
 
+// Runs reports whether the engine is confirmed to run the version. Requests
+// that were admitted may go on while it is retired.
+func (m *Machine) Runs(version string) bool {
+	o := m.ordered
+	return o != nil && (o.state == StateServing || o.state == StateRetiring) && o.order.Intent.Version == version
+}
+
 // Release counts an admitted request out.
 func (m *Machine) Release() {
 	m.history.Check(m.running > 0, "request released that was not admitted")
--- a/node/agent/drain.go
+++ b/node/agent/drain.go
@@ -20,18 +20,25 @@
 // closeTimeout bounds the end of idle connections after the drain.
 const closeTimeout = 3 * time.Second
 
+// lastLook is the time to see whether operations are in flight.
+const lastLook = 100 * time.Millisecond
+
 // health is the answer of GET /v1/health.
 type health struct {
-	Ready   bool `json:"ready"`
-	Leaving bool `json:"leaving"`
+	Ready   bool   `json:"ready"`
+	Leaving bool   `json:"leaving"`
+	Version string `json:"version,omitempty"`
+	// Problem is why the agent does not get on to the intended version.
+	Problem string `json:"problem,omitempty"`
 }
 
 func (a *Agent) handleHealth(w http.ResponseWriter, _ *http.Request) {
 	a.state.mu.Lock()
 	serving := a.state.versionState == "serving"
+	version, problem := a.state.version, a.state.problem
 	a.state.mu.Unlock()
 	leaving := a.tracker.Leaving()
-	h := health{Ready: serving && !leaving, Leaving: leaving}
+	h := health{Ready: serving && !leaving, Leaving: leaving, Version: version, Problem: problem}
 	status := http.StatusOK
 	if !h.Ready {
 		status = http.StatusServiceUnavailable
@@ -73,7 +80,7 @@
 		a.logger.Error("stop was forced; requests were cut", "request_ids", cut)
 		return errors.Join(eris.Wrapf(ErrCut, "%d requests", len(cut)), server.Close())
 	}
-	if err := a.operations.drain(ctx); err != nil {
+	if err := a.drainOperations(ctx); err != nil {
 		a.logger.Error("stop was forced; operations were cut")
 		return errors.Join(ErrCut, err, server.Close())
 	}
@@ -86,3 +93,14 @@
 	a.logger.Info("agent stopped; nothing was cut")
 	return nil
 }
+
+// drainOperations waits for the operations in flight. It looks at them even if
+// ctx has ended, because a stop with nothing in flight is no forced one.
+func (a *Agent) drainOperations(ctx context.Context) error {
+	if ctx.Err() == nil {
+		return a.operations.drain(ctx)
+	}
+	last, cancel := context.WithTimeout(context.Background(), lastLook)
+	defer cancel()
+	return a.operations.drain(last)
+}
--- a/node/cmd/laburnum-entry/main.go
+++ b/node/cmd/laburnum-entry/main.go
@@ -123,6 +123,6 @@
 		options.Positive("log-retention", c.LogRetention),
 		options.Positive("snapshot-every", c.SnapshotEvery),
 		options.Positive("drain-timeout", c.DrainTimeout),
-		options.Positive("stall-timeout", c.StallTimeout),
+		options.AtLeast("stall-timeout", c.StallTimeout, options.MinStallTimeout),
 	)
 }
--- a/node/entry/requests_stream.go
+++ b/node/entry/requests_stream.go
@@ -26,6 +26,7 @@
 var (
 	errSilent   = errors.New("agent was silent for too long")
 	errCrossed  = errors.New("agent sent the answer of another request")
+	errParts    = errors.New("agent sent a frame that is not exactly one of start, token, end and error")
 	errTooLarge = errors.New("answer is too large for one body; use stream")
 )
 
@@ -47,7 +48,7 @@
 	if resp.StatusCode != http.StatusOK {
 		return e.refusalOf(c, g, resp.StatusCode, lines)
 	}
-	frames := frameCheck{id: c.id, version: g.version}
+	frames := frameCheck{id: c.id}
 	for {
 		var frame wire.Frame
 		if err := lines.Next(&frame); err != nil {
@@ -150,7 +151,8 @@
 	return failure
 }
 
-// frameCheck checks that frames are those of one whole answer.
+// frameCheck checks that frames are those of one whole answer from the one
+// version that the start frame names.
 type frameCheck struct {
 	id, version string
 	started     bool
@@ -163,14 +165,17 @@
 	if frame.RequestID != f.id {
 		return errCrossed
 	}
+	if parts(frame) != 1 {
+		return errParts
+	}
 	switch {
 	case frame.Error != nil:
 		return nil
 	case frame.Start != nil:
-		if f.started || frame.Start.RequestID != f.id || frame.Start.Version != f.version {
+		if f.started || frame.Start.RequestID != f.id || frame.Start.Version == "" {
 			return errCrossed
 		}
-		f.started = true
+		f.started, f.version = true, frame.Start.Version
 	case frame.Token != nil:
 		if !f.started || frame.Token.Index != f.next {
 			return errCrossed
@@ -180,12 +185,22 @@
 		if !f.started || frame.End.RequestID != f.id || frame.End.Version != f.version || frame.End.Tokens != f.next {
 			return errCrossed
 		}
-	default:
-		return errors.New("agent sent a frame without content")
 	}
 	return nil
 }
 
+// parts counts what a frame holds. A frame with several parts would be
+// checked as one and used as another.
+func parts(frame wire.Frame) int {
+	n := 0
+	for _, set := range [...]bool{frame.Start != nil, frame.Token != nil, frame.End != nil, frame.Error != nil} {
+		if set {
+			n++
+		}
+	}
+	return n
+}
+
 // answerSink writes an answer to the caller, as server-sent events or as
 // one JSON body.
 type answerSink struct {
