Add the recover command for a gap that no process can close

Cause: after the loss of all processes and of all records in the log, or when records expired that no entry had read, entries waited for ever and publish refused to start.

--- a/bench/settings/faults_test.go
+++ b/bench/settings/faults_test.go
@@ -112,6 +112,58 @@
 	s.reaches(second, verdicts[0].Offset)
 }
 
+// TestRecoverAfterGap guards against a system that stays without changes for
+// ever because records expired that no process had read, and against a
+// recovery that replaces settings which are not lost.
+func TestRecoverAfterGap(t *testing.T) {
+	s := start(t)
+	s.publishBasics()
+	entry := s.entry("entry-1", "--log-retention", "8s")
+	before := s.reaches(entry, 3)
+	out, code := s.command("recover", "--log-url", s.LogURL)
+	s.c.Assert(code, qt.Equals, 1, qt.Commentf("%s", out))
+	s.faults(faults.Switches{Method: "GET", Down: true})
+	// A poll that was held when the log went down still gets records.
+	s.until(func() bool {
+		var vars struct {
+			Settings map[string]int `json:"settings_total"`
+		}
+		s.getJSON("http://"+entry.Address+"/debug/vars", &vars)
+		return vars.Settings["log_failures"] > 0
+	}, "a failed read of the log")
+	for i := range 2 {
+		record := map[string]any{"id": fmt.Sprint("lost-", i), "kind": "template", "key": "template/lessons", "base": 1, "body": map[string]any{}}
+		s.c.Assert(harness.PostJSON(s.LogURL+"/v1/streams/settings/records", record, nil), qt.IsNil)
+	}
+	s.expire(6)
+	s.faults(faults.Switches{})
+	file := s.write(parameters("ana") + "share: 5\n")
+	out, code = s.command("recover", "--log-url", s.LogURL, "--entry", "http://"+entry.Address)
+	s.c.Assert(code, qt.Equals, 0, qt.Commentf("%s", out))
+	verdicts, code := s.publish(file)
+	s.c.Assert(code, qt.Equals, 0, qt.Commentf("%v", verdicts))
+	after := s.reaches(entry, verdicts[0].Offset)
+	s.c.Assert(string(after.State), qt.Contains, `"share":5`)
+	s.c.Assert(before.Offset < after.Offset, qt.IsTrue)
+}
+
+// TestRecoverAfterTotalLoss guards against a system that can't be used again
+// after all processes were lost and the log has dropped all records.
+func TestRecoverAfterTotalLoss(t *testing.T) {
+	s := start(t)
+	s.publishBasics()
+	s.expire(4)
+	out, code := s.command("publish", "--log-url", s.LogURL, s.write(plainTemplate))
+	s.c.Assert(code, qt.Equals, 1)
+	s.c.Assert(out, qt.Contains, "no usable snapshot")
+	_, code = s.command("recover", "--log-url", s.LogURL)
+	s.c.Assert(code, qt.Equals, 0)
+	verdicts, code := s.publish(s.write(plainTemplate))
+	s.c.Assert(code, qt.Equals, 0)
+	entry := s.entry("entry-1")
+	s.reaches(entry, verdicts[0].Offset)
+}
+
 // TestStartWhileLogIsDown guards against a process that starts with empty
 // settings, or never, because the log does not answer.
 func TestStartWhileLogIsDown(t *testing.T) {
--- a/core/settings/state.go
+++ b/core/settings/state.go
@@ -153,6 +153,12 @@
 	return keys
 }
 
+// Rebase returns the documents of the state as the state at a later offset,
+// for a log whose records in between no process has.
+func (s *State) Rebase(offset int64) *State {
+	return s.at(offset)
+}
+
 // at returns a copy of the state at another offset. The copy shares maps
 // and slices, which are replaced and never changed.
 func (s *State) at(offset int64) *State {
--- a/node/cmd/laburnum-entry/main.go
+++ b/node/cmd/laburnum-entry/main.go
@@ -50,6 +50,7 @@
 		{"publish", "publish documents", publishHelp, &publishCommand{}},
 		{"get", "print the document in force", getHelp, &getCommand{}},
 		{"history", "list the records of a document", historyHelp, &historyCommand{}},
+		{"recover", "close a gap in the log", recoverHelp, &recoverCommand{}},
 		{"status", "show how far the fleet has converged", statusHelp, &statusCommand{}},
 	} {
 		if _, err := parser.AddCommand(c.name, c.short, c.long, c.command); err != nil {
--- /dev/null
+++ b/node/cmd/laburnum-entry/recover.go
@@ -0,0 +1,35 @@
+package main
+
+import (
+	"fmt"
+
+	"github.com/laburnumloft/laburnumloft/node/lib/options"
+)
+
+const recoverHelp = "Closes a gap in the log: records have expired that no process has read, so all entries keep their older settings and wait. " +
+	"Declares the settings in force at --entry as those at the end of the log; without --entry, no settings at all. " +
+	"Changes in the expired records are lost. Refuses if the log has no gap." + exitCodes
+
+// recoverCommand closes a gap in the log.
+type recoverCommand struct {
+	sources
+}
+
+// Execute implements flags.Commander.
+func (c *recoverCommand) Execute(rest []string) error {
+	if err := options.First(options.NoArguments(rest), c.checkLog()); err != nil {
+		return err
+	}
+	ctx, cancel := c.context()
+	defer cancel()
+	offset, err := c.client().Recover(ctx)
+	if err != nil {
+		return &failure{err}
+	}
+	if c.JSON {
+		printJSON(map[string]int64{"offset": offset})
+		return nil
+	}
+	fmt.Printf("settings are recovered; records from offset %d on count\n", offset)
+	return nil
+}
