--- a/bench/operations/bench_test.go
+++ b/bench/operations/bench_test.go
@@ -22,13 +22,12 @@
 // Sizes of the benchmark.
 const (
 	benchOperations = 2000
-	benchWorkers    = 8
 	faultOperations = 60
 )
 
 // measure runs operations from several workers and returns the latencies in
 // order and the operations per second.
-func measure(b *testing.B, operation func(worker int) bool) (latencies []time.Duration, rate float64) {
+func measure(b *testing.B, benchWorkers int, operation func(worker int) bool) (latencies []time.Duration, rate float64) {
 	b.Helper()
 	var mu sync.Mutex
 	var failed atomic.Int64
@@ -83,36 +82,46 @@
 
 // BenchmarkOperationsCalls reports operations per second, the latency that
 // ticket and keyed calls add to a direct call at p50 and p99, and the appends
-// per operation.
+// per operation, for one and for eight callers.
 func BenchmarkOperationsCalls(b *testing.B) {
-	f := newFixture(b)
-	// The first connections are opened before anything is measured.
-	measure(b, func(int) bool { return f.direct(newBody()) })
-	for range b.N {
-		base, rate := measure(b, func(int) bool { return f.direct(newBody()) })
-		b.ReportMetric(rate, "direct-ops/s")
-		report := func(name string, operation func(worker int) bool) {
-			before := f.appends()
-			latencies, rate := measure(b, operation)
-			b.ReportMetric(rate, name+"-ops/s")
-			for label, share := range map[string]float64{"p50": 0.5, "p99": 0.99} {
-				added := percentile(latencies, share) - percentile(base, share)
-				b.ReportMetric(float64(added.Microseconds()), name+"-added-"+label+"-µs")
+	for _, callers := range []int{1, 8} {
+		b.Run(fmt.Sprintf("callers=%d", callers), func(b *testing.B) {
+			f := newFixture(b)
+			// The first connections are opened before anything is measured.
+			measure(b, callers, func(int) bool { return f.direct(newBody()) })
+			for range b.N {
+				f.benchCalls(b, callers)
 			}
-			b.ReportMetric(float64(f.appends()-before)/benchOperations, name+"-appends/op")
-		}
-		report("ticket", func(w int) bool {
-			return f.run(w%2, f.reserve(w%2), newBody()).told() == "completed"
-		})
-		report("keyed", func(w int) bool {
-			return f.call(w%2, "open", newKey(), newBody()).told() == "completed"
-		})
-		report("idempotent", func(w int) bool {
-			return f.call(w%2, "state", "", newBody()).told() == "completed"
 		})
 	}
 }
 
+func (f *fixture) benchCalls(b *testing.B, callers int) {
+	base, rate := measure(b, callers, func(int) bool { return f.direct(newBody()) })
+	b.ReportMetric(rate, "direct-ops/s")
+	b.ReportMetric(float64(percentile(base, 0.5).Microseconds()), "direct-p50-µs")
+	b.ReportMetric(float64(percentile(base, 0.99).Microseconds()), "direct-p99-µs")
+	report := func(name string, operation func(worker int) bool) {
+		before := f.appends()
+		latencies, rate := measure(b, callers, operation)
+		b.ReportMetric(rate, name+"-ops/s")
+		for label, share := range map[string]float64{"p50": 0.5, "p99": 0.99} {
+			added := percentile(latencies, share) - percentile(base, share)
+			b.ReportMetric(float64(added.Microseconds()), name+"-added-"+label+"-µs")
+		}
+		b.ReportMetric(float64(f.appends()-before)/benchOperations, name+"-appends/op")
+	}
+	report("ticket", func(w int) bool {
+		return f.run(w%2, f.reserve(w%2), newBody()).told() == "completed"
+	})
+	report("keyed", func(w int) bool {
+		return f.call(w%2, "open", newKey(), newBody()).told() == "completed"
+	})
+	report("idempotent", func(w int) bool {
+		return f.call(w%2, "state", "", newBody()).told() == "completed"
+	})
+}
+
 // BenchmarkOperationsUnknown reports the share of operations with outcome
 // unknown under each kind of fault, which strikes every tenth operation.
 func BenchmarkOperationsUnknown(b *testing.B) {
@@ -186,7 +195,7 @@
 func BenchmarkOperationsMemory(b *testing.B) {
 	f := newFixture(b)
 	for range b.N {
-		measure(b, func(w int) bool { return f.call(w%2, "open", newKey(), newBody()).told() == "completed" })
+		measure(b, 8, func(w int) bool { return f.call(w%2, "open", newKey(), newBody()).told() == "completed" })
 		for _, p := range append(slices.Clone(f.entries), f.agent) {
 			b.ReportMetric(heapBytes(b, p.Address), fmt.Sprintf("%s-heap-bytes", p.Name))
 		}
--- a/bench/operations/operations_test.go
+++ b/bench/operations/operations_test.go
@@ -119,7 +119,8 @@
 }
 
 // TestFenceReachesBackend guards against a late order of a dead incarnation
-// that a backend server which checks fences can't tell from a new one.
+// that a backend server which checks fences can't tell from a new one, and
+// against a refused order that is reported as anything but failed.
 func TestFenceReachesBackend(t *testing.T) {
 	f := newFixture(t)
 	c := qt.New(t)
@@ -132,4 +133,12 @@
 	offset, start, _ := strings.Cut(fence, ".")
 	c.Assert(offset, qt.Not(qt.Equals), "0")
 	c.Assert(strings.Contains(all[len(all)-1].Ticket, start), qt.IsTrue)
+
+	newer := f.send(http.MethodPost, "http://"+f.agent.Backend+"/v1/call/open", `{}`, wire.FenceHeader, "999999.1")
+	c.Assert(newer.code, qt.Equals, http.StatusOK)
+	late := newBody()
+	r := f.run(0, f.reserve(0), late)
+	c.Assert(r.told(), qt.Equals, "failed")
+	c.Assert(r.Status, qt.Equals, http.StatusPreconditionFailed)
+	c.Assert(f.executions(late), qt.Equals, 0)
 }
