Keep headroom at each engine, and flush only when no token waits

Cause: the burst could fill single engines while the headroom was on others; each token was flushed although the next one was there already; a caller that read slowly was reported as a silent agent; callers whose deadline is shorter than the stall timeout never counted against a stalled engine.

--- a/core/limits/queue.go
+++ b/core/limits/queue.go
@@ -67,6 +67,9 @@
 	Priority int
 	// Deadline is when the work must be finished.
 	Deadline time.Time
+	// OverShare is set by Pop when the workspace has neither credit nor
+	// unused share, so that the headroom is not meant for it.
+	OverShare bool
 }
 
 // FairQueue orders requests of many workspaces by weighted fair shares of
@@ -208,6 +211,7 @@
 			return Item{}, false, expired
 		}
 		n := f.heap[0]
+		n.OverShare = q.overShare(f, free)
 		if now.Add(q.runTime(n.Cost)).After(n.Deadline) {
 			q.remove(n)
 			expired = append(expired, n.ID)
@@ -229,30 +233,45 @@
 	if free <= 0 || len(q.items) == 0 {
 		return nil
 	}
-	places := float64(len(q.running) + free)
-	headroom := math.Round(q.cfg.HeadroomShare * places)
-	weights := 0.0
-	for _, f := range q.flows {
-		if len(f.heap) > 0 || f.running > 0 {
-			weights += f.weight
-		}
-	}
+	headroom := q.headroom(free)
 	var best *flow
 	for _, f := range q.flows {
 		if len(f.heap) == 0 {
 			continue
 		}
-		share := f.weight / weights * (places - headroom)
-		if float64(free) <= headroom && f.running > 0 && float64(f.running) >= share && f.finish >= q.virtual {
+		if best != nil && (f.finish > best.finish || f.finish == best.finish && f.workspace > best.workspace) {
 			continue
 		}
-		if best == nil || f.finish < best.finish || f.finish == best.finish && f.workspace < best.workspace {
-			best = f
+		if float64(free) <= headroom && q.overShare(f, free) {
+			continue
 		}
+		best = f
 	}
 	return best
 }
 
+// headroom is the number of places that are kept for workspaces below their
+// share.
+func (q *FairQueue) headroom(free int) float64 {
+	return math.Round(q.cfg.HeadroomShare * float64(len(q.running)+free))
+}
+
+// overShare reports whether the flow has used up its credit and runs at
+// least its share of the places. A flow that runs nothing is never over.
+func (q *FairQueue) overShare(f *flow, free int) bool {
+	if f.running == 0 || f.finish < q.virtual {
+		return false
+	}
+	weights := 0.0
+	for _, other := range q.flows {
+		if len(other.heap) > 0 || other.running > 0 {
+			weights += other.weight
+		}
+	}
+	places := float64(len(q.running)+free) - q.headroom(free)
+	return float64(f.running) >= f.weight/weights*places
+}
+
 // Unpop returns a popped item that could not be placed to the queue, with
 // its place in the order and without a deadline or bound check.
 func (q *FairQueue) Unpop(item Item) {
--- a/core/routing/pool.go
+++ b/core/routing/pool.go
@@ -75,6 +75,9 @@
 	Affinity uint64
 	// Regions limits the choice to these regions; empty means all.
 	Regions []string
+	// MaxUse is the share of a backend server's limit that the request may
+	// fill, so that the rest is left for others; 0 means all.
+	MaxUse float64
 	// Tried are backend servers that refused the request already.
 	Tried []Handle
 }
@@ -296,6 +299,10 @@
 	}
 	halfLife := float64(p.cfg.ReportHalfLife.Nanoseconds())
 	version := hashString(r.Version)
+	maxUse := r.MaxUse
+	if maxUse == 0 {
+		maxUse = 1
+	}
 	load, capacity := 0.0, 0.0
 	candidates := p.candidates[:0]
 	for i := range p.members {
@@ -306,7 +313,7 @@
 		l, c := m.load(at, halfLife), p.capacity(m, at)
 		load += l
 		capacity += c
-		if l+1 <= c && !m.tried(uint32(i), r.Tried) {
+		if l+1 <= max(1, c*maxUse) && !m.tried(uint32(i), r.Tried) {
 			candidates = append(candidates, candidate{uint32(i), l, c})
 		}
 	}
--- a/core/routing/routing_test.go
+++ b/core/routing/routing_test.go
@@ -142,6 +142,26 @@
 	}
 }
 
+// TestMaxUseLeavesRoom guards against a burst that fills single members up
+// while the headroom is on others.
+func TestMaxUseLeavesRoom(t *testing.T) {
+	p := NewPool(DefaultConfig("priangan"))
+	p.Update(start, backends(2))
+	taken := 0
+	for {
+		if _, miss := p.Choose(start, Request{Version: "v1", Affinity: 7, MaxUse: 0.75}); miss != Found {
+			break
+		}
+		taken++
+	}
+	if taken != 12 {
+		t.Errorf("a burst took %d of 16 places, want 12", taken)
+	}
+	if _, miss := p.Choose(start, Request{Version: "v1", Affinity: 7}); miss != Found {
+		t.Errorf("no room is left for others")
+	}
+}
+
 // TestOtherVersionDuringRollout guards against refusing requests, or
 // crowding the first member with the new version, while others still serve
 // the old one.
--- a/node/agent/requests.go
+++ b/node/agent/requests.go
@@ -192,7 +192,8 @@
 			}
 			return err
 		}
-		s.watchdog.Reset(s.agent.stallTimeout())
+		// An entry that reads slowly is no stall of the engine.
+		s.watchdog.Stop()
 		if err := s.check(frame); err != nil {
 			return err
 		}
@@ -207,10 +208,11 @@
 		}
 		last = now
 		token := &wire.Token{Index: s.tokens, Text: *frame.Token}
-		if err := s.write(wire.Frame{Token: token}, true); err != nil {
+		if err := s.write(wire.Frame{Token: token}, !s.lines.More()); err != nil {
 			return err
 		}
 		s.tokens++
+		s.watchdog.Reset(s.agent.stallTimeout())
 	}
 }
 
--- a/node/entry/requests.go
+++ b/node/entry/requests.go
@@ -223,7 +223,7 @@
 		failure = e.ask(ctx, c, p, grant, sink)
 		result := routing.Succeeded
 		if failure != nil {
-			result = resultOf(ctx, failure)
+			result = resultOf(ctx, failure, sink.tokens)
 		}
 		again := failure != nil && failure.Run == wire.RunNotRun && !sink.begun() && attempt < maxAttempts && ctx.Err() == nil
 		if !again {
@@ -248,12 +248,17 @@
 	return failure
 }
 
-// resultOf says what a failure tells about the backend server.
-func resultOf(ctx context.Context, failure *wire.Error) routing.Result {
+// resultOf says what a failure tells about the backend server. A deadline
+// that passes without a token counts against it: otherwise a stalled backend
+// server would never be set aside by callers who wait less than the stall
+// timeout.
+func resultOf(ctx context.Context, failure *wire.Error, tokens int) routing.Result {
 	switch {
 	case failure.Kind == wire.ErrorOverloaded, failure.Kind == wire.ErrorLeaving:
 		return routing.Refused
-	case ctx.Err() != nil:
+	case errors.Is(ctx.Err(), context.DeadlineExceeded) && tokens == 0:
+		return routing.Failed
+	case ctx.Err() != nil, failure.Kind == wire.ErrorCancelled:
 		return routing.Abandoned
 	default:
 		return routing.Failed
--- a/node/entry/requests_dispatch.go
+++ b/node/entry/requests_dispatch.go
@@ -355,7 +355,12 @@
 		return false
 	}
 	p := l.waiting[item.ID]
+	maxUse := 1.0
+	if item.OverShare {
+		maxUse = 1 - headroomShare
+	}
 	choice, miss := s.pool.Choose(now, routing.Request{
+		MaxUse:  maxUse,
 		Version: p.call.service.Version, OtherVersions: true, Affinity: p.affinity, Regions: l.regions, Tried: p.tried,
 	})
 	switch {
--- a/node/entry/requests_stream.go
+++ b/node/entry/requests_stream.go
@@ -54,7 +54,8 @@
 		if err := lines.Next(&frame); err != nil {
 			return upstreamError(ctx, err, false)
 		}
-		watchdog.Reset(stall)
+		// A caller that reads slowly is no silence of the agent.
+		watchdog.Stop()
 		if err := frames.check(frame); err != nil {
 			entryRequests.Add("crossed_frames", 1)
 			return upstreamError(ctx, err, false)
@@ -70,9 +71,10 @@
 			sink.end(*frame.End)
 			return nil
 		}
-		if err := sink.frame(frame); err != nil {
-			return upstreamError(ctx, err, false)
+		if err := sink.frame(frame, !lines.More()); err != nil {
+			return &wire.Error{Kind: wire.ErrorCancelled, Message: err.Error(), Run: wire.RunUnknown}
 		}
+		watchdog.Reset(stall)
 	}
 }
 
@@ -221,14 +223,14 @@
 // begun reports whether anything of an answer came.
 func (s *answerSink) begun() bool { return s.started || s.tokens > 0 }
 
-// frame passes on a start or a token. An error means that the caller can't
-// take it.
-func (s *answerSink) frame(f wire.Frame) error {
+// frame passes on a start or a token. Without flush it may wait for the next
+// one. An error means that the caller can't take it.
+func (s *answerSink) frame(f wire.Frame, flush bool) error {
 	if f.Start != nil {
 		if !s.stream {
 			return nil
 		}
-		return s.event("start", wire.Start{RequestID: f.Start.RequestID, Version: f.Start.Version})
+		return s.event("start", wire.Start{RequestID: f.Start.RequestID, Version: f.Start.Version}, flush)
 	}
 	if s.tokens == 0 {
 		entryFirstToken.Observe(time.Since(s.arrived))
@@ -236,7 +238,7 @@
 	s.tokens++
 	entryTokens.Add(1)
 	if s.stream {
-		return s.event("token", f.Token)
+		return s.event("token", f.Token, flush)
 	}
 	if s.text.Len()+len(f.Token.Text) > maxAnswerBytes {
 		return errTooLarge
@@ -248,7 +250,7 @@
 func (s *answerSink) end(end wire.End) {
 	end.Load = nil
 	if s.stream {
-		_ = s.event("end", end)
+		_ = s.event("end", end, true)
 		return
 	}
 	s.deadline()
@@ -260,7 +262,7 @@
 func (s *answerSink) fail(failure wire.Error) {
 	failure.Load = nil
 	if s.started {
-		_ = s.event("error", failure)
+		_ = s.event("error", failure, true)
 		return
 	}
 	s.deadline()
@@ -273,9 +275,9 @@
 	_ = s.control.SetWriteDeadline(time.Now().Add(callerWriteTimeout))
 }
 
-// event writes one server-sent event and flushes it. It blocks while the
+// event writes one server-sent event. It blocks while the
 // caller's connection takes no more, which slows the agent and the engine.
-func (s *answerSink) event(name string, data any) error {
+func (s *answerSink) event(name string, data any, flush bool) error {
 	if !s.started {
 		s.w.Header().Set("Content-Type", "text/event-stream")
 		s.w.Header().Set("Cache-Control", "no-store")
@@ -295,6 +297,9 @@
 	if _, err := s.w.Write(s.buffer.Bytes()); err != nil {
 		return err
 	}
+	if !flush {
+		return nil
+	}
 	return s.control.Flush()
 }
 
--- a/node/lib/wire/lines.go
+++ b/node/lib/wire/lines.go
@@ -45,3 +45,10 @@
 	}
 	return nil
 }
+
+// More reports whether a whole line is there already, so that what was
+// decoded can be passed on together with the next one.
+func (l *LineReader) More() bool {
+	buffered, _ := l.reader.Peek(l.reader.Buffered())
+	return bytes.IndexByte(buffered, '\n') >= 0
+}
