--- a/node/agent/requests.go
+++ b/node/agent/requests.go
@@ -45,10 +45,14 @@
 		a.refuse(w, req.RequestID, *failure)
 		return
 	}
-	if !a.state.admit(req.Version) {
-		a.refuse(w, req.RequestID, wire.Error{Kind: wire.ErrorUnavailable, Message: "version is not served here"})
+	// The entry's view of versions lags during a rollout. The request gets the
+	// version that is served now, which the answer's start frame names.
+	version, admitted := a.state.admit()
+	if !admitted {
+		a.refuse(w, req.RequestID, wire.Error{Kind: wire.ErrorUnavailable, Message: "no version is served here"})
 		return
 	}
+	req.Version = version
 	// The count taken by admit covers the wait in the queue as well: neither a
 	// planned stop nor a load of another version begins before it is released.
 	defer a.state.release()
@@ -61,6 +65,10 @@
 	}
 	served := 0
 	defer func() { turn.leave(served) }()
+	if !a.state.runs(req.Version) {
+		a.refuse(w, req.RequestID, wire.Error{Kind: wire.ErrorUnavailable, Message: "engine lost the version while the request waited"})
+		return
+	}
 	ctx, span := telemetry.Span(ctx, "agent.generate")
 	served, err := a.generate(ctx, w, req)
 	telemetry.EndSpan(span, err)
@@ -68,8 +76,8 @@
 
 func checkRequest(req *wire.AgentRequest) *wire.Error {
 	switch {
-	case req.RequestID == "" || req.Version == "":
-		return &wire.Error{Kind: wire.ErrorBadRequest, Message: "request_id and version are required"}
+	case req.RequestID == "":
+		return &wire.Error{Kind: wire.ErrorBadRequest, Message: "request_id is required"}
 	case req.MaxTokens < 0 || req.MaxTokens > maxRequestTokens:
 		return &wire.Error{Kind: wire.ErrorBadRequest, Message: fmt.Sprintf("max_tokens must be 0 to %d", maxRequestTokens)}
 	}
--- a/node/agent/rollout.go
+++ b/node/agent/rollout.go
@@ -9,10 +9,12 @@
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/rotisserie/eris"
+	"go.opentelemetry.io/otel/attribute"
 
 	"github.com/laburnumloft/laburnumloft/core/rollout"
 	"github.com/laburnumloft/laburnumloft/core/settings"
 	"github.com/laburnumloft/laburnumloft/node/lib/ring"
+	"github.com/laburnumloft/laburnumloft/node/lib/telemetry"
 	"github.com/laburnumloft/laburnumloft/node/lib/wire"
 )
 
@@ -75,15 +77,23 @@
 		upPace:   &pacer{rate: cfg.UploadRate},
 		downPace: &pacer{rate: cfg.DownloadRate},
 		wake:     make(chan struct{}, 1),
-		machine:  rollout.NewMachine(rollout.MachineConfig{StartMS: a.incarnation, OrderRetry: orderRetry}),
+		machine:  rollout.NewMachine(rollout.MachineConfig{StartMS: a.incarnation, OrderRetry: orderRetry, TakeTurns: true}),
 	}
 }
 
 // admit implements admissionGate.
-func (d *rolloutDuty) admit(version string) bool {
+func (d *rolloutDuty) admit() (version string, ok bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.machine.Admit(version)
+	version = d.machine.Status().Serving
+	return version, version != "" && d.machine.Admit(version)
+}
+
+// runs implements admissionGate.
+func (d *rolloutDuty) runs(version string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.machine.Runs(version)
 }
 
 // release implements admissionGate.
@@ -121,6 +131,7 @@
 	defer duties.Wait()
 	duties.Go(func() { d.watchEngine(ctx, answers) })
 	duties.Go(func() { d.freeMemory(ctx) })
+	duties.Go(func() { d.takeTurns(ctx) })
 	l := &rolloutLoop{rolloutDuty: d, fetched: make(chan fetchResult, 1)}
 	defer l.stopFetch()
 	for ctx.Err() == nil {
@@ -254,7 +265,9 @@
 }
 
 // fetch gets the manifest and all chunks and checks the hash over all.
-func (d *rolloutDuty) fetch(ctx context.Context, intent rollout.Intent) (string, error) {
+func (d *rolloutDuty) fetch(ctx context.Context, intent rollout.Intent) (digest string, err error) {
+	ctx, span := telemetry.Span(ctx, "agent.fetch_version", attribute.String("version", intent.Version))
+	defer func() { telemetry.EndSpan(span, err) }()
 	key := versionKey{intent.Model, intent.Version}
 	view := d.peers()
 	f := &fetcher{duty: d, intent: intent, key: key, peers: view, planner: rollout.NewPlanner(d.plannerConfig(), d.tree(view))}
@@ -323,7 +336,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	view.originRegion = d.service.OriginRegion
-	view.directRoots = d.service.Objective == settings.ObjectiveTime
+	view.hedgeRoots = d.service.Objective == settings.ObjectiveTime
 	return view
 }
 
@@ -331,7 +344,7 @@
 	cfg := d.agent.cfg
 	return rollout.NewTree(rollout.TreeConfig{
 		Self: rollout.Peer{ID: cfg.ID, Address: cfg.Listen, Region: cfg.Region}, Peers: view.peers,
-		OriginRegion: view.originRegion, DirectRoots: view.directRoots, Strategy: cfg.Rollout.Strategy,
+		OriginRegion: view.originRegion, HedgeRoots: view.hedgeRoots, Strategy: cfg.Rollout.Strategy,
 	})
 }
 
