Let changes cross regions while bytes are spare; measure membership

Cause: in a fleet of 10 members in three regions a restart of all agents took 13 s to be known everywhere and at 50 members 25 s, because changes of state crossed regions only by comparisons. At the target size a reunion left members without work for more than 40 s.

Change: changes cross regions while the bucket is three quarters full, and a comparison begins with the zones that the asker distrusts.

--- a/core/membership/deltas.go
+++ b/core/membership/deltas.go
@@ -36,6 +36,9 @@
 	// urgentReserve in the bucket, so that departures always find room.
 	compareReserve = 2500
 	urgentReserve  = 2500
+	// spareShare is the fill of the bucket from which changes cross regions.
+	// Small fleets and single changes then need no comparison.
+	spareShare = 0.75
 	// maxWants bounds the records asked for at once to what one answer holds.
 	maxWants = 64
 	// fewDifferences is what deltas on their way explain. Only a larger
@@ -110,7 +113,7 @@
 			repeats = repeats*2 + stateRepeats
 		}
 	}
-	if !urgent && m.Region != v.cfg.Place.Region {
+	if !urgent && m.Region != v.cfg.Place.Region && !v.spare() {
 		// Other regions' changes of state and version matter only when the own
 		// region has no backend left; the comparison of zones brings them.
 		delete(v.queue, m.ID)
@@ -120,6 +123,12 @@
 	return departure && m.State != Gone
 }
 
+// spare reports whether the bucket is full enough for changes of state to
+// cross regions.
+func (v *View) spare() bool {
+	return v.bucket.tokens >= v.bucket.rate*burstSeconds*spareShare
+}
+
 // Targets returns the entries to exchange with now: the home entries of the
 // owner and one partner of a small, slowly changing random subset.
 //
@@ -263,12 +272,19 @@
 
 // compareZones lists the record hashes of one zone whose digests differ.
 func (v *View) compareZones(msg *Message, theirs []ZoneSummary) {
-	var differing []uint32
+	var differing, distrusted []uint32
 	for _, s := range theirs {
 		if z := v.zones[s.ID]; z != nil && z.digest != s.Digest && v.trusts(s.ID) {
 			differing = append(differing, s.ID)
+			if s.Digest == 0 {
+				distrusted = append(distrusted, s.ID)
+			}
 		}
 	}
+	if len(distrusted) > 0 {
+		// The peer gives these zones no work until they are confirmed.
+		differing = distrusted
+	}
 	if len(differing) == 0 || v.bucket.tokens < compareTokens {
 		return
 	}
@@ -323,7 +339,7 @@
 		}
 	}
 	limit = min(maxMessageBytes, int(v.bucket.tokens)-urgentReserve-compareReserve)
-	if near && !full {
+	if (near || v.spare()) && !full {
 		full = v.packQueue(add, false)
 	}
 	if full {
--- a/core/membership/network_test.go
+++ b/core/membership/network_test.go
@@ -96,6 +96,10 @@
 	bytes := n.measure()
 	c.Logf("reunion: %.0f B/s per entry sent over 40 s", bytes/40)
 	c.Check(bytes <= DefaultBytesPerSecond*(40+burstSeconds), qt.IsTrue, qt.Commentf("%f bytes", bytes))
+	for s := 40; s <= 120; s += 20 {
+		c.Logf("reunion: after %d s %d pairs get no work, %d stale", s, n.falselySuspected(), n.stale())
+		n.run(20)
+	}
 	n.checkConverged(c)
 }
 
@@ -147,6 +151,25 @@
 	c.Check(n.falselySuspected(), qt.Equals, 0)
 }
 
+// TestColdStart guards against a fleet that starts at once and takes long to
+// know itself, also across regions.
+func TestColdStart(t *testing.T) {
+	c := qt.New(t)
+	n := newNetwork(1, testZones, testEntries, testAgents)
+	checkColdStart(c, n, 40)
+}
+
+func checkColdStart(c *qt.C, n *network, seconds int) {
+	for s := 1; s <= seconds; s++ {
+		n.run(1)
+		if s%10 == 0 {
+			c.Logf("cold start: after %d s %d of %d pairs unknown", s, n.stale(), len(n.agents)*len(n.entries))
+		}
+	}
+	c.Check(n.stale(), qt.Equals, 0)
+	c.Check(n.falselySuspected(), qt.Equals, 0)
+}
+
 // TestRandomRuns guards against any order of losses, doubled and reordered
 // messages, pauses, restarts, departures and separations after which entries
 // disagree, or in which an older record wins. The view itself asserts that.
