Take test ports from below the range of outgoing connections

Cause: under load a stand-in did not listen within 10 s and TestDrainTimeout failed in its setup. The suspected reason is that an outgoing connection of another process took the port between its choice and the start of the program; it was not reproduced.

Change: harness.FreeAddress picks ports of 20000 to 31999; the system's range here begins at 32768.

--- a/bench/harness/harness.go
+++ b/bench/harness/harness.go
@@ -8,6 +8,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -174,14 +175,28 @@
 	return answer.Manifest, err
 }
 
+// Ports of the processes. They lie below the range from which the system takes
+// the ports of outgoing connections; one of those can hold a port between its
+// choice and the start of the program.
+const (
+	firstPort    = 20_000
+	portCount    = 12_000
+	portAttempts = 100
+)
+
 // FreeAddress returns a loopback address that nothing listens on.
 func FreeAddress() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", eris.Wrap(err, "finding a free port")
+	var err error
+	for range portAttempts {
+		var l net.Listener
+		l, err = net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(portCount)))
+		if err != nil {
+			continue
+		}
+		defer l.Close()
+		return l.Addr().String(), nil
 	}
-	defer l.Close()
-	return l.Addr().String(), nil
+	return "", eris.Wrap(err, "finding a free port")
 }
 
 // PostJSON posts a JSON body and decodes the answer.
--- a/bench/membership/fleet_test.go
+++ b/bench/membership/fleet_test.go
@@ -19,6 +19,7 @@
 	qt "github.com/frankban/quicktest"
 	"github.com/hashicorp/go-hclog"
 
+	"github.com/laburnumloft/laburnumloft/bench/harness"
 	"github.com/laburnumloft/laburnumloft/core/settings"
 	"github.com/laburnumloft/laburnumloft/node/agent"
 	"github.com/laburnumloft/laburnumloft/node/entry"
@@ -96,10 +97,9 @@
 }
 
 func freeAddress(tb testing.TB) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	address, err := harness.FreeAddress()
 	qt.Assert(tb, err, qt.IsNil)
-	defer l.Close()
-	return l.Addr().String()
+	return address
 }
 
 // start runs a node until its stop is called.
