--- a/core/membership/deltas.go
+++ b/core/membership/deltas.go
@@ -23,6 +23,10 @@
 	// stateRepeats is how often an entry passes on a change; the comparison of
 	// zones finds the few entries that it missed.
 	stateRepeats = 4
+	// smallFleet is the number of members up to which all changes of all
+	// regions are passed on. A workspace may be limited to regions other than
+	// that of the entry that its caller uses.
+	smallFleet = 64
 	// partnerCount is the number of entries that random exchanges go to.
 	partnerCount = 8
 	rotateEvery  = 10 * time.Second
@@ -113,9 +117,10 @@
 			repeats = repeats*2 + stateRepeats
 		}
 	}
-	if !urgent && m.Region != v.cfg.Place.Region && !v.spare() {
-		// Other regions' changes of state and version matter only when the own
-		// region has no backend left; the comparison of zones brings them.
+	if !urgent && m.Region != v.cfg.Place.Region && !v.crossesRegions() {
+		// In a large fleet, other regions' changes of state and version matter
+		// only when the own region has no backend left; the comparison of zones
+		// brings them.
 		delete(v.queue, m.ID)
 		return false
 	}
@@ -123,10 +128,10 @@
 	return departure && m.State != Gone
 }
 
-// spare reports whether the bucket is full enough for changes of state to
-// cross regions.
-func (v *View) spare() bool {
-	return v.bucket.tokens >= v.bucket.rate*burstSeconds*spareShare
+// crossesRegions reports whether changes of state pass between regions: always
+// in a small fleet, else while the bucket is full enough.
+func (v *View) crossesRegions() bool {
+	return len(v.members) <= smallFleet || v.bucket.tokens >= v.bucket.rate*burstSeconds*spareShare
 }
 
 // Targets returns the entries to exchange with now: the home entries of the
@@ -339,7 +344,7 @@
 		}
 	}
 	limit = min(maxMessageBytes, int(v.bucket.tokens)-urgentReserve-compareReserve)
-	if (near || v.spare()) && !full {
+	if (near || v.crossesRegions()) && !full {
 		full = v.packQueue(add, false)
 	}
 	if full {
--- a/node/agent/requests_admission.go
+++ b/node/agent/requests_admission.go
@@ -16,9 +16,16 @@
 const (
 	maxQueued             = 64
 	maxQueuedPerWorkspace = 32
-	headroomShare         = 0.1
-	admissionBacklog      = 1024
-	admissionTick         = 20 * time.Millisecond
+	// headroomShare is below that of entries, so that requests rarely wait
+	// here for the headroom of this one backend server.
+	headroomShare = 0.1
+	// maxQueueWait is how long a request waits before it is sent back as not run.
+	// It is shorter than the time after which entries take a silent agent
+	// for dead.
+	maxQueueWait     = time.Second
+	creditTokens     = 1024
+	admissionBacklog = 1024
+	admissionTick    = 20 * time.Millisecond
 )
 
 var (
@@ -59,7 +66,7 @@
 	a := &admission{
 		events: ring.New[admissionEvent]("agent_admission", admissionBacklog, ring.Block),
 		queue: limits.NewFairQueue(limits.QueueConfig{
-			MaxQueued: maxQueued, MaxQueuedPerWorkspace: maxQueuedPerWorkspace, HeadroomShare: headroomShare,
+			MaxQueued: maxQueued, MaxQueuedPerWorkspace: maxQueuedPerWorkspace, HeadroomShare: headroomShare, Credit: creditTokens,
 		}),
 		limit:   limits.NewConcurrency(limits.DefaultConcurrency),
 		waiting: map[uint64]chan *wire.Error{},
@@ -84,7 +91,12 @@
 	if !a.events.Push(ctx, admissionEvent{item: &item, reply: reply}) {
 		return nil, &wire.Error{Kind: wire.ErrorOverloaded, Message: "agent is busy", RetryAfterMS: 1000}
 	}
+	patience := time.NewTimer(maxQueueWait)
+	defer patience.Stop()
 	select {
+	case <-patience.C:
+		t.leave(0)
+		return nil, &wire.Error{Kind: wire.ErrorOverloaded, Message: "request waited too long at the agent", RetryAfterMS: jittered(1000)}
 	case failure := <-reply:
 		if failure != nil {
 			return nil, failure
--- a/node/agent/rollout_config.go
+++ b/node/agent/rollout_config.go
@@ -4,6 +4,7 @@
 	"expvar"
 	"fmt"
 	"math"
+	"net/http"
 	"slices"
 	"time"
 
@@ -31,6 +32,11 @@
 	// WeightsHold is how long after the last request of a peer the chunks
 	// that other agents keep as well are freed.
 	WeightsHold time.Duration `long:"weights-hold" env:"LABURNUM_WEIGHTS_HOLD" default:"1m" description:"how long after a peer's last request all chunks stay in memory"`
+	// MaxUnavailablePercent bounds the share of a region's agents, rounded up,
+	// that load a new version at once, so that the others go on serving.
+	MaxUnavailablePercent int `long:"max-unavailable-percent" env:"LABURNUM_MAX_UNAVAILABLE_PERCENT" default:"25" description:"share of a region's agents that load a new version at once"`
+	// TurnTimeout is how long one agent that does not get on holds up others.
+	TurnTimeout time.Duration `long:"turn-timeout" env:"LABURNUM_TURN_TIMEOUT" default:"2m" description:"how long an agent that fails to load holds up the next one"`
 	// Strategy is StrategyTree but for measurements.
 	Strategy rollout.Strategy `no-flag:"true"`
 }
@@ -43,6 +49,7 @@
 	maxChunkDeadline = 5 * time.Minute
 	minWeightsHold   = time.Second
 	maxWeightsHold   = 24 * time.Hour
+	maxTurnTimeout   = time.Hour
 )
 
 // Check reports the first setting that is out of range.
@@ -54,6 +61,8 @@
 		between("download-bytes-per-second", c.DownloadRate, 0, math.MaxInt64),
 		between("chunk-deadline", c.ChunkDeadline, minChunkDeadline, maxChunkDeadline),
 		between("weights-hold", c.WeightsHold, minWeightsHold, maxWeightsHold),
+		between("max-unavailable-percent", c.MaxUnavailablePercent, 1, 100),
+		between("turn-timeout", c.TurnTimeout, time.Second, maxTurnTimeout),
 	)
 }
 
@@ -71,6 +80,9 @@
 	DefaultUploadSlots   = 2
 	DefaultChunkDeadline = 10 * time.Second
 	DefaultWeightsHold   = time.Minute
+
+	DefaultMaxUnavailablePercent = 25
+	DefaultTurnTimeout           = 2 * time.Minute
 )
 
 func (c RolloutConfig) withDefaults() RolloutConfig {
@@ -86,16 +98,55 @@
 	if c.WeightsHold == 0 {
 		c.WeightsHold = DefaultWeightsHold
 	}
+	if c.MaxUnavailablePercent == 0 {
+		c.MaxUnavailablePercent = DefaultMaxUnavailablePercent
+	}
+	if c.TurnTimeout == 0 {
+		c.TurnTimeout = DefaultTurnTimeout
+	}
 	return c
 }
 
+// serverProtocols lets peers multiplex waiting GETs over one connection.
+func serverProtocols() *http.Protocols {
+	var p http.Protocols
+	p.SetHTTP1(true)
+	p.SetHTTP2(true)
+	p.SetUnencryptedHTTP2(true)
+	return &p
+}
+
+// peerTransport returns the transport towards other agents. Without TLS it
+// speaks HTTP/2, so that a window of waiting GETs needs one connection per
+// parent instead of one per chunk.
+func peerTransport(cfg Config) http.RoundTripper {
+	if cfg.PeerTransport != nil {
+		return cfg.PeerTransport
+	}
+	if cfg.Transport != nil {
+		return cfg.Transport
+	}
+	base := newTransport()
+	if !cfg.Channel.TLS() {
+		base.Protocols = PeerProtocols()
+	}
+	return cfg.Channel.Transport(base)
+}
+
+// PeerProtocols selects HTTP/2 without TLS for a transport between agents.
+func PeerProtocols() *http.Protocols {
+	var p http.Protocols
+	p.SetUnencryptedHTTP2(true)
+	return &p
+}
+
 // peerView is what the tree is built from.
 type peerView struct {
 	peers        []rollout.Peer
 	originRegion string
-	directRoots  bool
+	hedgeRoots   bool
 }
 
 func (v peerView) changed(old peerView) bool {
-	return v.originRegion != old.originRegion || v.directRoots != old.directRoots || !slices.Equal(v.peers, old.peers)
+	return v.originRegion != old.originRegion || v.hedgeRoots != old.hedgeRoots || !slices.Equal(v.peers, old.peers)
 }
