Judge members of a returned zone only once its entries are known

Entries elsewhere took themselves for home entries of the returned zones, because these zones' own entries were not confirmed yet, and announced false suspicions; their refutations took the bytes that the comparisons needed.

--- a/core/membership/view.go
+++ b/core/membership/view.go
@@ -452,7 +452,7 @@
 		return Output{Changed: v.apply(now, m, r)}
 	case !m.home || m.State == Suspected || now.Before(m.deferUntil):
 		return Output{}
-	case m.unconfirmed || v.zone(now, m.Zone).state != Serving:
+	case m.unconfirmed || !v.zone(now, m.Zone).settled(now):
 		// The zone is judged as a whole; deltas for each member of it would be
 		// a storm at its loss and another one at its return.
 		return Output{}
--- a/core/membership/zones.go
+++ b/core/membership/zones.go
@@ -23,6 +23,14 @@
 	entries int
 	state   State
 	digest  uint32
+	// returned is when the zone was heard again after a silence.
+	returned time.Time
+}
+
+// settled reports whether members of the zone can be judged one by one. Just
+// after a return, entries elsewhere still take themselves for home entries.
+func (z *zone) settled(now time.Time) bool {
+	return z.state == Serving && now.Sub(z.returned) >= TakeoverGrace
 }
 
 // ZoneSummary tells a peer how fresh and in what state a zone is known.
@@ -83,6 +91,9 @@
 		if z.state == Gone {
 			v.distrust(now, z)
 		}
+		if state == Serving {
+			z.returned = now
+		}
 		z.state = state
 		changed = true
 		v.entriesChanged = true
@@ -139,7 +150,8 @@
 	changed := false
 	for _, m := range v.order {
 		if m.unconfirmed && m.hashZone.id == id && known(m.hash) {
-			m.unconfirmed = false
+			// Its home entries may be confirmed later than itself.
+			m.unconfirmed, m.homeSince = false, now
 			changed = v.refresh(now, m) || changed
 		}
 	}
