bench: test a planned stop with operations in flight

Cause: no test stopped an agent while operations ran. Change: TestPlannedStop. Conclusion: a planned stop cuts no operation.

--- a/bench/operations/faults_test.go
+++ b/bench/operations/faults_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"strings"
+	"syscall"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -289,3 +290,34 @@
 	}
 	t.Log(fmt.Sprint("outcomes told: ", told))
 }
+
+// TestPlannedStop guards against a stop of the agent that cuts an operation,
+// also one whose entry has died, and against one that starts new work.
+func TestPlannedStop(t *testing.T) {
+	f := newFixture(t)
+	c := qt.New(t)
+	reserved, before := f.reserve(1), f.counts()
+	f.switches(plainservice.Switches{HoldBefore: true})
+	first, second := newBody(), newBody()
+	done := begin(func() reply { return f.call(1, "open", newKey(), first) })
+	orphan := begin(func() reply { return f.call(0, "open", newKey(), second) })
+	f.arrived(before, 2)
+	c.Assert(f.entries[0].Kill(), qt.IsNil)
+	c.Assert((<-orphan).told(), qt.Equals, "unknown")
+
+	c.Assert(f.agent.Cmd.Process.Signal(syscall.SIGTERM), qt.IsNil)
+	f.until(func() bool {
+		return f.send(http.MethodGet, "http://"+f.agent.Address+"/v1/health", "").code == http.StatusServiceUnavailable
+	})
+	late := newBody()
+	refused := f.run(1, reserved, late)
+	c.Assert(refused.told(), qt.Equals, "not_run", qt.Commentf("%+v", refused))
+	f.switches(plainservice.Switches{})
+	c.Assert((<-done).told(), qt.Equals, "completed")
+	<-f.agent.Done()
+	c.Assert(f.agent.Cmd.ProcessState.ExitCode(), qt.Equals, 0)
+	f.check(late, refused)
+	for _, body := range []string{first, second} {
+		c.Assert(f.executions(body), qt.Equals, 1)
+	}
+}
