--- a/node/lib/secure/secure.go
+++ b/node/lib/secure/secure.go
@@ -88,6 +88,11 @@
 	return c, nil
 }
 
+// TLS reports whether the traffic is encrypted.
+func (c *Channel) TLS() bool {
+	return c != nil && c.tls != nil
+}
+
 // Listener returns a listener that speaks TLS if it is configured.
 func (c *Channel) Listener(l net.Listener) net.Listener {
 	if c == nil || c.tls == nil {
