--- a/bench/harness/harness.go
+++ b/bench/harness/harness.go
@@ -8,12 +8,12 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -182,14 +182,25 @@
 	firstPort    = 20_000
 	portCount    = 12_000
 	portAttempts = 100
+	// portBlocks keeps test programs that run at the same time apart.
+	portBlocks = 40
 )
 
+// nextPort counts the ports that this program has chosen. A port is not
+// chosen twice until all have been: the program that gets it may not listen
+// on it yet.
+var nextPort atomic.Int64
+
+func init() {
+	nextPort.Store(int64(os.Getpid()%portBlocks) * (portCount / portBlocks))
+}
+
 // FreeAddress returns a loopback address that nothing listens on.
 func FreeAddress() (string, error) {
 	var err error
 	for range portAttempts {
 		var l net.Listener
-		l, err = net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(portCount)))
+		l, err = net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", firstPort+nextPort.Add(1)%portCount))
 		if err != nil {
 			continue
 		}
--- a/node/lib/secure/secure.go
+++ b/node/lib/secure/secure.go
@@ -101,11 +101,6 @@
 	return tls.NewListener(l, c.tls)
 }
 
-// TLS reports whether the traffic is encrypted.
-func (c *Channel) TLS() bool {
-	return c != nil && c.tls != nil
-}
-
 // Handler refuses requests without the shared secret.
 func (c *Channel) Handler(next http.Handler) http.Handler {
 	if c == nil || c.secret == "" {
