--- a/core/rollout/planner.go
+++ b/core/rollout/planner.go
@@ -47,9 +47,10 @@
 
 const (
 	// sourcePatience is how many NotYet answers make a chunk go on to its
-	// next source. Moving on at once would put the load of a slow branch on
-	// the ancestors.
-	sourcePatience = 2
+	// next source. Such an answer shows that the source is alive, and with a
+	// full window a chunk may be due only after several deadlines; moving on
+	// early puts the load of its branch on the ancestors.
+	sourcePatience = 6
 	// drawSlack lengthens the wait for the origin while some upstream agent
 	// still works, since a chunk that is late is not lost.
 	drawSlack = 4
