--- a/node/agent/agent.go
+++ b/node/agent/agent.go
@@ -28,11 +28,11 @@
 // ErrStart is returned when an agent can't start.
 var ErrStart = eris.New("agent can't start")
 
-// Limits of the agent's HTTP server.
+// Limits of the agent's connections.
 const (
-	readHeaderTimeout = 5 * time.Second
-	maxHeaderBytes    = 32 << 10
-	maxRequestBytes   = 2 << 20
+	// idlePerHost is the number of idle connections kept to each host.
+	idlePerHost     = 16
+	maxRequestBytes = 2 << 20
 )
 
 // Config holds the settings of one agent.
@@ -115,7 +115,7 @@
 	cfg.Rollout = cfg.Rollout.withDefaults()
 	base, platformBase := cfg.Transport, cfg.Transport
 	if base == nil {
-		base, platformBase = cfg.Channel.Transport(newTransport()), newTransport()
+		base, platformBase = cfg.Channel.Transport(lifecycle.DataTransport(idlePerHost)), lifecycle.DataTransport(idlePerHost)
 	}
 	client := &http.Client{Transport: &telemetry.Transport{Base: base}}
 	platformClient := &http.Client{Transport: &telemetry.Transport{Base: platformBase}}
@@ -147,14 +147,6 @@
 	return a
 }
 
-func newTransport() *http.Transport {
-	return &http.Transport{
-		MaxIdleConnsPerHost: 16,
-		IdleConnTimeout:     90 * time.Second,
-		DialContext:         (&net.Dialer{Timeout: 2 * time.Second}).DialContext,
-	}
-}
-
 // Run serves until ctx ends, then lets requests in flight end.
 func (a *Agent) Run(ctx context.Context) error {
 	listener, err := net.Listen("tcp", a.cfg.Listen)
@@ -164,12 +156,7 @@
 	if a.cfg.WrapListener != nil {
 		listener = a.cfg.WrapListener(listener)
 	}
-	server := &http.Server{
-		Handler:           a.handler(),
-		ReadHeaderTimeout: readHeaderTimeout,
-		MaxHeaderBytes:    maxHeaderBytes,
-		Protocols:         serverProtocols(),
-	}
+	server := lifecycle.NewServer(a.handler(), serverProtocols())
 	var duties sync.WaitGroup
 	dutyCtx, stopDuties := context.WithCancel(context.Background())
 	defer stopDuties()
--- a/node/agent/rollout_config.go
+++ b/node/agent/rollout_config.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/laburnumloft/laburnumloft/core/rollout"
+	"github.com/laburnumloft/laburnumloft/node/lib/lifecycle"
 	"github.com/laburnumloft/laburnumloft/node/lib/options"
 )
 
@@ -126,7 +127,7 @@
 	if cfg.Transport != nil {
 		return cfg.Transport
 	}
-	base := newTransport()
+	base := lifecycle.DataTransport(idlePerHost)
 	if !cfg.Channel.TLS() {
 		base.Protocols = PeerProtocols()
 	}
--- a/node/agent/weights.go
+++ b/node/agent/weights.go
@@ -14,6 +14,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/laburnumloft/laburnumloft/core/rollout"
+	"github.com/laburnumloft/laburnumloft/node/lib/lifecycle"
 	"github.com/laburnumloft/laburnumloft/node/lib/wire"
 )
 
@@ -303,7 +304,7 @@
 	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /weights/v1/{model}/{version}/data", d.handleData)
-	server := &http.Server{Handler: mux, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeaderBytes}
+	server := lifecycle.NewServer(mux, nil)
 	d.dataAddress = listener.Addr().String()
 	go func() { _ = server.Serve(listener) }()
 	context.AfterFunc(ctx, func() { _ = server.Close() })
--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -28,11 +28,8 @@
 // ErrStart is returned when an entry can't start.
 var ErrStart = eris.New("entry can't start")
 
-// readHeaderTimeout bounds how long a slow client may take for its headers.
-const readHeaderTimeout = 5 * time.Second
-
-// maxHeaderBytes bounds the size of request headers.
-const maxHeaderBytes = 32 << 10
+// idlePerHost is the number of idle connections kept to each host.
+const idlePerHost = 64
 
 // Config holds the settings of one entry.
 type Config struct {
@@ -84,8 +81,8 @@
 
 // New returns an entry that is not started yet.
 func New(cfg Config) *Entry {
-	client := &http.Client{Transport: &telemetry.Transport{Base: cfg.Channel.Transport(newTransport())}}
-	platformClient := &http.Client{Transport: &telemetry.Transport{Base: platform.LimitBody(newTransport(), settingsPageBytes)}}
+	client := &http.Client{Transport: &telemetry.Transport{Base: cfg.Channel.Transport(lifecycle.DataTransport(idlePerHost))}}
+	platformClient := &http.Client{Transport: &telemetry.Transport{Base: platform.LimitBody(lifecycle.DataTransport(idlePerHost), settingsPageBytes)}}
 	e := &Entry{
 		cfg:         cfg,
 		logger:      cfg.Logger,
@@ -105,14 +102,6 @@
 	return e
 }
 
-func newTransport() *http.Transport {
-	return &http.Transport{
-		MaxIdleConnsPerHost: 64,
-		IdleConnTimeout:     90 * time.Second,
-		DialContext:         (&net.Dialer{Timeout: 2 * time.Second}).DialContext,
-	}
-}
-
 // Run serves until ctx ends, then lets requests in flight end.
 func (e *Entry) Run(ctx context.Context) error {
 	public, err := net.Listen("tcp", e.cfg.Listen)
@@ -123,7 +112,10 @@
 	if err != nil {
 		return eris.Wrap(errors.Join(ErrStart, err), "listening for own processes")
 	}
-	servers := []*http.Server{e.server(e.publicHandler()), e.server(e.peerHandler())}
+	servers := []*http.Server{
+		lifecycle.NewServer(e.publicHandler(), lifecycle.ControlProtocols()),
+		lifecycle.NewServer(e.peerHandler(), lifecycle.ControlProtocols()),
+	}
 	var duties sync.WaitGroup
 	dutyCtx, stopDuties := context.WithCancel(context.Background())
 	defer stopDuties()
@@ -150,15 +142,6 @@
 	return err
 }
 
-func (e *Entry) server(handler http.Handler) *http.Server {
-	return &http.Server{
-		Handler:           handler,
-		ReadHeaderTimeout: readHeaderTimeout,
-		MaxHeaderBytes:    maxHeaderBytes,
-		Protocols:         lifecycle.ControlProtocols(),
-	}
-}
-
 func (e *Entry) serve(server *http.Server, listener net.Listener) {
 	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 		e.logger.Error("server stopped", "error", err)
--- a/node/lib/lifecycle/transport.go
+++ b/node/lib/lifecycle/transport.go
@@ -46,3 +46,37 @@
 	protocols.SetUnencryptedHTTP2(true)
 	return protocols
 }
+
+// Limits of data connections.
+const (
+	dataDialTimeout = 2 * time.Second
+	dataIdle        = 90 * time.Second
+)
+
+// DataTransport returns a transport for requests, streams and the platform,
+// which keeps up to idlePerHost idle connections to each host.
+func DataTransport(idlePerHost int) *http.Transport {
+	return &http.Transport{
+		MaxIdleConnsPerHost: idlePerHost,
+		IdleConnTimeout:     dataIdle,
+		DialContext:         (&net.Dialer{Timeout: dataDialTimeout}).DialContext,
+	}
+}
+
+// Limits of servers.
+const (
+	// readHeaderTimeout bounds how long a slow client may take for its headers.
+	readHeaderTimeout = 5 * time.Second
+	maxHeaderBytes    = 32 << 10
+)
+
+// NewServer returns a server that bounds the time and size of headers. Nil
+// protocols mean the default ones.
+func NewServer(handler http.Handler, protocols *http.Protocols) *http.Server {
+	return &http.Server{
+		Handler:           handler,
+		ReadHeaderTimeout: readHeaderTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+		Protocols:         protocols,
+	}
+}
