--- a/bench/path/path_test.go
+++ b/bench/path/path_test.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"os"
+	"os/exec"
 	"testing"
 	"time"
 
@@ -33,6 +34,25 @@
 	c.Assert(answer.Text, qt.Equals, "v1-0 v1-1 v1-2 v1-3 ")
 }
 
+// TestStatusOfOffset guards against a status that looks converged right after
+// a publish, before the entry has read the change.
+func TestStatusOfOffset(t *testing.T) {
+	c := qt.New(t)
+	cluster, err := harness.Start("../../bin", os.Stderr)
+	c.Assert(err, qt.IsNil)
+	defer cluster.Close()
+	entry := startOne(c, cluster)
+	c.Assert(ask(entry), qt.IsNil)
+	status := func(args ...string) string {
+		args = append([]string{"status", "--entry", "http://" + entry.Address}, args...)
+		output, err := exec.Command("../../bin/laburnum-entry", args...).CombinedOutput()
+		c.Assert(err, qt.IsNil, qt.Commentf("%s", output))
+		return string(output)
+	}
+	c.Assert(status("--wait"), qt.Contains, "converged: true")
+	c.Assert(status("--offset", "1000"), qt.Contains, "converged: false")
+}
+
 // startOne starts an entry and an engine with its agent, and publishes their
 // settings.
 func startOne(c *qt.C, cluster *harness.Cluster, args ...string) *harness.Process {
--- a/node/cmd/laburnum-entry/status.go
+++ b/node/cmd/laburnum-entry/status.go
@@ -25,6 +25,9 @@
 type statusCommand struct {
 	sources
 	Wait bool `long:"wait" description:"show progress until all VMs have converged"`
+	// Offset keeps a status from right after a publish from looking converged
+	// before the entry has read the change.
+	Offset int64 `long:"offset" description:"offset that publish printed; not converged before it is in force"`
 }
 
 // Execute implements flags.Commander.
@@ -42,6 +45,7 @@
 		case err != nil && !c.Wait:
 			return &failure{err}
 		case err == nil:
+			status.Converged = status.Converged && status.SettingsOffset >= c.Offset
 			if now := fmt.Sprint(*status); now != printed {
 				printed = now
 				c.print(status)
