Serve the users' platform: adapter, gateway, weight staging

Cause: the product spoke only its own interface; nothing ran on the platform's settings, store, engines and origin. Entries call backend servers themselves; agents stage weights, order their engine and report its load.

--- a/node/cmd/laburnum-agent/main.go
+++ b/node/cmd/laburnum-agent/main.go
@@ -34,6 +34,9 @@
 }
 
 func main() {
+	if len(os.Args) > 1 && os.Args[1] == platformWord {
+		os.Exit(runPlatform(os.Args[2:]))
+	}
 	os.Exit(run())
 }
 
--- /dev/null
+++ b/node/cmd/laburnum-agent/platform.go
@@ -0,0 +1,43 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"os"
+
+	"github.com/jessevdk/go-flags"
+
+	"github.com/laburnumloft/laburnumloft/node/lib/lifecycle"
+	"github.com/laburnumloft/laburnumloft/node/lib/options"
+	"github.com/laburnumloft/laburnumloft/platform"
+)
+
+// platformWord as the first argument runs the agent on the users' platform.
+const platformWord = "platform"
+
+// runPlatform runs an agent with the platform's settings file.
+func runPlatform(args []string) int {
+	var opts platform.Flags
+	rest, err := flags.NewParser(&opts, flags.HelpFlag|flags.PassDoubleDash).ParseArgs(args)
+	if err != nil {
+		return options.Exit(err)
+	}
+	if err := options.NoArguments(rest); err != nil {
+		return options.Exit(err)
+	}
+	settings, err := platform.LoadSettings(os.Getenv(platform.SettingsVariable))
+	if err != nil {
+		return options.Exit(err)
+	}
+	ctx, _, release := lifecycle.Signals()
+	defer release()
+	err = platform.RunAgent(ctx, settings, opts.Options("agent", os.Stdout))
+	if errors.Is(err, platform.ErrSettings) {
+		return options.Exit(err)
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	return 0
+}
--- a/node/cmd/laburnum-entry/main.go
+++ b/node/cmd/laburnum-entry/main.go
@@ -46,6 +46,7 @@
 		command           flags.Commander
 	}{
 		{"serve", "run an entry", "Runs an entry until SIGTERM.", &serveCommand{}},
+		{"platform", "run an entry on the users' platform", platformHelp, &platformCommand{}},
 		{"check", "check documents before publishing", checkHelp, &checkCommand{}},
 		{"publish", "publish documents", publishHelp, &publishCommand{}},
 		{"get", "print the document in force", getHelp, &getCommand{}},
--- /dev/null
+++ b/node/cmd/laburnum-entry/platform.go
@@ -0,0 +1,35 @@
+package main
+
+import (
+	"errors"
+	"os"
+
+	"github.com/laburnumloft/laburnumloft/node/lib/lifecycle"
+	"github.com/laburnumloft/laburnumloft/node/lib/options"
+	"github.com/laburnumloft/laburnumloft/platform"
+)
+
+const platformHelp = "Runs an entry with the settings file that " + platform.SettingsVariable + " names, until SIGTERM." + exitCodes
+
+// platformCommand runs an entry on the users' platform.
+type platformCommand struct {
+	platform.Flags
+}
+
+// Execute implements flags.Commander.
+func (c *platformCommand) Execute(rest []string) error {
+	if err := options.NoArguments(rest); err != nil {
+		return err
+	}
+	settings, err := platform.LoadSettings(os.Getenv(platform.SettingsVariable))
+	if err != nil {
+		return err
+	}
+	ctx, _, release := lifecycle.Signals()
+	defer release()
+	err = platform.RunEntry(ctx, settings, c.Options("entry", os.Stdout))
+	if err != nil && !errors.Is(err, platform.ErrSettings) {
+		return &failure{err}
+	}
+	return err
+}
--- /dev/null
+++ b/node/feed/feed.go
@@ -0,0 +1,158 @@
+// Package feed follows keyed records of the platform's log: first the newest
+// record of each key, then what is appended, by long poll.
+package feed
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/laburnumloft/laburnumloft/node/decision"
+)
+
+// ErrExpired is returned by a Source when records after the offset are gone.
+var ErrExpired = eris.New("the log no longer holds the offset")
+
+// Record is one keyed record. A nil value means that the key was dropped.
+type Record struct {
+	Key    string
+	Value  []byte
+	Offset int64
+}
+
+// Source reads one topic.
+type Source interface {
+	// Newest returns the newest record of each key and the end of the log.
+	Newest(ctx context.Context) (records []Record, end int64, err error)
+	// Read returns records from an offset on and the offset after them. It
+	// waits up to wait for the first.
+	Read(ctx context.Context, from int64, wait time.Duration) (records []Record, next int64, err error)
+}
+
+// Config sets up a Follower.
+type Config struct {
+	Name   string
+	Source Source
+	Log    *decision.Log
+	// Wait is how long one read waits for a record.
+	Wait time.Duration
+	// Pause is the time between two reads, in which records collect.
+	Pause time.Duration
+	// OnRecords takes records in order. A snapshot holds all keys.
+	OnRecords func(records []Record, snapshot bool)
+	// OnContact is called after each successful call; nil if not needed.
+	OnContact func()
+}
+
+const (
+	// firstRetry and maxRetry bound the pause after a failed call. All
+	// processes together stay below the store's rates during its outage.
+	firstRetry = 150 * time.Millisecond
+	maxRetry   = 600 * time.Millisecond
+	// callTimeout bounds a call beyond the time that it may wait.
+	callTimeout = 1500 * time.Millisecond
+)
+
+// Follower keeps a topic's records up to date.
+type Follower struct {
+	cfg     Config
+	started time.Time
+	// contact is when the last successful call ended, as time since started;
+	// negative if there was none.
+	contact atomic.Int64
+	offset  int64
+	known   bool
+	retry   time.Duration
+	lost    bool
+}
+
+// NewFollower returns a follower that has read nothing.
+func NewFollower(cfg Config) *Follower {
+	f := &Follower{cfg: cfg, started: time.Now()}
+	f.contact.Store(-1)
+	return f
+}
+
+// ContactAge returns the time since the last successful call; ok is false if
+// there was none.
+func (f *Follower) ContactAge() (age time.Duration, ok bool) {
+	at := f.contact.Load()
+	return time.Since(f.started) - time.Duration(at), at >= 0
+}
+
+// Run follows the topic until ctx ends.
+func (f *Follower) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		pause := f.cfg.Pause
+		if err := f.step(ctx); err != nil {
+			pause = f.failed(ctx, err)
+		} else {
+			f.succeeded()
+		}
+		select {
+		case <-time.After(pause):
+		case <-ctx.Done():
+		}
+	}
+}
+
+// step makes one call: the newest records at first, then a read.
+func (f *Follower) step(ctx context.Context) error {
+	if !f.known {
+		ctx, cancel := context.WithTimeout(ctx, callTimeout)
+		defer cancel()
+		records, end, err := f.cfg.Source.Newest(ctx)
+		if err != nil {
+			return err
+		}
+		f.offset, f.known = end, true
+		f.cfg.OnRecords(records, true)
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, f.cfg.Wait+callTimeout)
+	defer cancel()
+	records, next, err := f.cfg.Source.Read(ctx, f.offset, f.cfg.Wait)
+	if err != nil {
+		return err
+	}
+	f.offset = next
+	if len(records) > 0 {
+		f.cfg.OnRecords(records, false)
+	}
+	return nil
+}
+
+func (f *Follower) succeeded() {
+	f.contact.Store(int64(time.Since(f.started)))
+	f.retry = 0
+	if f.lost {
+		f.lost = false
+		f.cfg.Log.Event("store_regained", "feed", f.cfg.Name, "offset", f.offset)
+	}
+	if f.cfg.OnContact != nil {
+		f.cfg.OnContact()
+	}
+}
+
+// failed returns the pause before the next call.
+func (f *Follower) failed(ctx context.Context, err error) time.Duration {
+	if ctx.Err() != nil {
+		return 0
+	}
+	if errors.Is(err, ErrExpired) {
+		f.known = false
+		f.cfg.Log.Event("feed_expired", "feed", f.cfg.Name, "offset", f.offset)
+		return 0
+	}
+	if !f.lost {
+		f.lost = true
+		age, _ := f.ContactAge()
+		f.cfg.Log.Event("store_lost", "feed", f.cfg.Name, "cause", err.Error(), "contact_age_ms", age.Milliseconds())
+	}
+	f.retry = min(max(2*f.retry, firstRetry), maxRetry)
+	return f.retry/2 + rand.N(f.retry)
+}
--- /dev/null
+++ b/node/gateway/exchange.go
@@ -0,0 +1,128 @@
+package gateway
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"sync/atomic"
+	"time"
+
+	"github.com/laburnumloft/laburnumloft/core/placement"
+)
+
+// hopHeaders concern only one connection and are not passed on.
+var hopHeaders = []string{
+	"Connection", "Keep-Alive", "Proxy-Connection", "Transfer-Encoding", "Te", "Trailer", "Upgrade", "Expect", "Content-Length",
+}
+
+// exchange is one attempt at one server.
+type exchange struct {
+	choice placement.Choice
+	resp   *http.Response
+	answer Answer
+	// sent says that bytes of the request may have reached the server.
+	sent bool
+	err  error
+	took time.Duration
+}
+
+// ran reports whether the request may have run in this attempt.
+func (e *exchange) ran() bool {
+	if !e.sent {
+		return false
+	}
+	return e.err != nil || !e.answer.NotRun && !e.answer.Misdirected
+}
+
+// outcome is what the attempt tells of the server, if no body is at fault.
+func (e *exchange) outcome() placement.Outcome {
+	switch {
+	case !e.sent:
+		return placement.Unreachable
+	case e.err != nil:
+		return placement.Broken
+	case e.answer.Misdirected:
+		return placement.Misdirected
+	case e.answer.NotRun:
+		return placement.Shed
+	case e.resp.StatusCode >= http.StatusInternalServerError:
+		return placement.Errored
+	default:
+		return placement.Succeeded
+	}
+}
+
+// send sends the request to the chosen server and returns its header.
+func (g *Gateway) send(ctx context.Context, req *request, choice placement.Choice, offer Offer) *exchange {
+	e := &exchange{choice: choice}
+	var connected atomic.Bool
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
+	})
+	out := &http.Request{
+		Method: req.in.Method, Host: req.in.Host, Header: req.in.Header.Clone(),
+		URL:   &url.URL{Scheme: "http", Host: choice.Server.Address, Path: req.in.URL.Path, RawPath: req.in.URL.RawPath, RawQuery: req.in.URL.RawQuery, ForceQuery: req.in.URL.ForceQuery},
+		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
+	}
+	for _, name := range hopHeaders {
+		out.Header.Del(name)
+	}
+	if _, ok := out.Header["User-Agent"]; !ok {
+		// An empty value keeps net/http from adding its own.
+		out.Header["User-Agent"] = []string{""}
+	}
+	offer.Left = time.Until(req.deadline)
+	offer.InstanceID = choice.Server.ID
+	offer.Workspace = req.workspace
+	offer.Urgency = req.urgency()
+	g.cfg.Codec.Prepare(out.Header, offer)
+	if len(req.body) > 0 {
+		// Without GetBody net/http can't send the body a second time.
+		out.Body = io.NopCloser(bytes.NewReader(req.body))
+		out.ContentLength = int64(len(req.body))
+	}
+	started := time.Now()
+	e.resp, e.err = g.client.RoundTrip(out.WithContext(ctx))
+	e.took = time.Since(started)
+	e.sent = connected.Load()
+	if e.err != nil {
+		return e
+	}
+	e.answer = g.cfg.Codec.Answer(e.resp)
+	if e.answer.RequestID != "" && e.answer.RequestID != req.call.RequestID {
+		_ = e.resp.Body.Close()
+		e.err = errCrossed
+	} else if e.resp.StatusCode/100 == 2 && (!e.answer.Signed || e.answer.RequestID == "" || e.resp.Header.Get("Content-Encoding") != "") {
+		_ = e.resp.Body.Close()
+		e.err = errUnsigned
+	}
+	return e
+}
+
+// logAttempt records a failed attempt with what decided it.
+func (g *Gateway) logAttempt(req *request, e *exchange, result string) {
+	status := 0
+	if e.resp != nil {
+		status = e.resp.StatusCode
+	}
+	cause := ""
+	if e.err != nil {
+		cause = e.err.Error()
+	}
+	g.cfg.Log.Event("attempt_failed", "request", req.call.RequestID, "server", e.choice.Server.ID, "result", result,
+		"status", status, "cause", cause, "load", e.choice.Load, "report_age_ms", e.choice.ReportAge.Milliseconds(),
+		"weights", e.choice.Version, "ms", e.took.Milliseconds())
+}
+
+// copyHeader passes a server's header on.
+func copyHeader(dst, src http.Header) {
+	for name, values := range src {
+		dst[name] = values
+	}
+	for _, name := range hopHeaders {
+		dst.Del(name)
+	}
+}
--- /dev/null
+++ b/node/gateway/gateway.go
@@ -0,0 +1,248 @@
+// Package gateway is the entry's request path: it accepts callers' requests,
+// places them at backend servers and returns whole answers.
+//
+// Decisions are made by core/route and core/placement. This package keeps the
+// sockets and timers round them. The names of headers come from a Codec, so
+// that the path doesn't depend on one platform's spelling.
+package gateway
+
+import (
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/laburnumloft/laburnumloft/core/limits"
+	"github.com/laburnumloft/laburnumloft/core/placement"
+	"github.com/laburnumloft/laburnumloft/core/route"
+	"github.com/laburnumloft/laburnumloft/node/decision"
+)
+
+// Call is what a caller says of a request in its headers.
+type Call struct {
+	RequestID, Key string
+	// Deadline is how long the caller waits; 0 if it says nothing.
+	Deadline time.Duration
+	// LastEvent is the id of the last event that the caller has, if Resumes.
+	LastEvent int64
+	Resumes   bool
+	// Model is empty for plain services.
+	Model string
+	// PromptTokens and OutputTokens are the size; 0 is unknown.
+	PromptTokens, OutputTokens int
+}
+
+// Offer is what a backend server is told beside the caller's own headers.
+type Offer struct {
+	// Left is how long the server may work.
+	Left time.Duration
+	// InstanceID is the server that is meant.
+	InstanceID string
+	// Workspace is the caller's; empty if the configuration has none.
+	Workspace string
+	// Urgency is 0 (first) to 9.
+	Urgency int
+	// WeightVersion is the version that must answer; 0 is any.
+	WeightVersion int64
+	// LastEvent is the event after which to resume, if Resumes.
+	LastEvent int64
+	Resumes   bool
+}
+
+// Answer is what a server's response header says.
+type Answer struct {
+	RequestID string
+	// Signed answers come from the server's application.
+	Signed bool
+	// NotRun says that the request has not run and will not.
+	NotRun bool
+	// Misdirected says that the server isn't the one that was meant.
+	Misdirected bool
+}
+
+// Codec translates between headers and the types above.
+type Codec interface {
+	Call(h http.Header) Call
+	// Prepare turns a caller's header into that of the request to a server.
+	Prepare(h http.Header, o Offer)
+	Answer(resp *http.Response) Answer
+}
+
+// Config sets up a Gateway.
+type Config struct {
+	ID, Zone string
+	Codec    Codec
+	Log      *decision.Log
+	// RetryRatio, RetrySlack and RetryWindow bound repeats over all entries:
+	// in a window, a service gets at most ratio x requests + slack of them.
+	RetryRatio, RetrySlack float64
+	Seed                   uint64
+}
+
+// retryShare is the part of the common retry budget that the entries use.
+// The rest covers counts that differ at the window's edges.
+const retryShare = 0.7
+
+// assumedEntries divides the retry slack until the number of entries is known.
+const assumedEntries = 20
+
+// Gateway serves requests by the configuration in force.
+type Gateway struct {
+	cfg    Config
+	client *http.Transport
+	table  atomic.Pointer[route.Table]
+	// closing is set when new requests are refused because of a stop, leaving
+	// as soon as a stop was asked for.
+	closing, leaving atomic.Bool
+
+	mu      sync.Mutex
+	fleet   *placement.Fleet
+	budget  *limits.RetryBudget
+	entries int
+	changed chan struct{}
+	targets map[string]target
+}
+
+// target is a weight version that the operator named.
+type target struct {
+	version int64
+	learnt  time.Time
+}
+
+// New returns a gateway without configuration.
+func New(cfg Config) *Gateway {
+	g := &Gateway{
+		cfg: cfg, client: newTransport(),
+		fleet:   placement.NewFleet(placement.DefaultConfig(cfg.Zone), cfg.Seed),
+		changed: make(chan struct{}), targets: map[string]target{},
+	}
+	g.setEntries(assumedEntries)
+	return g
+}
+
+// Configure puts a configuration in force unless it is older than the one in
+// force.
+func (g *Gateway) Configure(cfg route.Configuration, source string) bool {
+	for {
+		old := g.table.Load()
+		if old != nil && old.Version() >= cfg.Version {
+			return false
+		}
+		if g.table.CompareAndSwap(old, route.NewTable(cfg)) {
+			g.cfg.Log.Event("configuration_taken", "version", cfg.Version, "source", source,
+				"routes", len(cfg.Routes), "workspaces", len(cfg.Workspaces))
+			return true
+		}
+	}
+}
+
+// Table returns the configuration in force, or nil.
+func (g *Gateway) Table() *route.Table { return g.table.Load() }
+
+// PutServer takes over a record of the registry.
+func (g *Gateway) PutServer(s placement.Server) bool {
+	g.mu.Lock()
+	changed := g.fleet.Put(s)
+	g.wake()
+	g.mu.Unlock()
+	if changed {
+		g.cfg.Log.Event("server_taken", "server", s.ID, "service", s.Service, "address", s.Address,
+			"draining", s.Draining, "weights", s.WeightVersion, "born", s.Born)
+	}
+	return changed
+}
+
+// RemoveServer drops a server that the registry no longer lists.
+func (g *Gateway) RemoveServer(id, reason string) bool {
+	g.mu.Lock()
+	removed := g.fleet.Remove(id)
+	g.mu.Unlock()
+	if removed {
+		g.cfg.Log.Event("server_gone", "server", id, "reason", reason)
+	}
+	return removed
+}
+
+// Servers returns the listed servers.
+func (g *Gateway) Servers() []placement.Server {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.fleet.Servers()
+}
+
+// Report takes over the report of an engine's agent.
+func (g *Gateway) Report(r placement.Report) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.fleet.Report(r, time.Now())
+	g.wake()
+}
+
+// SetEntries tells how many entries share the retry budget.
+func (g *Gateway) SetEntries(n int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	// A smaller view, for example during a cut, must not raise the share.
+	if n > g.entries {
+		g.setEntries(n)
+	}
+}
+
+func (g *Gateway) setEntries(n int) {
+	g.entries = n
+	g.budget = limits.NewRetryBudget(limits.RetryBudgetConfig{
+		Ratio: retryShare * g.cfg.RetryRatio, Burst: max(1, retryShare*g.cfg.RetrySlack/float64(n)), MaxKeys: 1024,
+	})
+}
+
+// wake lets waiting requests look again. The caller holds the lock.
+func (g *Gateway) wake() {
+	close(g.changed)
+	g.changed = make(chan struct{})
+}
+
+// requireAfter is how long after a weight version was named requests may
+// still begin below it; requireMargin of the platform's bound is left for
+// requests on their way and in queues.
+const requireMargin = 1500 * time.Millisecond
+
+// RequireWeights tells of a weight version that the operator named, and the
+// time within which it must be in use.
+func (g *Gateway) RequireWeights(model string, version int64, within time.Duration) {
+	g.mu.Lock()
+	if g.targets[model].version >= version {
+		g.mu.Unlock()
+		return
+	}
+	g.targets[model] = target{version, time.Now()}
+	g.mu.Unlock()
+	g.cfg.Log.Event("weights_named", "model", model, "version", version)
+	time.AfterFunc(max(0, within-requireMargin), func() {
+		g.mu.Lock()
+		g.fleet.Require(version)
+		g.mu.Unlock()
+		g.cfg.Log.Event("weights_required", "model", model, "version", version)
+	})
+}
+
+// Targets returns the named weight versions by model.
+func (g *Gateway) Targets() map[string]int64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	out := map[string]int64{}
+	for model, t := range g.targets {
+		out[model] = t.version
+	}
+	return out
+}
+
+// Ready reports whether the gateway takes callers.
+func (g *Gateway) Ready() bool {
+	return g.table.Load() != nil && !g.leaving.Load()
+}
+
+// Leave stops being ready; requests are still served.
+func (g *Gateway) Leave() { g.leaving.Store(true) }
+
+// Close refuses new requests.
+func (g *Gateway) Close() { g.closing.Store(true) }
--- /dev/null
+++ b/node/gateway/place.go
@@ -0,0 +1,112 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"github.com/laburnumloft/laburnumloft/core/limits"
+	"github.com/laburnumloft/laburnumloft/core/placement"
+	"github.com/laburnumloft/laburnumloft/core/route"
+)
+
+const (
+	// holdShare of the target is how long a request waits here for a free
+	// place. An engine frees a place every 100 ms or so when its batch is
+	// full; a longer wait makes the answer late, and a refusal as well.
+	holdShare = 0.2
+	// maxOffers bounds the servers that refuse one request before the
+	// gateway does.
+	maxOffers = 3
+)
+
+// place chooses a server, and waits for one within the hold time.
+func (g *Gateway) place(ctx context.Context, req *request) (placement.Choice, Reason) {
+	hold := time.Duration(holdShare * float64(req.route.Target))
+	timeout := time.NewTimer(max(hold, time.Millisecond))
+	defer timeout.Stop()
+	for {
+		g.mu.Lock()
+		choice, miss := g.fleet.Choose(time.Now(), placement.Query{
+			Service: req.service, Model: req.model, Avoid: req.offers, Yielding: req.late,
+		})
+		changed := g.changed
+		g.mu.Unlock()
+		if miss == placement.Found {
+			return choice, ""
+		}
+		select {
+		case <-changed:
+		case <-timeout.C:
+			return placement.Choice{}, missReason(miss, req)
+		case <-ctx.Done():
+			return placement.Choice{}, g.ended(ctx, req)
+		}
+	}
+}
+
+func missReason(miss placement.Miss, req *request) Reason {
+	switch {
+	case len(req.offers) > 0:
+		return ReasonRefusedByAll
+	case miss == placement.AllFull:
+		return ReasonAllFull
+	case miss == placement.NoWeights:
+		return ReasonNoWeights
+	default:
+		return ReasonNoServer
+	}
+}
+
+// ended tells why a request's context is done.
+func (g *Gateway) ended(ctx context.Context, req *request) Reason {
+	if req.in.Context().Err() != nil {
+		return ReasonClientLeft
+	}
+	if req.runs > 0 {
+		return ReasonTimeout
+	}
+	return ReasonLateDeadline
+}
+
+// mayRepeat takes one repeat from the retry budget.
+func (g *Gateway) mayRepeat(req *request) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.budget.Retry(limits.RetryKey{Service: req.service})
+}
+
+// first earns the retry budget of a request's first offer.
+func (g *Gateway) first(req *request) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.budget.Attempt(limits.RetryKey{Service: req.service})
+}
+
+// mayRunAgain reports whether a request that may have run may be sent to
+// another server.
+func (r *request) mayRunAgain() bool {
+	return r.route.Repeatable() && r.runs < max(r.route.MaxAttempts, 1)
+}
+
+// urgency maps the priority to the engine's scale, on which 5 is usual.
+// Callers whose target has passed go behind the others: an answer on time is
+// worth several late ones.
+func (r *request) urgency() int {
+	u := min(max(r.priority+2, 0), 6)
+	if r.late {
+		u = 8
+	}
+	return u
+}
+
+func (g *Gateway) release(choice placement.Choice, outcome placement.Outcome) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.fleet.Done(time.Now(), choice.Handle, outcome)
+	if outcome == placement.Shed {
+		attempts.Add("shed", 1)
+	}
+	g.wake()
+}
+
+func (r *request) isStream() bool { return r.route.Kind == route.Stream }
--- /dev/null
+++ b/node/mesh/datagram.go
@@ -0,0 +1,144 @@
+// Package mesh carries what the processes of the system tell each other
+// without being asked: entries say that they live, and agents report the load
+// of their engines. It also holds the list of members.
+package mesh
+
+import (
+	"bytes"
+	"encoding/binary"
+	"errors"
+	"hash/fnv"
+	"net/netip"
+
+	"github.com/laburnumloft/laburnumloft/core/placement"
+)
+
+// Datagram kinds.
+const (
+	kindHello  = 1
+	kindReport = 2
+)
+
+// paceScale turns the pace into a whole number on the wire.
+const paceScale = 1000
+
+// Flags of a datagram.
+const (
+	flagReady = 1 << iota
+	flagStore
+	flagLoading
+	flagDown
+)
+
+// ErrDatagram is returned for bytes that are no datagram of this package.
+var ErrDatagram = errors.New("not a datagram of the mesh")
+
+// Hello says that an entry lives.
+type Hello struct {
+	// Member is the hash of the sender's id.
+	Member uint64
+	// Ready entries take callers.
+	Ready bool
+	// Store says that the sender reaches the platform's store.
+	Store bool
+	// Configuration is the version that the sender has in force.
+	Configuration int64
+}
+
+// wireHello and wireReport have fixed sizes; the byte order is big-endian.
+type wireHello struct {
+	Kind, Flags   uint8
+	Member        uint64
+	Configuration int64
+}
+
+type wireReport struct {
+	Kind, Flags     uint8
+	IP              [4]byte
+	Port            uint16
+	Running, Queued uint16
+	Pace            uint16
+	WeightVersion   uint32
+	Born            int64
+}
+
+// MemberHash identifies a member in datagrams.
+func MemberHash(id string) uint64 {
+	h := fnv.New64a()
+	// A hash never fails to write.
+	_, _ = h.Write([]byte(id))
+	return h.Sum64()
+}
+
+// EncodeHello returns the datagram of a hello.
+func EncodeHello(h Hello) []byte {
+	return encode(wireHello{kindHello, flag(h.Ready, flagReady) | flag(h.Store, flagStore), h.Member, h.Configuration})
+}
+
+// EncodeReport returns the datagram of a report, or an error if the address
+// is not IPv4 and a port.
+func EncodeReport(r placement.Report) ([]byte, error) {
+	addr, err := netip.ParseAddrPort(r.Address)
+	if err != nil || !addr.Addr().Is4() {
+		return nil, ErrDatagram
+	}
+	return encode(wireReport{
+		Kind: kindReport, Flags: flag(r.Loading, flagLoading) | flag(r.Down, flagDown),
+		IP: addr.Addr().As4(), Port: addr.Port(),
+		Running: clamp(r.Running), Queued: clamp(r.Queued), Pace: clamp(int(r.Pace * paceScale)),
+		WeightVersion: uint32(r.WeightVersion), Born: r.Born,
+	}), nil
+}
+
+// Decode returns a *Hello or a *placement.Report.
+func Decode(b []byte) (any, error) {
+	if len(b) == 0 {
+		return nil, ErrDatagram
+	}
+	switch b[0] {
+	case kindHello:
+		var w wireHello
+		if err := decode(b, &w); err != nil {
+			return nil, err
+		}
+		return &Hello{w.Member, w.Flags&flagReady != 0, w.Flags&flagStore != 0, w.Configuration}, nil
+	case kindReport:
+		var w wireReport
+		if err := decode(b, &w); err != nil {
+			return nil, err
+		}
+		return &placement.Report{
+			Address: netip.AddrPortFrom(netip.AddrFrom4(w.IP), w.Port).String(),
+			Running: int(w.Running), Queued: int(w.Queued), Pace: float64(w.Pace) / paceScale,
+			WeightVersion: int64(w.WeightVersion), Born: w.Born,
+			Loading: w.Flags&flagLoading != 0, Down: w.Flags&flagDown != 0,
+		}, nil
+	default:
+		return nil, ErrDatagram
+	}
+}
+
+func encode(v any) []byte {
+	var b bytes.Buffer
+	// Fixed-size values always fit a buffer in memory.
+	_ = binary.Write(&b, binary.BigEndian, v)
+	return b.Bytes()
+}
+
+func decode(b []byte, v any) error {
+	if len(b) != binary.Size(v) {
+		return ErrDatagram
+	}
+	return binary.Read(bytes.NewReader(b), binary.BigEndian, v)
+}
+
+func flag(set bool, bit uint8) uint8 {
+	if set {
+		return bit
+	}
+	return 0
+}
+
+func clamp(n int) uint16 {
+	return uint16(min(max(n, 0), 1<<16-1))
+}
--- /dev/null
+++ b/node/mesh/mesh.go
@@ -0,0 +1,248 @@
+package mesh
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/laburnumloft/laburnumloft/core/placement"
+	"github.com/laburnumloft/laburnumloft/node/decision"
+)
+
+// Role is the role of a member.
+type Role string
+
+// Roles of members.
+const (
+	Entry Role = "entry"
+	Agent Role = "agent"
+)
+
+const (
+	// helloEvery is the time between two hellos of an entry to each other
+	// one, for up to helloMembers entries; more entries say it less often, so
+	// that the datagrams of one entry stay near 40 a second.
+	helloEvery   = 500 * time.Millisecond
+	helloMembers = 20
+	// LiveWithin is the age of the last hello up to which an entry counts
+	// as alive: three lost or late hellos.
+	LiveWithin = 2 * time.Second
+	// datagramBytes is larger than any datagram of the mesh.
+	datagramBytes = 256
+)
+
+// Member is a process of the system. It is published once at its start.
+type Member struct {
+	ID   string `json:"id"`
+	Role Role   `json:"role"`
+	// Address is the IP:PORT for own processes, TCP and UDP.
+	Address string `json:"address"`
+	// Front is where callers connect; entries only.
+	Front  string `json:"front,omitempty"`
+	Zone   string `json:"zone"`
+	Region string `json:"region"`
+}
+
+// Config sets up a Mesh.
+type Config struct {
+	Self Member
+	Log  *decision.Log
+	// OnReport takes the report of an agent; entries only.
+	OnReport func(placement.Report)
+	// Status returns what the next hello says; entries only.
+	Status func() Hello
+}
+
+// Mesh is one process's view of the others.
+type Mesh struct {
+	cfg  Config
+	conn *net.UDPConn
+
+	mu      sync.Mutex
+	members map[string]*peer
+	hashes  map[uint64]*peer
+}
+
+type peer struct {
+	member Member
+	addr   netip.AddrPort
+	hello  Hello
+	heard  time.Time
+}
+
+// Open binds the mesh's UDP port.
+func Open(cfg Config) (*Mesh, error) {
+	addr, err := net.ResolveUDPAddr("udp4", cfg.Self.Address)
+	if err != nil {
+		return nil, eris.Wrap(err, "address of the mesh")
+	}
+	conn, err := net.ListenUDP("udp4", addr)
+	if err != nil {
+		return nil, eris.Wrap(err, "listening for datagrams")
+	}
+	return &Mesh{cfg: cfg, conn: conn, members: map[string]*peer{}, hashes: map[uint64]*peer{}}, nil
+}
+
+// Put adds a member or replaces what is known of it.
+func (m *Mesh) Put(member Member) {
+	addr, err := netip.ParseAddrPort(member.Address)
+	if err != nil || member.ID == "" {
+		m.cfg.Log.Event("member_refused", "member", member.ID, "address", member.Address, "reason", "malformed")
+		return
+	}
+	if member.ID == m.cfg.Self.ID {
+		return
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if p, ok := m.members[member.ID]; ok {
+		p.member, p.addr = member, addr
+		return
+	}
+	p := &peer{member: member, addr: addr}
+	m.members[member.ID] = p
+	m.hashes[MemberHash(member.ID)] = p
+	m.cfg.Log.Event("member_learnt", "member", member.ID, "role", string(member.Role), "address", member.Address)
+}
+
+// Remove drops a member.
+func (m *Mesh) Remove(id string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	delete(m.members, id)
+	delete(m.hashes, MemberHash(id))
+}
+
+// Members returns all other members of a role, ordered by id.
+func (m *Mesh) Members(role Role) []Member {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var out []Member
+	for _, p := range m.members {
+		if p.member.Role == role {
+			out = append(out, p.member)
+		}
+	}
+	slices.SortFunc(out, func(a, b Member) int { return strings.Compare(a.ID, b.ID) })
+	return out
+}
+
+// LiveEntry is an entry with what its last hello said.
+type LiveEntry struct {
+	Member
+	Hello Hello
+	// Age is the time since that hello.
+	Age time.Duration
+}
+
+// LiveEntries returns the other entries that said hello lately, by id.
+func (m *Mesh) LiveEntries() []LiveEntry {
+	now := time.Now()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var out []LiveEntry
+	for _, p := range m.members {
+		if p.member.Role == Entry && !p.heard.IsZero() && now.Sub(p.heard) <= LiveWithin {
+			out = append(out, LiveEntry{p.member, p.hello, now.Sub(p.heard)})
+		}
+	}
+	slices.SortFunc(out, func(a, b LiveEntry) int { return strings.Compare(a.ID, b.ID) })
+	return out
+}
+
+// Run receives datagrams, and as an entry says hello, until ctx ends.
+func (m *Mesh) Run(ctx context.Context) {
+	go func() {
+		<-ctx.Done()
+		_ = m.conn.Close()
+	}()
+	if m.cfg.Self.Role == Entry {
+		go m.sayHello(ctx)
+	}
+	buffer := make([]byte, datagramBytes)
+	for {
+		n, _, err := m.conn.ReadFromUDPAddrPort(buffer)
+		if err != nil {
+			if ctx.Err() != nil {
+				return
+			}
+			// A refused datagram of ours shows up here as an error.
+			continue
+		}
+		m.receive(buffer[:n])
+	}
+}
+
+func (m *Mesh) receive(b []byte) {
+	message, err := Decode(b)
+	if err != nil {
+		m.cfg.Log.Event("datagram_refused", "bytes", len(b))
+		return
+	}
+	switch d := message.(type) {
+	case *Hello:
+		m.mu.Lock()
+		if p := m.hashes[d.Member]; p != nil {
+			p.hello, p.heard = *d, time.Now()
+		}
+		m.mu.Unlock()
+	case *placement.Report:
+		if m.cfg.OnReport != nil {
+			m.cfg.OnReport(*d)
+		}
+	}
+}
+
+func (m *Mesh) sayHello(ctx context.Context) {
+	for {
+		sent := m.HelloNow()
+		wait := helloEvery
+		if sent > helloMembers {
+			wait = helloEvery * time.Duration(sent) / helloMembers
+		}
+		select {
+		case <-time.After(min(wait, LiveWithin/2)):
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// HelloNow tells all entries the present status at once and returns how many.
+func (m *Mesh) HelloNow() int {
+	hello := m.cfg.Status()
+	hello.Member = MemberHash(m.cfg.Self.ID)
+	return m.toEntries(EncodeHello(hello))
+}
+
+// Report sends an engine's report to all entries.
+func (m *Mesh) Report(r placement.Report) error {
+	b, err := EncodeReport(r)
+	if err != nil {
+		return err
+	}
+	m.toEntries(b)
+	return nil
+}
+
+func (m *Mesh) toEntries(b []byte) int {
+	m.mu.Lock()
+	targets := make([]netip.AddrPort, 0, len(m.members))
+	for _, p := range m.members {
+		if p.member.Role == Entry {
+			targets = append(targets, p.addr)
+		}
+	}
+	m.mu.Unlock()
+	for _, t := range targets {
+		// Datagrams may be lost; the next one follows soon.
+		_, _ = m.conn.WriteToUDPAddrPort(b, t)
+	}
+	return len(targets)
+}
--- /dev/null
+++ b/node/stager/peers.go
@@ -0,0 +1,191 @@
+package stager
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/dghubble/sling"
+	"github.com/rotisserie/eris"
+
+	"github.com/laburnumloft/laburnumloft/core/rollout"
+)
+
+// Paths that agents serve to each other.
+const (
+	PiecePath = "/v1/pieces"
+	StatePath = "/v1/engine"
+)
+
+const (
+	// pieceWait is how long an agent waits for a piece that it is fetching
+	// itself before it tells the asking one that it has none.
+	pieceWait = 400 * time.Millisecond
+	// pieceTimeout bounds a whole answer: the wait and a piece on a link that
+	// is shared by a few.
+	pieceTimeout = pieceWait + 1500*time.Millisecond
+	// peerDialTimeout bounds a connection to another agent.
+	peerDialTimeout = 300 * time.Millisecond
+	// peerSetAside is how long an agent that failed isn't asked.
+	peerSetAside = 2 * time.Second
+	// maxPiece bounds a piece in bytes.
+	maxPiece = 16 << 20
+)
+
+var errSetAside = eris.New("the peer failed a moment ago")
+
+// peerClient asks other agents.
+type peerClient struct {
+	client *http.Client
+
+	mu    sync.Mutex
+	aside map[string]time.Time
+}
+
+func newPeerClient() *peerClient {
+	dialer := &net.Dialer{Timeout: peerDialTimeout}
+	return &peerClient{aside: map[string]time.Time{}, client: &http.Client{
+		Timeout:   pieceTimeout,
+		Transport: &http.Transport{DialContext: dialer.DialContext, DisableCompression: true, MaxIdleConnsPerHost: 4, IdleConnTimeout: 5 * time.Second},
+	}}
+}
+
+type pieceQuery struct {
+	Model   string `url:"model"`
+	Version int64  `url:"version"`
+	Number  int    `url:"number"`
+}
+
+func (c *peerClient) piece(ctx context.Context, peer rollout.Peer, model string, version int64, n int) ([]byte, error) {
+	if c.isAside(peer.ID) {
+		return nil, errSetAside
+	}
+	resp, err := c.get(ctx, peer, PiecePath, pieceQuery{model, version, n})
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		return nil, ErrNoPiece
+	}
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxPiece))
+	if err != nil {
+		c.setAside(peer.ID)
+		return nil, eris.Wrap(err, "reading a piece of a peer")
+	}
+	return data, nil
+}
+
+func (c *peerClient) get(ctx context.Context, peer rollout.Peer, path string, query any) (*http.Response, error) {
+	req, err := sling.New().Base("http://" + peer.Address).Get(path).QueryStruct(query).Request()
+	if err != nil {
+		return nil, eris.Wrap(err, "building a question to a peer")
+	}
+	resp, err := c.client.Do(req.WithContext(ctx))
+	if err != nil {
+		if ctx.Err() == nil {
+			c.setAside(peer.ID)
+		}
+		return nil, eris.Wrap(err, "asking a peer")
+	}
+	return resp, nil
+}
+
+func (c *peerClient) setAside(id string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.aside[id] = time.Now().Add(peerSetAside)
+}
+
+func (c *peerClient) isAside(id string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return time.Now().Before(c.aside[id])
+}
+
+// peerState is what an agent says of its engine.
+type peerState struct {
+	Version int64 `json:"version"`
+	Down    bool  `json:"down"`
+}
+
+// state asks a predecessor how far it is.
+func (c *peerClient) state(ctx context.Context, peer rollout.Peer, model string, version int64) rollout.PredecessorState {
+	if c.isAside(peer.ID) {
+		return rollout.PredecessorGone
+	}
+	resp, err := c.get(ctx, peer, StatePath, struct{}{})
+	if err != nil {
+		return rollout.PredecessorGone
+	}
+	defer func() { _ = resp.Body.Close() }()
+	var state peerState
+	if json.NewDecoder(resp.Body).Decode(&state) != nil || state.Down {
+		return rollout.PredecessorGone
+	}
+	if state.Version >= version {
+		return rollout.PredecessorDone
+	}
+	return rollout.PredecessorPending
+}
+
+// Handler serves pieces and the engine's state to other agents.
+func (s *Stager) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc(PiecePath, s.servePiece)
+	mux.HandleFunc(StatePath, func(w http.ResponseWriter, _ *http.Request) {
+		_, _, state, up := s.wanted()
+		w.Header().Set("Content-Type", "application/json")
+		// A peer that left asks again.
+		_ = json.NewEncoder(w).Encode(peerState{Version: state.Version, Down: !up})
+	})
+	return mux
+}
+
+func (s *Stager) servePiece(w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	version, err := strconv.ParseInt(q.Get("version"), 10, 64)
+	number, err2 := strconv.Atoi(q.Get("number"))
+	if err != nil || err2 != nil || number < 0 {
+		http.Error(w, "version and number are whole numbers", http.StatusBadRequest)
+		return
+	}
+	model := q.Get("model")
+	data := s.loadedPiece(r.Context(), model, version, number)
+	if data == nil {
+		data = s.store.wait(r.Context(), model, version, number, pieceWait)
+	}
+	if data == nil {
+		http.Error(w, fmt.Sprintf("piece %d is not here", number), http.StatusNotFound)
+		return
+	}
+	w.Header().Set("Content-Length", strconv.Itoa(len(data)))
+	// A peer that left asks again.
+	_, _ = w.Write(data)
+}
+
+// loadedPiece serves a version that the engine ran before this process
+// started from the engine's staged pieces. The asking agent checks the bytes.
+func (s *Stager) loadedPiece(ctx context.Context, model string, version int64, n int) []byte {
+	target, _, state, up := s.wanted()
+	if !up || state.Version != version || target.Model != model || s.store.manifestOf(model, version) != nil {
+		return nil
+	}
+	if target.Version > version {
+		// Pieces of the next version are replacing the staged ones.
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, engineTimeout)
+	defer cancel()
+	data, err := s.cfg.Engine.Get(ctx, model, n)
+	if err != nil {
+		return nil
+	}
+	return data
+}
--- /dev/null
+++ b/node/stager/stager.go
@@ -0,0 +1,241 @@
+// Package stager brings the engine on an agent's machine to the weight version
+// that the operator named: it fetches the pieces, mostly from other agents,
+// stages them beside the engine, checks them again and orders the engine to
+// load them. It also reports the engine's load to the entries.
+package stager
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/laburnumloft/laburnumloft/core/placement"
+	"github.com/laburnumloft/laburnumloft/core/rollout"
+	"github.com/laburnumloft/laburnumloft/node/decision"
+)
+
+// Errors of engines and origins.
+var (
+	// ErrBusy means that the engine takes no order now.
+	ErrBusy = eris.New("the engine takes no order now")
+	// ErrNoPiece means that a source doesn't hold the piece.
+	ErrNoPiece = eris.New("the source doesn't hold the piece")
+	// ErrSpoilt means that bytes don't match their digest.
+	ErrSpoilt = eris.New("the bytes don't match the digest")
+	// ErrMoved means that another version is wanted by now.
+	ErrMoved = eris.New("another version is wanted")
+)
+
+// Manifest lists the digests of a version's pieces.
+type Manifest struct {
+	Model   string `json:"model"`
+	Version int64  `json:"version"`
+	// Digests are the SHA-256 of the pieces in hexadecimal.
+	Digests []string `json:"digests"`
+}
+
+// EngineState is what the engine says of itself.
+type EngineState struct {
+	Running, Queued int
+	// Version is that of its whole weights; 0 is none.
+	Version int64
+	// Busy says that an order is in progress.
+	Busy bool
+	Pace float64
+	Born int64
+}
+
+// Engine is the engine on this machine.
+type Engine interface {
+	State(ctx context.Context) (EngineState, error)
+	Held(ctx context.Context, model string) ([]int, error)
+	Put(ctx context.Context, model string, number int, data []byte) error
+	Get(ctx context.Context, model string, number int) ([]byte, error)
+	// Load orders the engine to load the staged pieces.
+	Load(ctx context.Context, model string, version int64) error
+}
+
+// Origin is the origin of weights. Version 0 means the newest.
+type Origin interface {
+	Manifest(ctx context.Context, model string, version int64) (*Manifest, error)
+	Piece(ctx context.Context, model string, version int64, number int) ([]byte, error)
+}
+
+// Target is what the engine is to run.
+type Target struct {
+	Model string
+	// Version is 0 until the operator named one.
+	Version int64
+	// Learnt is when the version became known here.
+	Learnt time.Time
+	// Origin and OriginRegion are empty until the configuration is known.
+	Origin       string
+	OriginRegion string
+}
+
+// Config sets up a Stager.
+type Config struct {
+	Self    rollout.Peer
+	Address string
+	Engine  Engine
+	// NewOrigin returns the client of an origin.
+	NewOrigin func(address string) Origin
+	// Peers are the other agents.
+	Peers func() []rollout.Peer
+	// Report sends the engine's load to the entries.
+	Report func(placement.Report)
+	Log    *decision.Log
+	// Within is the time in which a named version must be in use.
+	Within time.Duration
+}
+
+const (
+	// reportEvery is the time between two reports of the load. A full engine
+	// ends a request every 100 ms.
+	reportEvery = 150 * time.Millisecond
+	// engineTimeout bounds a call to the engine on the same machine.
+	engineTimeout = time.Second
+	// stepPause is the time after which the work looks again.
+	stepPause = 50 * time.Millisecond
+	// failurePause is the time after a failed step.
+	failurePause = 200 * time.Millisecond
+	// idlePause is the time after which an engine that has its version is
+	// looked at again.
+	idlePause = 100 * time.Millisecond
+	// downAfter is how many calls in a row fail before the engine counts as
+	// down.
+	downAfter = 2
+)
+
+// Stager brings one engine to its target.
+type Stager struct {
+	cfg   Config
+	store *pieceStore
+	peers *peerClient
+
+	mu      sync.Mutex
+	target  Target
+	state   EngineState
+	seen    bool
+	down    bool
+	failed  int
+	loading bool
+	origin  Origin
+	moved   chan struct{}
+}
+
+// New returns a stager without target.
+func New(cfg Config) *Stager {
+	return &Stager{cfg: cfg, store: newPieceStore(), peers: newPeerClient(), moved: make(chan struct{})}
+}
+
+// SetTarget changes what the engine is to run. A version never goes back.
+func (s *Stager) SetTarget(t Target) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if t.Model == "" || t.Model == s.target.Model && t.Version <= s.target.Version && t.Origin == s.target.Origin {
+		return
+	}
+	if t.Model == s.target.Model && t.Version <= s.target.Version {
+		t.Version, t.Learnt = s.target.Version, s.target.Learnt
+	}
+	if t.Origin != s.target.Origin && t.Origin != "" {
+		s.origin = s.cfg.NewOrigin(t.Origin)
+	}
+	s.target = t
+	s.cfg.Log.Event("target_taken", "model", t.Model, "version", t.Version, "origin", t.Origin)
+	close(s.moved)
+	s.moved = make(chan struct{})
+}
+
+func (s *Stager) wanted() (Target, Origin, EngineState, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.target, s.origin, s.state, s.seen && !s.down
+}
+
+// Run reports and works until ctx ends.
+func (s *Stager) Run(ctx context.Context) {
+	var wait sync.WaitGroup
+	wait.Go(func() { s.watch(ctx) })
+	wait.Go(func() { s.work(ctx) })
+	wait.Wait()
+}
+
+// watch asks the engine for its state and reports it.
+func (s *Stager) watch(ctx context.Context) {
+	tick := time.NewTicker(reportEvery)
+	defer tick.Stop()
+	for {
+		s.look(ctx)
+		select {
+		case <-tick.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (s *Stager) look(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, engineTimeout)
+	defer cancel()
+	state, err := s.cfg.Engine.State(ctx)
+	s.mu.Lock()
+	if err != nil {
+		s.failed++
+		if s.failed == downAfter {
+			s.down = true
+			s.cfg.Log.Event("engine_down", "cause", err.Error())
+		}
+	} else {
+		if s.down || !s.seen || s.state.Born != state.Born || s.state.Version != state.Version {
+			s.cfg.Log.Event("engine_state", "weights", state.Version, "born", state.Born, "running", state.Running, "queued", state.Queued, "busy", state.Busy)
+		}
+		s.failed, s.down, s.seen, s.state = 0, false, true, state
+	}
+	report := placement.Report{
+		Address: s.cfg.Address, Running: s.state.Running, Queued: s.state.Queued, WeightVersion: s.state.Version,
+		Loading: s.loading || s.state.Busy, Down: s.down, Pace: s.state.Pace, Born: s.state.Born,
+	}
+	seen := s.seen || s.down
+	s.mu.Unlock()
+	if seen {
+		s.cfg.Report(report)
+	}
+}
+
+func (s *Stager) setLoading(loading bool) {
+	s.mu.Lock()
+	s.loading = loading
+	s.mu.Unlock()
+}
+
+// work brings the engine to its target again and again.
+func (s *Stager) work(ctx context.Context) {
+	for ctx.Err() == nil {
+		pause := idlePause
+		if err := s.step(ctx); err != nil && !errors.Is(err, ErrMoved) && ctx.Err() == nil {
+			s.cfg.Log.Event("staging_failed", "cause", err.Error())
+			pause = failurePause
+		}
+		select {
+		case <-time.After(pause):
+		case <-ctx.Done():
+		}
+	}
+}
+
+// step does what is needed to bring the engine to the present target.
+func (s *Stager) step(ctx context.Context) error {
+	target, origin, state, up := s.wanted()
+	if target.Model == "" || origin == nil || !up {
+		return nil
+	}
+	if state.Version > 0 && (target.Version == 0 || state.Version >= target.Version) {
+		return nil
+	}
+	return newRound(s, target, origin, state).run(ctx)
+}
