Keep the age of named weights over restarts; prefetch for starting engines

Empty engines waited a second for their agent to begin. Change: placement.Named; entries tell each other the ages; a version found at a restart counts as old. Agents fetch pieces while the engine of a new machine starts.

--- /dev/null
+++ b/core/placement/named.go
@@ -0,0 +1,96 @@
+package placement
+
+import "time"
+
+// Named remembers when an entry learnt of the weight versions that the
+// operator named, and from that which version requests must not begin below.
+//
+// Rolling restarts: an entry that starts reads the newest version from the
+// store, but not how long ago it was named. Counting from its own start would
+// let it use older weights for too long, and it doesn't even see the version
+// before the newest. It therefore assumes that the version was named long ago,
+// until another entry tells the age of each.
+type Named struct {
+	within time.Duration
+	// assumed is the age of a version of which only the existence is known.
+	assumed time.Duration
+	models  map[string]map[int64]naming
+}
+
+type naming struct {
+	at    time.Time
+	exact bool
+}
+
+// maxNamings bounds the remembered versions of a model.
+const maxNamings = 8
+
+// NewNamed returns a Named without versions. A version is required the time
+// within after it was named.
+func NewNamed(within, assumed time.Duration) *Named {
+	return &Named{within: within, assumed: assumed, models: map[string]map[int64]naming{}}
+}
+
+// Saw takes a version that was just named.
+func (n *Named) Saw(model string, version int64, now time.Time) bool {
+	return n.learn(model, version, naming{now, true})
+}
+
+// Found takes a version that was named at an unknown time.
+func (n *Named) Found(model string, version int64, now time.Time) bool {
+	return n.learn(model, version, naming{now.Add(-n.assumed), false})
+}
+
+// Told takes a version with the age that another entry tells.
+func (n *Named) Told(model string, version int64, age time.Duration, now time.Time) bool {
+	return n.learn(model, version, naming{now.Add(-age), true})
+}
+
+// learn keeps the earliest exact time, and reports whether the version is new.
+func (n *Named) learn(model string, version int64, fresh naming) bool {
+	versions := n.models[model]
+	if versions == nil {
+		versions = map[int64]naming{}
+		n.models[model] = versions
+	}
+	old, known := versions[version]
+	if !known || fresh.exact && !old.exact || fresh.exact == old.exact && fresh.at.Before(old.at) {
+		versions[version] = fresh
+	}
+	for len(versions) > maxNamings {
+		oldest := version
+		for v := range versions {
+			oldest = min(oldest, v)
+		}
+		delete(versions, oldest)
+	}
+	return !known
+}
+
+// Required returns the version of a model below which no request may begin.
+func (n *Named) Required(model string, now time.Time) int64 {
+	var required int64
+	for version, naming := range n.models[model] {
+		if now.Sub(naming.at) >= n.within {
+			required = max(required, version)
+		}
+	}
+	return required
+}
+
+// Ages returns the age of every version of which it is known.
+func (n *Named) Ages(now time.Time) map[string]map[int64]time.Duration {
+	out := map[string]map[int64]time.Duration{}
+	for model, versions := range n.models {
+		for version, naming := range versions {
+			if !naming.exact {
+				continue
+			}
+			if out[model] == nil {
+				out[model] = map[int64]time.Duration{}
+			}
+			out[model][version] = now.Sub(naming.at)
+		}
+	}
+	return out
+}
--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -17,13 +17,12 @@
 // Server is what the registry says of one backend server.
 type Server struct {
 	ID, Address, Service, Zone string
+	// Model is the model of an engine; empty for plain servers.
+	Model string
 	// Slots is how many requests it runs at once; 0 is unknown.
 	Slots int
 	// Draining servers get no new requests.
 	Draining bool
-	// Engine says that the registry lists weights for the server; an engine
-	// without weights can't run a request.
-	Engine bool
 	// WeightVersion is the version of the whole weights that it holds; 0 is
 	// none.
 	WeightVersion int64
@@ -143,8 +142,8 @@
 	services map[string][]*member
 	byAddr   map[string]*member
 	reports  map[string]timedReport
-	// required is the weight version that requests must not begin below.
-	required int64
+	// named tells which weight version requests must not begin below.
+	named *Named
 }
 
 type timedReport struct {
@@ -154,9 +153,9 @@
 
 // NewFleet returns a fleet without servers. The seed makes the choices of
 // entries differ.
-func NewFleet(cfg Config, seed uint64) *Fleet {
+func NewFleet(cfg Config, named *Named, seed uint64) *Fleet {
 	return &Fleet{
-		cfg: cfg, random: rand.New(rand.NewPCG(seed, seed^0x9e3779b97f4a7c15)),
+		cfg: cfg, named: named, random: rand.New(rand.NewPCG(seed, seed^0x9e3779b97f4a7c15)),
 		members: map[string]*member{}, services: map[string][]*member{},
 		byAddr: map[string]*member{}, reports: map[string]timedReport{},
 	}
@@ -226,12 +225,6 @@
 	m.sentSince, m.doneSince = 0, 0
 }
 
-// Require sets the weight version below which no request may begin.
-func (f *Fleet) Require(version int64) { f.required = max(f.required, version) }
-
-// Required returns that version.
-func (f *Fleet) Required() int64 { return f.required }
-
 // Query describes what a request needs.
 type Query struct {
 	Service string
@@ -315,7 +308,7 @@
 	}
 	if q.Model {
 		version := f.version(m)
-		if version == 0 || version < f.required || fresh && m.report.Loading {
+		if version == 0 || version < f.named.Required(m.server.Model, now) || fresh && m.report.Loading {
 			return NoWeights
 		}
 		if f.load(m, now) >= f.limit(m, q) {
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -76,7 +76,9 @@
 	// RetryRatio, RetrySlack and RetryWindow bound repeats over all entries:
 	// in a window, a service gets at most ratio x requests + slack of them.
 	RetryRatio, RetrySlack float64
-	Seed                   uint64
+	// WeightsWithin is the time in which named weights must be in use.
+	WeightsWithin time.Duration
+	Seed          uint64
 }
 
 // retryShare is the part of the common retry budget that the entries use.
@@ -100,22 +102,16 @@
 	budget  *limits.RetryBudget
 	entries int
 	changed chan struct{}
-	targets map[string]target
-}
-
-// target is a weight version that the operator named.
-type target struct {
-	version int64
-	learnt  time.Time
+	named   *placement.Named
 }
 
 // New returns a gateway without configuration.
 func New(cfg Config) *Gateway {
 	g := &Gateway{
 		cfg: cfg, client: newTransport(),
-		fleet:   placement.NewFleet(placement.DefaultConfig(cfg.Zone), cfg.Seed),
-		changed: make(chan struct{}), targets: map[string]target{},
+		changed: make(chan struct{}), named: placement.NewNamed(max(0, cfg.WeightsWithin-requireMargin), cfg.WeightsWithin-requireMargin-restartGrace),
 	}
+	g.fleet = placement.NewFleet(placement.DefaultConfig(cfg.Zone), g.named, cfg.Seed)
 	g.setEntries(assumedEntries)
 	return g
 }
@@ -201,39 +197,56 @@
 	g.changed = make(chan struct{})
 }
 
-// requireAfter is how long after a weight version was named requests may
-// still begin below it; requireMargin of the platform's bound is left for
-// requests on their way and in queues.
-const requireMargin = 1500 * time.Millisecond
+const (
+	// requireMargin of the time for named weights is left for requests on
+	// their way and in queues.
+	requireMargin = 1500 * time.Millisecond
+	// restartGrace is how long an entry that has just started may use older
+	// weights, unless another entry says that they are out of date already.
+	restartGrace = 2 * time.Second
+)
+
+// Naming is how an entry came to know of a weight version.
+type Naming int
 
-// RequireWeights tells of a weight version that the operator named, and the
-// time within which it must be in use.
-func (g *Gateway) RequireWeights(model string, version int64, within time.Duration) {
+// Ways to learn of a weight version.
+const (
+	// NamedNow means that the operator named it a moment ago.
+	NamedNow Naming = iota
+	// NamedBefore means that it was named at an unknown time.
+	NamedBefore
+)
+
+// WeightsNamed tells of a weight version that the operator named.
+func (g *Gateway) WeightsNamed(model string, version int64, naming Naming) {
 	g.mu.Lock()
-	if g.targets[model].version >= version {
-		g.mu.Unlock()
-		return
+	var fresh bool
+	if naming == NamedNow {
+		fresh = g.named.Saw(model, version, time.Now())
+	} else {
+		fresh = g.named.Found(model, version, time.Now())
 	}
-	g.targets[model] = target{version, time.Now()}
 	g.mu.Unlock()
-	g.cfg.Log.Event("weights_named", "model", model, "version", version)
-	time.AfterFunc(max(0, within-requireMargin), func() {
-		g.mu.Lock()
-		g.fleet.Require(version)
-		g.mu.Unlock()
-		g.cfg.Log.Event("weights_required", "model", model, "version", version)
-	})
+	if fresh {
+		g.cfg.Log.Event("weights_named", "model", model, "version", version, "just_now", naming == NamedNow)
+	}
 }
 
-// Targets returns the named weight versions by model.
-func (g *Gateway) Targets() map[string]int64 {
+// WeightsTold tells of a version with the age that another entry knows.
+func (g *Gateway) WeightsTold(model string, version int64, age time.Duration) {
 	g.mu.Lock()
-	defer g.mu.Unlock()
-	out := map[string]int64{}
-	for model, t := range g.targets {
-		out[model] = t.version
+	fresh := g.named.Told(model, version, age, time.Now())
+	g.mu.Unlock()
+	if fresh {
+		g.cfg.Log.Event("weights_named", "model", model, "version", version, "age_ms", age.Milliseconds())
 	}
-	return out
+}
+
+// WeightAges returns the age of the named versions by model.
+func (g *Gateway) WeightAges() map[string]map[int64]time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.named.Ages(time.Now())
 }
 
 // Ready reports whether the gateway takes callers.
--- a/node/stager/peers.go
+++ b/node/stager/peers.go
@@ -30,10 +30,11 @@
 	// pieceTimeout bounds a whole answer: the wait and a piece on a link that
 	// is shared by a few.
 	pieceTimeout = pieceWait + 1500*time.Millisecond
-	// peerDialTimeout bounds a connection to another agent.
-	peerDialTimeout = 300 * time.Millisecond
+	// peerDialTimeout bounds a connection to another agent, whose link may
+	// have a queue of several pieces.
+	peerDialTimeout = 800 * time.Millisecond
 	// peerSetAside is how long an agent that failed isn't asked.
-	peerSetAside = 2 * time.Second
+	peerSetAside = time.Second
 	// maxPiece bounds a piece in bytes.
 	maxPiece = 16 << 20
 )
--- a/node/stager/pieces.go
+++ b/node/stager/pieces.go
@@ -31,8 +31,9 @@
 	s.wake()
 }
 
+// same reports whether the manifest is of a version; 0 stands for any.
 func same(m *Manifest, model string, version int64) bool {
-	return m != nil && m.Model == model && m.Version == version
+	return m != nil && m.Model == model && (m.Version == version || version == 0)
 }
 
 func (s *pieceStore) wake() {
--- a/node/stager/round.go
+++ b/node/stager/round.go
@@ -46,6 +46,8 @@
 	tree     *rollout.Tree
 	manifest *Manifest
 	began    time.Time
+	// memoryOnly rounds fetch without an engine.
+	memoryOnly bool
 }
 
 func newRound(s *Stager, t Target, origin Origin, state EngineState) *round {
@@ -91,6 +93,9 @@
 		return err
 	}
 	r.cfg.Log.Event("pieces_staged", "model", r.manifest.Model, "version", r.manifest.Version, "ms", time.Since(r.began).Milliseconds())
+	if r.memoryOnly {
+		return nil
+	}
 	if err := r.awaitTurn(ctx); err != nil {
 		return err
 	}
@@ -102,7 +107,7 @@
 
 // fetchManifest prefers the manifest that is here already.
 func (r *round) fetchManifest(ctx context.Context) (*Manifest, error) {
-	if m := r.store.manifestOf(r.target.Model, r.target.Version); m != nil && r.target.Version > 0 {
+	if m := r.store.manifestOf(r.target.Model, r.target.Version); m != nil {
 		return m, nil
 	}
 	m, err := r.from.Manifest(ctx, r.target.Model, r.target.Version)
@@ -153,7 +158,7 @@
 // heldNumbers are the pieces that a former run staged, perhaps of another
 // version.
 func (r *round) heldNumbers(ctx context.Context) []int {
-	if r.state.Version > 0 {
+	if r.memoryOnly || r.state.Version > 0 {
 		// The staged pieces are those of the version that it runs.
 		return nil
 	}
@@ -186,6 +191,9 @@
 }
 
 func (r *round) put(ctx context.Context, n int, data []byte) error {
+	if r.memoryOnly {
+		return nil
+	}
 	ctx, cancel := context.WithTimeout(ctx, engineTimeout)
 	defer cancel()
 	return r.cfg.Engine.Put(ctx, r.target.Model, n, data)
--- a/node/stager/stager.go
+++ b/node/stager/stager.go
@@ -88,6 +88,9 @@
 	// Report sends the engine's load to the entries.
 	Report func(placement.Report)
 	Log    *decision.Log
+	// Bootstrap says that the whole system starts for the first time. Engines
+	// hold weights then.
+	Bootstrap bool
 	// Within is the time in which a named version must be in use.
 	Within time.Duration
 }
@@ -123,8 +126,10 @@
 	down    bool
 	failed  int
 	loading bool
-	origin  Origin
-	moved   chan struct{}
+	// prefetched says that the pieces came before the engine was up.
+	prefetched bool
+	origin     Origin
+	moved      chan struct{}
 }
 
 // New returns a stager without target.
@@ -231,11 +236,34 @@
 // step does what is needed to bring the engine to the present target.
 func (s *Stager) step(ctx context.Context) error {
 	target, origin, state, up := s.wanted()
-	if target.Model == "" || origin == nil || !up {
+	if target.Model == "" || origin == nil {
 		return nil
 	}
+	if !up {
+		return s.prefetch(ctx, target, origin)
+	}
 	if state.Version > 0 && (target.Version == 0 || state.Version >= target.Version) {
 		return nil
 	}
 	return newRound(s, target, origin, state).run(ctx)
 }
+
+// prefetch fetches the pieces while the engine of a new machine still starts,
+// so that it can load as soon as it is up.
+func (s *Stager) prefetch(ctx context.Context, target Target, origin Origin) error {
+	s.mu.Lock()
+	wanted := s.down && !s.seen && !s.cfg.Bootstrap && !s.prefetched
+	s.mu.Unlock()
+	if !wanted {
+		return nil
+	}
+	r := newRound(s, target, origin, EngineState{})
+	r.memoryOnly = true
+	if err := r.run(ctx); err != nil {
+		return err
+	}
+	s.mu.Lock()
+	s.prefetched = true
+	s.mu.Unlock()
+	return nil
+}
