Fetch pieces as a paced swarm inside each region

Cause: staging a version took 3 to 5 s and filled the agents' links, behind which a third of the streams was late; in the fixed tree a parent that waits moves its children to the ancestors' links.

--- /dev/null
+++ b/core/rollout/swarm.go
@@ -0,0 +1,229 @@
+package rollout
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// SwarmConfig describes the agents that bring one version to their machines.
+type SwarmConfig struct {
+	Self Peer
+	// Peers are the other agents; Self may be among them.
+	Peers []Peer
+	// OriginRegion is where pieces enter; other regions get them from there
+	// or from each other.
+	OriginRegion string
+	// Version enters the order of feeders, so that successive versions load
+	// different agents first.
+	Version string
+	// Pieces is how many pieces the version has.
+	Pieces int
+	// FeederPatience is how long the next agent in line waits before it
+	// brings a piece into its region, and OriginPatience how long a feeder
+	// waits for the region before it until it asks the origin.
+	FeederPatience, OriginPatience time.Duration
+	// SetAside is how long a peer that failed is not asked.
+	SetAside time.Duration
+	Seed     uint64
+}
+
+// Swarm decides which piece an agent asks for next, and whom.
+//
+// A burst of a whole version onto many machines with thin links: each piece
+// enters a region once, through its feeder, and inside a region every agent
+// that holds a piece passes it on. Agents tell the others of their region what
+// they hold, so that all links carry pieces from the first moment on; in a
+// fixed tree the links of the leaves idle until the end, and one slow parent
+// holds up its whole branch. Telling costs a few kilobytes inside a region,
+// where bytes are free.
+type Swarm struct {
+	cfg      SwarmConfig
+	random   *rand.Rand
+	began    time.Time
+	region   []node
+	rank     int
+	chains   [][]string
+	byRegion map[string][]node
+	have     []bool
+	left     int
+	asked    []bool
+	holders  map[string][]bool
+	peers    map[string]Peer
+	aside    map[string]time.Time
+	denied   []time.Time
+}
+
+// deniedPause is how long a piece that nobody could send is not asked for.
+const deniedPause = 30 * time.Millisecond
+
+// NewSwarm returns a swarm in which this agent holds nothing.
+func NewSwarm(cfg SwarmConfig, now time.Time) *Swarm {
+	s := &Swarm{
+		cfg: cfg, began: now, random: rand.New(rand.NewPCG(cfg.Seed, uint64(cfg.Pieces))),
+		byRegion: map[string][]node{}, have: make([]bool, cfg.Pieces), left: cfg.Pieces, asked: make([]bool, cfg.Pieces),
+		holders: map[string][]bool{}, peers: map[string]Peer{}, aside: map[string]time.Time{}, denied: make([]time.Time, cfg.Pieces),
+	}
+	salt := newNode(Peer{ID: cfg.Version}).hash
+	add := func(p Peer) {
+		n := newNode(p)
+		n.hash = mix(n.hash ^ salt)
+		s.byRegion[p.Region] = append(s.byRegion[p.Region], n)
+	}
+	add(cfg.Self)
+	for _, p := range cfg.Peers {
+		if _, known := s.peers[p.ID]; p.ID != cfg.Self.ID && !known {
+			s.peers[p.ID] = p
+			add(p)
+		}
+	}
+	for _, nodes := range s.byRegion {
+		slices.SortFunc(nodes, func(a, b node) int {
+			return cmp.Or(cmp.Compare(a.hash, b.hash), cmp.Compare(a.peer.ID, b.peer.ID))
+		})
+	}
+	s.region = s.byRegion[cfg.Self.Region]
+	s.rank = slices.IndexFunc(s.region, func(n node) bool { return n.peer.ID == cfg.Self.ID })
+	tree := NewTree(TreeConfig{Self: cfg.Self, Peers: cfg.Peers, OriginRegion: cfg.OriginRegion})
+	for piece := range cfg.Pieces {
+		// Pairs of pieces share a chain in a tree; here each has its own.
+		s.chains = append(s.chains, tree.chain(2*piece))
+	}
+	return s
+}
+
+// Left returns how many pieces are missing.
+func (s *Swarm) Left() int { return s.left }
+
+// Hold notes that this agent holds a piece.
+func (s *Swarm) Hold(piece int) {
+	if !s.have[piece] {
+		s.have[piece] = true
+		s.left--
+	}
+}
+
+// Held returns what this agent holds.
+func (s *Swarm) Held() []bool { return slices.Clone(s.have) }
+
+// Told takes over what another agent of the region says that it holds.
+func (s *Swarm) Told(id string, held []bool) {
+	if len(held) == s.cfg.Pieces {
+		s.holders[id] = held
+	}
+}
+
+// Join adds an agent that appeared after the swarm began.
+func (s *Swarm) Join(p Peer) {
+	if p.ID != s.cfg.Self.ID {
+		s.peers[p.ID] = p
+	}
+}
+
+// Pull is a piece to ask for.
+type Pull struct {
+	Piece  int
+	Source Source
+	// Wait says that the source may not hold the piece yet.
+	Wait bool
+}
+
+// Feed returns the next piece that this agent is to bring into its region. It
+// returns false if there is none now.
+func (s *Swarm) Feed(now time.Time) (Pull, bool) {
+	n := len(s.region)
+	for i := range s.cfg.Pieces {
+		// Feeders begin at different pieces, so that the pieces of one
+		// feeder enter one after the other.
+		piece := (i + s.rank) % s.cfg.Pieces
+		place := (s.rank - piece%n + n) % n
+		due := s.began.Add(time.Duration(place) * s.cfg.FeederPatience)
+		if s.have[piece] || s.asked[piece] || now.Before(due) || now.Before(s.denied[piece]) {
+			continue
+		}
+		if place > 0 && s.heldNear(piece) {
+			continue
+		}
+		s.asked[piece] = true
+		return Pull{Piece: piece, Source: s.outside(piece, now.Sub(due), now), Wait: true}, true
+	}
+	return Pull{}, false
+}
+
+func (s *Swarm) heldNear(piece int) bool {
+	for _, held := range s.holders {
+		if held[piece] {
+			return true
+		}
+	}
+	return false
+}
+
+// outside returns where a feeder gets a piece.
+func (s *Swarm) outside(piece int, waited time.Duration, now time.Time) Source {
+	chain := s.chains[piece]
+	hop := slices.Index(chain, s.cfg.Self.Region)
+	if hop <= 0 || waited >= s.cfg.OriginPatience {
+		return Source{Origin: true}
+	}
+	before := s.byRegion[chain[hop-1]]
+	for i := range before {
+		peer := before[(piece+i)%len(before)].peer
+		if now.After(s.aside[peer.ID]) {
+			return Source{Peer: peer}
+		}
+	}
+	return Source{Origin: true}
+}
+
+// Exchange returns the rarest missing piece that an agent of the region holds.
+// It returns false if there is none now.
+func (s *Swarm) Exchange(now time.Time) (Pull, bool) {
+	best, fewest := -1, 0
+	start := s.random.IntN(max(s.cfg.Pieces, 1))
+	for i := range s.cfg.Pieces {
+		piece := (start + i) % s.cfg.Pieces
+		if s.have[piece] || s.asked[piece] || now.Before(s.denied[piece]) {
+			continue
+		}
+		if n := len(s.usable(piece, now)); n > 0 && (best < 0 || n < fewest) {
+			best, fewest = piece, n
+		}
+	}
+	if best < 0 {
+		return Pull{}, false
+	}
+	holders := s.usable(best, now)
+	s.asked[best] = true
+	return Pull{Piece: best, Source: Source{Peer: s.peers[holders[s.random.IntN(len(holders))]]}}, true
+}
+
+// usable returns the ids of the agents that can be asked for a piece.
+func (s *Swarm) usable(piece int, now time.Time) []string {
+	var ids []string
+	for id, held := range s.holders {
+		if _, known := s.peers[id]; known && held[piece] && now.After(s.aside[id]) {
+			ids = append(ids, id)
+		}
+	}
+	// The order of a map is random anyway; sorting makes runs repeatable.
+	slices.Sort(ids)
+	return ids
+}
+
+// Done takes the outcome of a pull.
+func (s *Swarm) Done(p Pull, outcome Outcome, now time.Time) {
+	s.asked[p.Piece] = false
+	switch outcome {
+	case Delivered:
+		s.Hold(p.Piece)
+	case NotYet, Throttled:
+		s.denied[p.Piece] = now.Add(deniedPause)
+	case Refused, Corrupt, NoProgress:
+		s.denied[p.Piece] = now.Add(deniedPause)
+		if !p.Source.Origin {
+			s.aside[p.Source.Peer.ID] = now.Add(s.cfg.SetAside)
+		}
+	}
+}
--- a/node/mesh/datagram.go
+++ b/node/mesh/datagram.go
@@ -17,6 +17,7 @@
 const (
 	kindHello  = 1
 	kindReport = 2
+	kindHeld   = 3
 )
 
 // paceScale turns the pace into a whole number on the wire.
@@ -45,6 +46,54 @@
 	Configuration int64
 }
 
+// Held says which pieces of a version an agent holds.
+type Held struct {
+	// Member is the hash of the sender's id.
+	Member  uint64
+	Version int64
+	Pieces  []bool
+}
+
+// wireHeld precedes the pieces, one bit each.
+type wireHeld struct {
+	Kind, Flags uint8
+	Member      uint64
+	Version     int64
+	Pieces      uint16
+}
+
+// MaxPieces is how many pieces fit a datagram; larger versions are not
+// announced.
+const MaxPieces = 8 * 1024
+
+// EncodeHeld returns the datagram of held pieces.
+func EncodeHeld(h Held) ([]byte, error) {
+	if len(h.Pieces) > MaxPieces {
+		return nil, ErrDatagram
+	}
+	b := encode(wireHeld{Kind: kindHeld, Member: h.Member, Version: h.Version, Pieces: uint16(len(h.Pieces))})
+	bits := make([]byte, (len(h.Pieces)+7)/8)
+	for i, held := range h.Pieces {
+		if held {
+			bits[i/8] |= 1 << (i % 8)
+		}
+	}
+	return append(b, bits...), nil
+}
+
+func decodeHeld(b []byte) (*Held, error) {
+	var w wireHeld
+	size := binary.Size(w)
+	if len(b) < size || decode(b[:size], &w) != nil || len(b)-size != (int(w.Pieces)+7)/8 {
+		return nil, ErrDatagram
+	}
+	h := &Held{Member: w.Member, Version: w.Version, Pieces: make([]bool, w.Pieces)}
+	for i := range h.Pieces {
+		h.Pieces[i] = b[size+i/8]&(1<<(i%8)) != 0
+	}
+	return h, nil
+}
+
 // wireHello and wireReport have fixed sizes; the byte order is big-endian.
 type wireHello struct {
 	Kind, Flags   uint8
@@ -90,7 +139,7 @@
 	}), nil
 }
 
-// Decode returns a *Hello or a *placement.Report.
+// Decode returns a *Hello, a *placement.Report or a *Held.
 func Decode(b []byte) (any, error) {
 	if len(b) == 0 {
 		return nil, ErrDatagram
@@ -113,6 +162,8 @@
 			WeightVersion: int64(w.WeightVersion), Born: w.Born,
 			Loading: w.Flags&flagLoading != 0, Down: w.Flags&flagDown != 0,
 		}, nil
+	case kindHeld:
+		return decodeHeld(b)
 	default:
 		return nil, ErrDatagram
 	}
--- a/node/mesh/mesh.go
+++ b/node/mesh/mesh.go
@@ -34,7 +34,7 @@
 	// as alive: three lost or late hellos.
 	LiveWithin = 2 * time.Second
 	// datagramBytes is larger than any datagram of the mesh.
-	datagramBytes = 256
+	datagramBytes = 2048
 )
 
 // Member is a process of the system. It is published once at its start.
@@ -55,6 +55,8 @@
 	Log  *decision.Log
 	// OnReport takes the report of an agent; entries only.
 	OnReport func(placement.Report)
+	// OnHeld takes what another agent of the region holds; agents only.
+	OnHeld func(id string, held Held)
 	// Status returns what the next hello says; entries only.
 	Status func() Hello
 }
@@ -192,6 +194,13 @@
 			p.hello, p.heard = *d, time.Now()
 		}
 		m.mu.Unlock()
+	case *Held:
+		m.mu.Lock()
+		p := m.hashes[d.Member]
+		m.mu.Unlock()
+		if p != nil && m.cfg.OnHeld != nil {
+			m.cfg.OnHeld(p.member.ID, *d)
+		}
 	case *placement.Report:
 		if m.cfg.OnReport != nil {
 			m.cfg.OnReport(*d)
@@ -231,11 +240,26 @@
 	return nil
 }
 
+// Held tells the agents of the own region which pieces this one holds.
+func (m *Mesh) Held(version int64, pieces []bool) error {
+	b, err := EncodeHeld(Held{Member: MemberHash(m.cfg.Self.ID), Version: version, Pieces: pieces})
+	if err != nil {
+		return err
+	}
+	m.send(b, func(o Member) bool { return o.Role == Agent && o.Region == m.cfg.Self.Region })
+	return nil
+}
+
 func (m *Mesh) toEntries(b []byte) int {
+	return m.send(b, func(o Member) bool { return o.Role == Entry })
+}
+
+// send sends a datagram to the members that fit and returns how many.
+func (m *Mesh) send(b []byte, fits func(Member) bool) int {
 	m.mu.Lock()
 	targets := make([]netip.AddrPort, 0, len(m.members))
 	for _, p := range m.members {
-		if p.member.Role == Entry {
+		if fits(p.member) {
 			targets = append(targets, p.addr)
 		}
 	}
--- /dev/null
+++ b/node/stager/announce.go
@@ -0,0 +1,94 @@
+package stager
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/laburnumloft/laburnumloft/core/rollout"
+)
+
+const (
+	// announceEvery bounds how often an agent tells its region what it holds.
+	announceEvery = 40 * time.Millisecond
+	// answerEvery bounds how often it tells so because another lacks pieces.
+	answerEvery = 150 * time.Millisecond
+)
+
+// heldPieces is what an agent of the region said last.
+type heldPieces struct {
+	version int64
+	pieces  []bool
+}
+
+// Told takes over what another agent of the region holds, and answers if that
+// agent lacks pieces that are here.
+func (s *Stager) Told(id string, version int64, pieces []bool) {
+	s.mu.Lock()
+	s.heldBy[id] = heldPieces{version, pieces}
+	answer := slices.Contains(pieces, false) && time.Since(s.answered) >= answerEvery && s.holds(version)
+	if answer {
+		s.answered = time.Now()
+	}
+	s.mu.Unlock()
+	if answer {
+		s.announceVersion(version, len(pieces))
+	}
+}
+
+// holds reports whether pieces of a version can be had here. The caller holds
+// the lock.
+func (s *Stager) holds(version int64) bool {
+	return s.state.Version == version && s.target.Version <= version || s.store.version() == version
+}
+
+// tellSwarm hands the other agents' words to a swarm.
+func (r *round) tellSwarm(swarm *rollout.Swarm) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for id, held := range r.heldBy {
+		if held.version == r.manifest.Version {
+			swarm.Told(id, held.pieces)
+		}
+	}
+}
+
+// announce tells the region what this agent holds.
+func (s *Stager) announce() {
+	if version, held := s.store.held(); version > 0 {
+		s.cfg.Announce(version, held)
+	}
+}
+
+// announceVersion tells of pieces in memory, or of all pieces if the engine
+// ran the version before this process started.
+func (s *Stager) announceVersion(version int64, pieces int) {
+	if s.store.version() == version {
+		s.announce()
+		return
+	}
+	s.cfg.Announce(version, slices.Repeat([]bool{true}, pieces))
+}
+
+// announceSoon asks the announcer to tell the region.
+func (s *Stager) announceSoon() {
+	select {
+	case s.news <- struct{}{}:
+	default:
+	}
+}
+
+// announcer tells the region of new pieces, some at a time.
+func (s *Stager) announcer(ctx context.Context) {
+	for {
+		select {
+		case <-s.news:
+		case <-ctx.Done():
+			return
+		}
+		s.announce()
+		if sleep(ctx, announceEvery) != nil {
+			return
+		}
+	}
+}
--- a/node/stager/peers.go
+++ b/node/stager/peers.go
@@ -26,10 +26,13 @@
 const (
 	// pieceWait is how long an agent waits for a piece that it is fetching
 	// itself before it tells the asking one that it has none.
-	pieceWait = 400 * time.Millisecond
-	// pieceTimeout bounds a whole answer: the wait and a piece on a link that
-	// is shared by a few.
+	pieceWait = 800 * time.Millisecond
+	// pieceTimeout bounds a whole answer: the wait, and a piece behind a few
+	// others.
 	pieceTimeout = pieceWait + 1500*time.Millisecond
+	// uploadQueue is how many pieces of the own region may wait for a place;
+	// the asking agent goes to another one beyond it.
+	uploadQueue = 3
 	// peerDialTimeout bounds a connection to another agent, whose link may
 	// have a queue of several pieces.
 	peerDialTimeout = 800 * time.Millisecond
@@ -39,7 +42,7 @@
 	maxPiece = 16 << 20
 )
 
-var errSetAside = eris.New("the peer failed a moment ago")
+var errPeerBusy = eris.New("the peer sends enough pieces already")
 
 // peerClient asks other agents.
 type peerClient struct {
@@ -61,18 +64,21 @@
 	Model   string `url:"model"`
 	Version int64  `url:"version"`
 	Number  int    `url:"number"`
+	// Wait asks the peer to wait for the piece.
+	Wait bool `url:"wait,omitempty"`
 }
 
-func (c *peerClient) piece(ctx context.Context, peer rollout.Peer, model string, version int64, n int) ([]byte, error) {
-	if c.isAside(peer.ID) {
-		return nil, errSetAside
-	}
-	resp, err := c.get(ctx, peer, PiecePath, pieceQuery{model, version, n})
+func (c *peerClient) piece(ctx context.Context, peer rollout.Peer, q pieceQuery) ([]byte, error) {
+	resp, err := c.get(ctx, peer, PiecePath, q)
 	if err != nil {
 		return nil, err
 	}
 	defer func() { _ = resp.Body.Close() }()
-	if resp.StatusCode != http.StatusOK {
+	switch resp.StatusCode {
+	case http.StatusOK:
+	case http.StatusTooManyRequests:
+		return nil, errPeerBusy
+	default:
 		return nil, ErrNoPiece
 	}
 	data, err := io.ReadAll(io.LimitReader(resp.Body, maxPiece))
@@ -160,15 +166,52 @@
 	model := q.Get("model")
 	data := s.loadedPiece(r.Context(), model, version, number)
 	if data == nil {
-		data = s.store.wait(r.Context(), model, version, number, pieceWait)
+		limit := time.Duration(0)
+		if q.Get("wait") != "" {
+			limit = pieceWait
+		}
+		data = s.store.wait(r.Context(), model, version, number, limit)
 	}
 	if data == nil {
 		http.Error(w, fmt.Sprintf("piece %d is not here", number), http.StatusNotFound)
 		return
 	}
+	if q.Get("wait") == "" && s.queued.Load() >= uploadQueue {
+		http.Error(w, "other pieces wait already", http.StatusTooManyRequests)
+		return
+	}
+	s.upload(r.Context(), w, data)
+}
+
+// uploadChunk is how much is written between two looks at the pace, in bytes.
+const uploadChunk = 8 << 10
+
+// upload sends a piece at the pace that leaves room for live answers.
+func (s *Stager) upload(ctx context.Context, w http.ResponseWriter, data []byte) {
+	s.queued.Add(1)
+	select {
+	case s.uploads <- struct{}{}:
+		s.queued.Add(-1)
+	case <-ctx.Done():
+		s.queued.Add(-1)
+		return
+	}
+	defer func() { <-s.uploads }()
 	w.Header().Set("Content-Length", strconv.Itoa(len(data)))
-	// A peer that left asks again.
-	_, _ = w.Write(data)
+	flush := http.NewResponseController(w)
+	for len(data) > 0 {
+		n := min(len(data), uploadChunk)
+		if s.uplink.wait(ctx, n) != nil {
+			return
+		}
+		if _, err := w.Write(data[:n]); err != nil {
+			return
+		}
+		if flush.Flush() != nil {
+			return
+		}
+		data = data[n:]
+	}
 }
 
 // loadedPiece serves a version that the engine ran before this process
--- a/node/stager/pieces.go
+++ b/node/stager/pieces.go
@@ -93,3 +93,27 @@
 		}
 	}
 }
+
+// version returns the version whose pieces are kept; 0 if there is none.
+func (s *pieceStore) version() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.manifest == nil {
+		return 0
+	}
+	return s.manifest.Version
+}
+
+// held returns which pieces are here.
+func (s *pieceStore) held() (version int64, held []bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.manifest == nil {
+		return 0, nil
+	}
+	held = make([]bool, len(s.pieces))
+	for i, data := range s.pieces {
+		held[i] = data != nil
+	}
+	return s.manifest.Version, held
+}
--- a/node/stager/round.go
+++ b/node/stager/round.go
@@ -5,23 +5,13 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"errors"
-	"slices"
 	"strconv"
-	"sync"
 	"time"
 
 	"github.com/laburnumloft/laburnumloft/core/rollout"
 )
 
 const (
-	// parallelPieces is how many pieces are fetched at once; a piece takes
-	// 42 ms on a link of 9.4 Mbit/s, several keep it full between answers.
-	parallelPieces = 6
-	// originPatience is how long an agent that isn't the first in line for
-	// the origin waits for its peers, and originStep how much longer each
-	// further one waits.
-	originPatience = 1500 * time.Millisecond
-	originStep     = 250 * time.Millisecond
 	// loadShare is the percentage of a region's engines that load at once
 	// when a version changes.
 	loadShare = 34
@@ -43,7 +33,6 @@
 	target   Target
 	from     Origin
 	state    EngineState
-	tree     *rollout.Tree
 	manifest *Manifest
 	began    time.Time
 	// memoryOnly rounds fetch without an engine.
@@ -51,8 +40,7 @@
 }
 
 func newRound(s *Stager, t Target, origin Origin, state EngineState) *round {
-	tree := rollout.NewTree(rollout.TreeConfig{Self: s.cfg.Self, Peers: s.cfg.Peers(), OriginRegion: t.OriginRegion})
-	return &round{Stager: s, target: t, from: origin, state: state, tree: tree, began: time.Now()}
+	return &round{Stager: s, target: t, from: origin, state: state, began: time.Now()}
 }
 
 func (r *round) run(ctx context.Context) error {
@@ -120,41 +108,6 @@
 	return m, nil
 }
 
-// stageAll fetches and stages every piece.
-func (r *round) stageAll(ctx context.Context) error {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	numbers := make(chan int)
-	errs := make(chan error, parallelPieces)
-	var wait sync.WaitGroup
-	held := r.heldNumbers(ctx)
-	for range parallelPieces {
-		wait.Go(func() {
-			for n := range numbers {
-				if err := r.stagePiece(ctx, n, held); err != nil {
-					errs <- err
-					cancel()
-					return
-				}
-			}
-		})
-	}
-	for n := range r.manifest.Digests {
-		select {
-		case numbers <- n:
-		case <-ctx.Done():
-		}
-	}
-	close(numbers)
-	wait.Wait()
-	select {
-	case err := <-errs:
-		return err
-	default:
-		return ctx.Err()
-	}
-}
-
 // heldNumbers are the pieces that a former run staged, perhaps of another
 // version.
 func (r *round) heldNumbers(ctx context.Context) []int {
@@ -171,25 +124,6 @@
 	return held
 }
 
-// stagePiece makes sure that one piece is staged.
-func (r *round) stagePiece(ctx context.Context, n int, held []int) error {
-	if r.store.has(r.manifest, n) {
-		return r.put(ctx, n, r.store.get(r.manifest, n))
-	}
-	if slices.Contains(held, n) {
-		if data, err := r.readStaged(ctx, n); err == nil {
-			r.store.put(r.manifest, n, data)
-			return nil
-		}
-	}
-	data, err := r.fetch(ctx, n)
-	if err != nil {
-		return err
-	}
-	r.store.put(r.manifest, n, data)
-	return r.put(ctx, n, data)
-}
-
 func (r *round) put(ctx context.Context, n int, data []byte) error {
 	if r.memoryOnly {
 		return nil
@@ -210,49 +144,6 @@
 	return data, check(r.manifest, n, data)
 }
 
-// fetch pulls one piece from the sources in the tree's order.
-func (r *round) fetch(ctx context.Context, n int) ([]byte, error) {
-	place := r.tree.Place(n)
-	started := time.Now()
-	for {
-		for _, source := range place.Sources {
-			if source.Origin && place.DrawRank > 0 && time.Since(started) < originPatience+originStep*time.Duration(place.DrawRank) {
-				continue
-			}
-			data, err := r.pull(ctx, source, n)
-			if err == nil {
-				return data, nil
-			}
-			if ctx.Err() != nil {
-				return nil, ctx.Err()
-			}
-		}
-		select {
-		case <-time.After(stepPause):
-		case <-ctx.Done():
-			return nil, ctx.Err()
-		}
-	}
-}
-
-// pull asks one source and checks what it sends.
-func (r *round) pull(ctx context.Context, source rollout.Source, n int) (data []byte, err error) {
-	from := source.Peer.ID
-	if source.Origin {
-		from = "origin"
-		data, err = r.from.Piece(ctx, r.manifest.Model, r.manifest.Version, n)
-	} else {
-		data, err = r.peers.piece(ctx, source.Peer, r.manifest.Model, r.manifest.Version, n)
-	}
-	if err == nil {
-		err = check(r.manifest, n, data)
-	}
-	if err != nil && !errors.Is(err, ErrNoPiece) && !errors.Is(err, errSetAside) && ctx.Err() == nil {
-		r.cfg.Log.Event("piece_failed", "number", n, "version", r.manifest.Version, "from", from, "cause", err.Error())
-	}
-	return data, err
-}
-
 // awaitTurn waits until this engine may stop serving to load. An engine
 // without weights serves nothing and needs no turn.
 func (r *round) awaitTurn(ctx context.Context) error {
--- a/node/stager/stager.go
+++ b/node/stager/stager.go
@@ -8,6 +8,7 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -88,6 +89,10 @@
 	// Report sends the engine's load to the entries.
 	Report func(placement.Report)
 	Log    *decision.Log
+	// Announce tells the agents of the region which pieces are here.
+	Announce func(version int64, pieces []bool)
+	// LinkMbps is the machine's link in Mbit/s; 0 is unknown.
+	LinkMbps float64
 	// Bootstrap says that the whole system starts for the first time. Engines
 	// hold weights then.
 	Bootstrap bool
@@ -118,6 +123,13 @@
 	cfg   Config
 	store *pieceStore
 	peers *peerClient
+	// uplink and downlink pace the pieces; uploads are the places for those
+	// on their way from here, queued counts the ones that wait for a place.
+	uplink, downlink *pace
+	uploads          chan struct{}
+	queued           atomic.Int32
+	// news says that there is something to announce.
+	news chan struct{}
 
 	mu      sync.Mutex
 	target  Target
@@ -130,11 +142,19 @@
 	prefetched bool
 	origin     Origin
 	moved      chan struct{}
+	// heldBy is what other agents of the region hold, answered when they were
+	// last told what is here.
+	heldBy   map[string]heldPieces
+	answered time.Time
 }
 
 // New returns a stager without target.
 func New(cfg Config) *Stager {
-	return &Stager{cfg: cfg, store: newPieceStore(), peers: newPeerClient(), moved: make(chan struct{})}
+	return &Stager{
+		cfg: cfg, store: newPieceStore(), peers: newPeerClient(), moved: make(chan struct{}),
+		uplink: newPace(cfg.LinkMbps), downlink: newPace(cfg.LinkMbps), uploads: make(chan struct{}, activeUploads),
+		news: make(chan struct{}, 1), heldBy: map[string]heldPieces{},
+	}
 }
 
 // SetTarget changes what the engine is to run. A version never goes back.
@@ -167,6 +187,7 @@
 	var wait sync.WaitGroup
 	wait.Go(func() { s.watch(ctx) })
 	wait.Go(func() { s.work(ctx) })
+	wait.Go(func() { s.announcer(ctx) })
 	wait.Wait()
 }
 
