Load a complete version while the next one arrives

Cause: with versions 4 s apart, agents gave up the staged first one and all had to load the second at once when the first was due. Change: fetching and loading are separate duties; memory keeps two versions; the engine's staged copy is written right before the order.

--- a/node/stager/announce.go
+++ b/node/stager/announce.go
@@ -4,8 +4,6 @@
 	"context"
 	"slices"
 	"time"
-
-	"github.com/laburnumloft/laburnumloft/core/rollout"
 )
 
 const (
@@ -39,23 +37,26 @@
 // holds reports whether pieces of a version can be had here. The caller holds
 // the lock.
 func (s *Stager) holds(version int64) bool {
-	return s.state.Version == version && s.target.Version <= version || s.store.version() == version
+	if of, _ := s.store.held(version); of != 0 {
+		return true
+	}
+	return s.state.Version == version && s.target.Version <= version
 }
 
-// tellSwarm hands the other agents' words to a swarm.
-func (r *round) tellSwarm(swarm *rollout.Swarm) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	for id, held := range r.heldBy {
-		if held.version == r.manifest.Version {
-			swarm.Told(id, held.pieces)
+// tellSwarm hands the other agents' words to the swarm.
+func (f *fetch) tellSwarm() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for id, held := range f.heldBy {
+		if held.version == f.manifest.Version {
+			f.swarm.Told(id, held.pieces)
 		}
 	}
 }
 
-// announce tells the region what this agent holds.
+// announce tells the region what this agent holds of the newest version.
 func (s *Stager) announce() {
-	if version, held := s.store.held(); version > 0 {
+	if version, held := s.store.held(0); version > 0 {
 		s.cfg.Announce(version, held)
 	}
 }
@@ -63,8 +64,8 @@
 // announceVersion tells of pieces in memory, or of all pieces if the engine
 // ran the version before this process started.
 func (s *Stager) announceVersion(version int64, pieces int) {
-	if s.store.version() == version {
-		s.announce()
+	if of, held := s.store.held(version); of != 0 {
+		s.cfg.Announce(of, held)
 		return
 	}
 	s.cfg.Announce(version, slices.Repeat([]bool{true}, pieces))
--- a/node/stager/fetch.go
+++ b/node/stager/fetch.go
@@ -25,65 +25,158 @@
 	pullPause = 15 * time.Millisecond
 )
 
-// fetch stages every piece. The pulls run in goroutines of their own; the
-// swarm that decides belongs to this one.
+// fetch brings the pieces of one version into memory. The pulls run in
+// goroutines of their own; the swarm that decides belongs to the fetch's one.
 type fetch struct {
-	*round
-	swarm *rollout.Swarm
-	done  chan pulled
+	*Stager
+	target   Target
+	from     Origin
+	manifest *Manifest
+	// serving says that the engine serves meanwhile, so that its requests
+	// share the link.
+	serving bool
+	swarm   *rollout.Swarm
+	done    chan pulled
 }
 
 type pulled struct {
 	pull    rollout.Pull
 	fed     bool
 	outcome rollout.Outcome
-	err     error
 }
 
-// stageAll fetches and stages every piece.
-func (r *round) stageAll(ctx context.Context) error {
-	ctx, cancel := context.WithCancel(ctx)
-	f := &fetch{round: r, done: make(chan pulled, feedPulls+exchangePulls), swarm: rollout.NewSwarm(rollout.SwarmConfig{
-		Self: r.cfg.Self, Peers: r.cfg.Peers(), OriginRegion: r.target.OriginRegion, Version: strconv.FormatInt(r.manifest.Version, 10),
-		Pieces: len(r.manifest.Digests), FeederPatience: feederPatience, OriginPatience: originPatience, SetAside: peerSetAside,
+// fetcher keeps the pieces of the newest version in memory as far as the engine
+// needs them.
+func (s *Stager) fetcher(ctx context.Context) {
+	for ctx.Err() == nil {
+		pause := stepPause
+		if target, origin, serving, needed := s.fetchNeeded(); needed {
+			f := &fetch{Stager: s, target: target, from: origin, serving: serving, done: make(chan pulled, feedPulls+exchangePulls)}
+			if err := f.untilMoved(ctx); err != nil && !errors.Is(err, ErrMoved) && ctx.Err() == nil {
+				s.cfg.Log.Event("fetch_failed", "model", target.Model, "version", target.Version, "cause", err.Error())
+				pause = failurePause
+			}
+		}
+		// The error only says that ctx ended.
+		_ = sleep(ctx, pause)
+	}
+}
+
+// fetchNeeded reports whether pieces are missing that the engine is to load.
+// An engine that doesn't answer yet on a machine that was added gets them
+// beforehand; when the whole system starts, engines hold weights.
+func (s *Stager) fetchNeeded() (target Target, origin Origin, serving, needed bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.target.Model == "" || s.origin == nil || s.store.complete(s.target.Model, s.target.Version) {
+		return s.target, s.origin, false, false
+	}
+	if !s.seen {
+		return s.target, s.origin, false, s.down && !s.cfg.Bootstrap
+	}
+	needed = s.state.Version == 0 || s.target.Version > s.state.Version
+	return s.target, s.origin, s.state.Version > 0, needed && !s.down
+}
+
+// untilMoved fetches until all pieces are here or another version is wanted.
+func (f *fetch) untilMoved(ctx context.Context) error {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	go func() {
+		for {
+			f.mu.Lock()
+			moved, target := f.moved, f.Stager.target
+			f.mu.Unlock()
+			if target.Version != f.target.Version || target.Origin != f.target.Origin {
+				cancel(ErrMoved)
+				return
+			}
+			select {
+			case <-moved:
+			case <-ctx.Done():
+				return
+			}
+		}
+	}()
+	err := f.all(ctx)
+	if errors.Is(context.Cause(ctx), ErrMoved) {
+		return ErrMoved
+	}
+	return err
+}
+
+// all fetches every piece.
+func (f *fetch) all(ctx context.Context) error {
+	began := time.Now()
+	var err error
+	if f.manifest, err = f.fetchManifest(ctx); err != nil {
+		return err
+	}
+	f.store.begin(f.manifest)
+	f.swarm = rollout.NewSwarm(rollout.SwarmConfig{
+		Self: f.cfg.Self, Peers: f.cfg.Peers(), OriginRegion: f.target.OriginRegion, Version: strconv.FormatInt(f.manifest.Version, 10),
+		Pieces: len(f.manifest.Digests), FeederPatience: feederPatience, OriginPatience: originPatience, SetAside: peerSetAside,
 		Seed: rand.Uint64(),
-	}, time.Now())}
+	}, time.Now())
+	ctx, cancel := context.WithCancel(ctx)
 	var wait sync.WaitGroup
 	defer wait.Wait()
 	defer cancel()
-	if err := f.takeHeld(ctx); err != nil {
+	f.takeHeld(ctx)
+	f.announce()
+	if err := f.run(ctx, &wait); err != nil {
 		return err
 	}
-	r.announce()
-	return f.run(ctx, &wait)
+	f.cfg.Log.Event("pieces_fetched", "model", f.manifest.Model, "version", f.manifest.Version, "ms", time.Since(began).Milliseconds())
+	return nil
+}
+
+// fetchManifest returns the manifest in memory, or that of the origin.
+func (f *fetch) fetchManifest(ctx context.Context) (*Manifest, error) {
+	if m := f.store.manifestOf(f.target.Model, f.target.Version); m != nil {
+		return m, nil
+	}
+	m, err := f.from.Manifest(ctx, f.target.Model, f.target.Version)
+	if err != nil {
+		return nil, err
+	}
+	if m.Model != f.target.Model || f.target.Version > 0 && m.Version != f.target.Version || len(m.Digests) == 0 {
+		return nil, ErrSpoilt
+	}
+	return m, nil
 }
 
-// takeHeld takes over pieces in memory, and those that a former run staged.
-func (f *fetch) takeHeld(ctx context.Context) error {
+// takeHeld takes over pieces in memory, and those that a former run staged at
+// an engine without weights.
+func (f *fetch) takeHeld(ctx context.Context) {
 	staged := map[int]bool{}
-	for _, n := range f.heldNumbers(ctx) {
-		staged[n] = true
+	if _, _, state, up := f.known(); up && state.Version == 0 {
+		callCtx, cancel := context.WithTimeout(ctx, engineTimeout)
+		held, err := f.cfg.Engine.Held(callCtx, f.target.Model)
+		cancel()
+		if err != nil {
+			f.cfg.Log.Event("held_pieces_unknown", "cause", err.Error())
+		}
+		for _, n := range held {
+			staged[n] = true
+		}
 	}
 	for n := range f.manifest.Digests {
-		if data := f.store.get(f.manifest, n); data != nil {
-			if err := f.put(ctx, n, data); err != nil {
-				return err
-			}
-			f.swarm.Hold(n)
-		} else if staged[n] {
-			if data, err := f.readStaged(ctx, n); err == nil {
+		if f.store.get(f.manifest, n) == nil && staged[n] {
+			if data, err := f.readStaged(ctx, f.manifest, n); err == nil {
 				f.store.put(f.manifest, n, data)
-				f.swarm.Hold(n)
 			}
 		}
+		if f.store.get(f.manifest, n) != nil {
+			f.swarm.Hold(n)
+		}
 	}
-	return nil
 }
 
 func (f *fetch) run(ctx context.Context, wait *sync.WaitGroup) error {
 	feeding, exchanging := 0, 0
 	for f.swarm.Left() > 0 {
-		f.tellSwarm(f.swarm)
+		f.tellSwarm()
 		for feeding < feedPulls {
 			pull, ok := f.swarm.Feed(time.Now())
 			if !ok {
@@ -108,9 +201,6 @@
 				exchanging--
 			}
 			f.swarm.Done(p.pull, p.outcome, time.Now())
-			if p.err != nil {
-				return p.err
-			}
 		case <-time.After(pullPause):
 		case <-ctx.Done():
 			return ctx.Err()
@@ -119,7 +209,7 @@
 	return nil
 }
 
-// pull asks one source for a piece, checks what it sends and stages it.
+// pull asks one source for a piece and checks what it sends.
 func (f *fetch) pull(ctx context.Context, p rollout.Pull, fed bool) {
 	data, err := f.receive(ctx, p)
 	if err == nil {
@@ -129,7 +219,6 @@
 	if err == nil {
 		f.store.put(f.manifest, p.Piece, data)
 		f.announceSoon()
-		result.err = f.put(ctx, p.Piece, data)
 	} else if ctx.Err() == nil && result.outcome != rollout.NotYet && result.outcome != rollout.Throttled {
 		from := p.Source.Peer.ID
 		if p.Source.Origin {
@@ -150,8 +239,7 @@
 			Model: f.manifest.Model, Version: f.manifest.Version, Number: p.Piece, Wait: p.Wait,
 		})
 	}
-	if err == nil && f.state.Version > 0 {
-		// The engine serves meanwhile, and its requests come over this link.
+	if err == nil && f.serving {
 		err = f.downlink.wait(ctx, len(data))
 	}
 	return data, err
--- /dev/null
+++ b/node/stager/loader.go
@@ -0,0 +1,214 @@
+package stager
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"errors"
+	"strconv"
+	"time"
+
+	"github.com/laburnumloft/laburnumloft/core/rollout"
+)
+
+const (
+	// loadShare is the percentage of a region's engines that load at once
+	// when a version changes.
+	loadShare = 34
+	// turnTimeout is how long one predecessor may hold up its successors:
+	// a batch ends in about two seconds.
+	turnTimeout = 2500 * time.Millisecond
+	// loadReserve of the time for a version is left when an agent loads
+	// without waiting for its turn any longer: the longest requests of a
+	// batch end within it.
+	loadReserve = 2 * time.Second
+	// loadPatience is how long an ordered load may take until it counts as
+	// failed.
+	loadPatience = 12 * time.Second
+)
+
+// loader loads complete versions into the engine.
+func (s *Stager) loader(ctx context.Context) {
+	for ctx.Err() == nil {
+		pause := stepPause
+		if m := s.loadable(); m != nil {
+			if err := s.bring(ctx, m); err != nil && !errors.Is(err, ErrMoved) && ctx.Err() == nil {
+				s.cfg.Log.Event("load_failed", "version", m.Version, "cause", err.Error())
+				pause = failurePause
+			}
+		}
+		// The error only says that ctx ended.
+		_ = sleep(ctx, pause)
+	}
+}
+
+// loadable returns the newest version that is complete in memory and newer
+// than what the engine runs, or nil.
+func (s *Stager) loadable() *Manifest {
+	target, _, state, up := s.known()
+	m := s.store.newestComplete(target.Model)
+	if !up || m == nil || m.Version <= state.Version || m.Version > target.Version && target.Version > 0 {
+		return nil
+	}
+	return m
+}
+
+// bring loads a version when the engine's turn has come.
+func (s *Stager) bring(ctx context.Context, m *Manifest) error {
+	if err := s.awaitTurn(ctx, m); err != nil {
+		return err
+	}
+	if err := s.stage(ctx, m); err != nil {
+		return err
+	}
+	return s.load(ctx, m)
+}
+
+// awaitTurn waits until this engine may stop serving to load. An engine
+// without weights serves nothing and needs no turn. When a newer version is
+// complete meanwhile, that one is loaded instead.
+func (s *Stager) awaitTurn(ctx context.Context, m *Manifest) error {
+	target, _, state, _ := s.known()
+	if state.Version == 0 {
+		return nil
+	}
+	began := time.Now()
+	turn := rollout.NewTurn(rollout.TurnConfig{MaxUnavailablePercent: loadShare, Timeout: turnTimeout},
+		s.cfg.Self, s.cfg.Peers(), m.Model+"/"+strconv.FormatInt(m.Version, 10), began)
+	latest := began.Add(s.cfg.Within)
+	for version, learnt := range target.Learnt {
+		if due := learnt.Add(s.cfg.Within - loadReserve); version > state.Version && due.Before(latest) {
+			latest = due
+		}
+	}
+	for !turn.Open() && time.Now().Before(latest) {
+		peer, _ := turn.Predecessor()
+		turn.Says(s.peers.state(ctx, peer, m.Version), time.Now())
+		if err := sleep(ctx, 2*stepPause); err != nil {
+			return err
+		}
+		if s.loadable() != m {
+			return ErrMoved
+		}
+	}
+	s.cfg.Log.Event("turn_open", "version", m.Version, "forced", !turn.Open(), "ms", time.Since(began).Milliseconds())
+	return nil
+}
+
+// stage puts all pieces beside the engine and reads them back right before the
+// order, since staged data can spoil.
+func (s *Stager) stage(ctx context.Context, m *Manifest) error {
+	for n := range m.Digests {
+		if err := s.put(ctx, m, n); err != nil {
+			return err
+		}
+	}
+	for n := range m.Digests {
+		for {
+			_, err := s.readStaged(ctx, m, n)
+			if err == nil {
+				break
+			}
+			if !errors.Is(err, ErrSpoilt) && !errors.Is(err, ErrNoPiece) {
+				return err
+			}
+			s.cfg.Log.Event("staged_piece_spoilt", "number", n, "version", m.Version)
+			if err := s.put(ctx, m, n); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+func (s *Stager) put(ctx context.Context, m *Manifest, n int) error {
+	data := s.store.get(m, n)
+	if data == nil {
+		return ErrMoved
+	}
+	ctx, cancel := context.WithTimeout(ctx, engineTimeout)
+	defer cancel()
+	return s.cfg.Engine.Put(ctx, m.Model, n, data)
+}
+
+// readStaged reads a staged piece back and checks it.
+func (s *Stager) readStaged(ctx context.Context, m *Manifest, n int) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, engineTimeout)
+	defer cancel()
+	data, err := s.cfg.Engine.Get(ctx, m.Model, n)
+	if err != nil {
+		return nil, err
+	}
+	return data, check(m, n, data)
+}
+
+// load orders the engine and waits until it says that it runs the version.
+func (s *Stager) load(ctx context.Context, m *Manifest) error {
+	s.setLoading(true)
+	defer s.setLoading(false)
+	s.look(ctx)
+	ordered := time.Now()
+	if err := s.order(ctx, m); err != nil {
+		return err
+	}
+	_, _, before, _ := s.known()
+	for time.Since(ordered) < loadPatience {
+		_, _, state, up := s.known()
+		if up && state.Version == m.Version {
+			s.cfg.Log.Event("load_done", "version", state.Version, "ms", time.Since(ordered).Milliseconds())
+			return nil
+		}
+		if !up || state.Born != before.Born {
+			return ErrLost
+		}
+		if err := sleep(ctx, stepPause); err != nil {
+			return err
+		}
+	}
+	return ErrLost
+}
+
+// order gives the order. An engine that is busy is asked again, since its
+// staged pieces stay checked for a moment.
+func (s *Stager) order(ctx context.Context, m *Manifest) error {
+	for range orderTries {
+		callCtx, cancel := context.WithTimeout(ctx, engineTimeout)
+		err := s.cfg.Engine.Load(callCtx, m.Model, m.Version)
+		cancel()
+		if err == nil {
+			s.cfg.Log.Event("load_ordered", "model", m.Model, "version", m.Version)
+			return nil
+		}
+		if !errors.Is(err, ErrBusy) {
+			return err
+		}
+		if err := sleep(ctx, 2*stepPause); err != nil {
+			return err
+		}
+	}
+	return ErrBusy
+}
+
+// orderTries is how often a busy engine is asked until its pieces are checked
+// again: within two seconds.
+const orderTries = 20
+
+func sleep(ctx context.Context, d time.Duration) error {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// check compares a piece with its digest.
+func check(m *Manifest, n int, data []byte) error {
+	sum := sha256.Sum256(data)
+	if n >= len(m.Digests) || hex.EncodeToString(sum[:]) != m.Digests[n] {
+		return ErrSpoilt
+	}
+	return nil
+}
--- a/node/stager/peers.go
+++ b/node/stager/peers.go
@@ -123,7 +123,7 @@
 }
 
 // state asks a predecessor how far it is.
-func (c *peerClient) state(ctx context.Context, peer rollout.Peer, model string, version int64) rollout.PredecessorState {
+func (c *peerClient) state(ctx context.Context, peer rollout.Peer, version int64) rollout.PredecessorState {
 	if c.isAside(peer.ID) {
 		return rollout.PredecessorGone
 	}
@@ -147,7 +147,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc(PiecePath, s.servePiece)
 	mux.HandleFunc(StatePath, func(w http.ResponseWriter, _ *http.Request) {
-		_, _, state, up := s.wanted()
+		_, _, state, up := s.known()
 		w.Header().Set("Content-Type", "application/json")
 		// A peer that left asks again.
 		_ = json.NewEncoder(w).Encode(peerState{Version: state.Version, Down: !up})
@@ -164,14 +164,7 @@
 		return
 	}
 	model := q.Get("model")
-	data := s.loadedPiece(r.Context(), model, version, number)
-	if data == nil {
-		limit := time.Duration(0)
-		if q.Get("wait") != "" {
-			limit = pieceWait
-		}
-		data = s.store.wait(r.Context(), model, version, number, limit)
-	}
+	data := s.piece(r.Context(), model, version, number, q.Get("wait") != "")
 	if data == nil {
 		http.Error(w, fmt.Sprintf("piece %d is not here", number), http.StatusNotFound)
 		return
@@ -214,15 +207,19 @@
 	}
 }
 
-// loadedPiece serves a version that the engine ran before this process
-// started from the engine's staged pieces. The asking agent checks the bytes.
-func (s *Stager) loadedPiece(ctx context.Context, model string, version int64, n int) []byte {
-	target, _, state, up := s.wanted()
-	if !up || state.Version != version || target.Model != model || s.store.manifestOf(model, version) != nil {
-		return nil
+// piece returns a piece from memory, waiting for it if asked to, or from the
+// engine that ran the version before this process started. The asking agent
+// checks the bytes.
+func (s *Stager) piece(ctx context.Context, model string, version int64, n int, wait bool) []byte {
+	if m := s.store.manifestOf(model, version); m != nil && version != 0 {
+		limit := time.Duration(0)
+		if wait {
+			limit = pieceWait
+		}
+		return s.store.wait(ctx, m, n, limit)
 	}
-	if target.Version > version {
-		// Pieces of the next version are replacing the staged ones.
+	target, _, state, up := s.known()
+	if !up || state.Version != version || target.Model != model || target.Version > version {
 		return nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, engineTimeout)
--- a/node/stager/pieces.go
+++ b/node/stager/pieces.go
@@ -6,34 +6,51 @@
 	"time"
 )
 
-// pieceStore holds the checked pieces of one version in memory, from which
-// other agents are served. The engine's staged copy may spoil; this one is
-// checked once and never changed.
+// keptVersions is how many versions are kept in memory: one that is complete
+// and may still be loaded, and the next one that arrives.
+const keptVersions = 2
+
+// pieceStore holds the checked pieces of the last versions in memory, from
+// which other agents are served. The engine's staged copy may spoil; this one
+// is checked once and never changed.
 type pieceStore struct {
 	mu       sync.Mutex
+	versions []*pieceSet
+	arrived  chan struct{}
+}
+
+type pieceSet struct {
 	manifest *Manifest
 	pieces   [][]byte
-	arrived  chan struct{}
+	missing  int
 }
 
 func newPieceStore() *pieceStore {
 	return &pieceStore{arrived: make(chan struct{})}
 }
 
-// begin makes room for a version; pieces of another one are dropped.
+// begin makes room for a version; the oldest one is dropped.
 func (s *pieceStore) begin(m *Manifest) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if same(s.manifest, m.Model, m.Version) {
+	if s.find(m.Model, m.Version) != nil {
 		return
 	}
-	s.manifest, s.pieces = m, make([][]byte, len(m.Digests))
+	s.versions = append(s.versions, &pieceSet{manifest: m, pieces: make([][]byte, len(m.Digests)), missing: len(m.Digests)})
+	if len(s.versions) > keptVersions {
+		s.versions = s.versions[len(s.versions)-keptVersions:]
+	}
 	s.wake()
 }
 
-// same reports whether the manifest is of a version; 0 stands for any.
-func same(m *Manifest, model string, version int64) bool {
-	return m != nil && m.Model == model && (m.Version == version || version == 0)
+// find returns a version, the newest for 0, or nil. The caller holds the lock.
+func (s *pieceStore) find(model string, version int64) *pieceSet {
+	for i := len(s.versions) - 1; i >= 0; i-- {
+		if m := s.versions[i].manifest; m.Model == model && (m.Version == version || version == 0) {
+			return s.versions[i]
+		}
+	}
+	return nil
 }
 
 func (s *pieceStore) wake() {
@@ -41,49 +58,70 @@
 	s.arrived = make(chan struct{})
 }
 
+// manifestOf returns the manifest of a version, of the newest for 0, or nil.
 func (s *pieceStore) manifestOf(model string, version int64) *Manifest {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if same(s.manifest, model, version) {
-		return s.manifest
+	if set := s.find(model, version); set != nil {
+		return set.manifest
 	}
 	return nil
 }
 
-func (s *pieceStore) has(m *Manifest, n int) bool { return s.get(m, n) != nil }
+// complete reports whether all pieces of a version are here.
+func (s *pieceStore) complete(model string, version int64) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	set := s.find(model, version)
+	return set != nil && set.missing == 0
+}
+
+// newestComplete returns the newest version that is all here, or nil.
+func (s *pieceStore) newestComplete(model string) *Manifest {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var newest *Manifest
+	for _, set := range s.versions {
+		if m := set.manifest; set.missing == 0 && m.Model == model && (newest == nil || m.Version > newest.Version) {
+			newest = m
+		}
+	}
+	return newest
+}
 
 func (s *pieceStore) get(m *Manifest, n int) []byte {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !same(s.manifest, m.Model, m.Version) {
+	set := s.find(m.Model, m.Version)
+	if set == nil || n < 0 || n >= len(set.pieces) {
 		return nil
 	}
-	return s.pieces[n]
+	return set.pieces[n]
 }
 
 func (s *pieceStore) put(m *Manifest, n int, data []byte) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if same(s.manifest, m.Model, m.Version) {
-		s.pieces[n] = data
-		s.wake()
+	set := s.find(m.Model, m.Version)
+	if set == nil || set.pieces[n] != nil {
+		return
 	}
+	set.pieces[n] = data
+	set.missing--
+	s.wake()
 }
 
-// wait returns a piece, waiting for it while its version is being fetched.
-// It returns nil at once if the version isn't here at all.
-func (s *pieceStore) wait(ctx context.Context, model string, version int64, n int, limit time.Duration) []byte {
+// wait returns a piece, waiting for it while it may still arrive.
+func (s *pieceStore) wait(ctx context.Context, m *Manifest, n int, limit time.Duration) []byte {
 	timeout := time.NewTimer(limit)
 	defer timeout.Stop()
 	for {
 		s.mu.Lock()
-		if same(s.manifest, model, version) && n >= 0 && n < len(s.pieces) && s.pieces[n] != nil {
-			data := s.pieces[n]
-			s.mu.Unlock()
-			return data
-		}
 		arrived := s.arrived
 		s.mu.Unlock()
+		if data := s.get(m, n); data != nil {
+			return data
+		}
 		select {
 		case <-arrived:
 		case <-timeout.C:
@@ -94,26 +132,20 @@
 	}
 }
 
-// version returns the version whose pieces are kept; 0 if there is none.
-func (s *pieceStore) version() int64 {
+// held returns which pieces of a version are here; the newest version for 0.
+func (s *pieceStore) held(version int64) (of int64, pieces []bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.manifest == nil {
-		return 0
-	}
-	return s.manifest.Version
-}
-
-// held returns which pieces are here.
-func (s *pieceStore) held() (version int64, held []bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.manifest == nil {
-		return 0, nil
-	}
-	held = make([]bool, len(s.pieces))
-	for i, data := range s.pieces {
-		held[i] = data != nil
+	for i := len(s.versions) - 1; i >= 0; i-- {
+		set := s.versions[i]
+		if version != 0 && set.manifest.Version != version {
+			continue
+		}
+		pieces = make([]bool, len(set.pieces))
+		for n, data := range set.pieces {
+			pieces[n] = data != nil
+		}
+		return set.manifest.Version, pieces
 	}
-	return s.manifest.Version, held
+	return 0, nil
 }
--- a/node/stager/stager.go
+++ b/node/stager/stager.go
@@ -6,7 +6,6 @@
 
 import (
 	"context"
-	"errors"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -22,6 +21,8 @@
 var (
 	// ErrBusy means that the engine takes no order now.
 	ErrBusy = eris.New("the engine takes no order now")
+	// ErrLost means that the engine stopped or didn't load in time.
+	ErrLost = eris.New("the engine did not load the version")
 	// ErrNoPiece means that a source doesn't hold the piece.
 	ErrNoPiece = eris.New("the source doesn't hold the piece")
 	// ErrSpoilt means that bytes don't match their digest.
@@ -70,8 +71,8 @@
 	Model string
 	// Version is 0 until the operator named one.
 	Version int64
-	// Learnt is when the version became known here.
-	Learnt time.Time
+	// Learnt is when each version became known here.
+	Learnt map[int64]time.Time
 	// Origin and OriginRegion are empty until the configuration is known.
 	Origin       string
 	OriginRegion string
@@ -106,13 +107,13 @@
 	reportEvery = 150 * time.Millisecond
 	// engineTimeout bounds a call to the engine on the same machine.
 	engineTimeout = time.Second
-	// stepPause is the time after which the work looks again.
+	// stateTimeout bounds a question for the engine's state; it answers in
+	// milliseconds or, when it hangs, not at all.
+	stateTimeout = 300 * time.Millisecond
+	// stepPause is the time after which work that waits looks again.
 	stepPause = 50 * time.Millisecond
 	// failurePause is the time after a failed step.
 	failurePause = 200 * time.Millisecond
-	// idlePause is the time after which an engine that has its version is
-	// looked at again.
-	idlePause = 100 * time.Millisecond
 	// downAfter is how many calls in a row fail before the engine counts as
 	// down.
 	downAfter = 2
@@ -138,10 +139,8 @@
 	down    bool
 	failed  int
 	loading bool
-	// prefetched says that the pieces came before the engine was up.
-	prefetched bool
-	origin     Origin
-	moved      chan struct{}
+	origin  Origin
+	moved   chan struct{}
 	// heldBy is what other agents of the region hold, answered when they were
 	// last told what is here.
 	heldBy   map[string]heldPieces
@@ -165,7 +164,7 @@
 		return
 	}
 	if t.Model == s.target.Model && t.Version <= s.target.Version {
-		t.Version, t.Learnt = s.target.Version, s.target.Learnt
+		t.Version = s.target.Version
 	}
 	if t.Origin != s.target.Origin && t.Origin != "" {
 		s.origin = s.cfg.NewOrigin(t.Origin)
@@ -176,17 +175,12 @@
 	s.moved = make(chan struct{})
 }
 
-func (s *Stager) wanted() (Target, Origin, EngineState, bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.target, s.origin, s.state, s.seen && !s.down
-}
-
 // Run reports and works until ctx ends.
 func (s *Stager) Run(ctx context.Context) {
 	var wait sync.WaitGroup
 	wait.Go(func() { s.watch(ctx) })
-	wait.Go(func() { s.work(ctx) })
+	wait.Go(func() { s.fetcher(ctx) })
+	wait.Go(func() { s.loader(ctx) })
 	wait.Go(func() { s.announcer(ctx) })
 	wait.Wait()
 }
@@ -206,7 +200,7 @@
 }
 
 func (s *Stager) look(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, engineTimeout)
+	ctx, cancel := context.WithTimeout(ctx, stateTimeout)
 	defer cancel()
 	state, err := s.cfg.Engine.State(ctx)
 	s.mu.Lock()
@@ -233,58 +227,16 @@
 	}
 }
 
-func (s *Stager) setLoading(loading bool) {
+// known returns the target, its origin, the engine's state and whether the
+// engine answers.
+func (s *Stager) known() (target Target, origin Origin, state EngineState, up bool) {
 	s.mu.Lock()
-	s.loading = loading
-	s.mu.Unlock()
-}
-
-// work brings the engine to its target again and again.
-func (s *Stager) work(ctx context.Context) {
-	for ctx.Err() == nil {
-		pause := idlePause
-		if err := s.step(ctx); err != nil && !errors.Is(err, ErrMoved) && ctx.Err() == nil {
-			s.cfg.Log.Event("staging_failed", "cause", err.Error())
-			pause = failurePause
-		}
-		select {
-		case <-time.After(pause):
-		case <-ctx.Done():
-		}
-	}
-}
-
-// step does what is needed to bring the engine to the present target.
-func (s *Stager) step(ctx context.Context) error {
-	target, origin, state, up := s.wanted()
-	if target.Model == "" || origin == nil {
-		return nil
-	}
-	if !up {
-		return s.prefetch(ctx, target, origin)
-	}
-	if state.Version > 0 && (target.Version == 0 || state.Version >= target.Version) {
-		return nil
-	}
-	return newRound(s, target, origin, state).run(ctx)
+	defer s.mu.Unlock()
+	return s.target, s.origin, s.state, s.seen && !s.down
 }
 
-// prefetch fetches the pieces while the engine of a new machine still starts,
-// so that it can load as soon as it is up.
-func (s *Stager) prefetch(ctx context.Context, target Target, origin Origin) error {
-	s.mu.Lock()
-	wanted := s.down && !s.seen && !s.cfg.Bootstrap && !s.prefetched
-	s.mu.Unlock()
-	if !wanted {
-		return nil
-	}
-	r := newRound(s, target, origin, EngineState{})
-	r.memoryOnly = true
-	if err := r.run(ctx); err != nil {
-		return err
-	}
+func (s *Stager) setLoading(loading bool) {
 	s.mu.Lock()
-	s.prefetched = true
+	s.loading = loading
 	s.mu.Unlock()
-	return nil
 }
