Keep feeders in line while the origin is down, and share settled lists only

Change: the swarm backs off and restarts its line after an origin failure; two versions are fetched side by side; a batch of records is reduced to the newest of each key; lists count as settled 3 s after an outage.

--- a/core/rollout/swarm.go
+++ b/core/rollout/swarm.go
@@ -53,11 +53,25 @@
 	peers    map[string]Peer
 	aside    map[string]time.Time
 	denied   []time.Time
+	// originFaults counts the failures of the origin in a row, and
+	// originUntil is when it is asked again.
+	originFaults int
+	originUntil  time.Time
 }
 
 // deniedPause is how long a piece that nobody could send is not asked for.
 const deniedPause = 30 * time.Millisecond
 
+const (
+	// originRetry and maxOriginRetry bound the pause after a failure of the
+	// origin.
+	originRetry    = 100 * time.Millisecond
+	maxOriginRetry = 400 * time.Millisecond
+	// silentFeeder is how long a feeder of the region may be silent until
+	// the next agent in line takes its place.
+	silentFeeder = 600 * time.Millisecond
+)
+
 // NewSwarm returns a swarm in which this agent holds nothing.
 func NewSwarm(cfg SwarmConfig, now time.Time) *Swarm {
 	s := &Swarm{
@@ -138,19 +152,39 @@
 		// feeder enter one after the other.
 		piece := (i + s.rank) % s.cfg.Pieces
 		place := (s.rank - piece%n + n) % n
-		due := s.began.Add(time.Duration(place) * s.cfg.FeederPatience)
+		due := s.due(piece, place)
 		if s.have[piece] || s.asked[piece] || now.Before(due) || now.Before(s.denied[piece]) {
 			continue
 		}
 		if place > 0 && s.heldNear(piece) {
 			continue
 		}
+		source := s.outside(piece, now.Sub(due), now)
+		if source.Origin && now.Before(s.originUntil) {
+			continue
+		}
 		s.asked[piece] = true
-		return Pull{Piece: piece, Source: s.outside(piece, now.Sub(due), now), Wait: true}, true
+		return Pull{Piece: piece, Source: source, Wait: true}, true
 	}
 	return Pull{}, false
 }
 
+// due is when the agent at a place in line brings a piece into the region.
+// Agents that said nothing of this version, perhaps because they are dead,
+// hold the line up for a moment only.
+func (s *Swarm) due(piece, place int) time.Time {
+	n, due := len(s.region), s.began
+	for before := range place {
+		feeder := s.region[(piece+before)%n].peer.ID
+		if _, heard := s.holders[feeder]; heard {
+			due = due.Add(s.cfg.FeederPatience)
+		} else {
+			due = due.Add(silentFeeder)
+		}
+	}
+	return due
+}
+
 func (s *Swarm) heldNear(piece int) bool {
 	for _, held := range s.holders {
 		if held[piece] {
@@ -215,6 +249,9 @@
 // Done takes the outcome of a pull.
 func (s *Swarm) Done(p Pull, outcome Outcome, now time.Time) {
 	s.asked[p.Piece] = false
+	if p.Source.Origin {
+		s.originAnswered(outcome, now)
+	}
 	switch outcome {
 	case Delivered:
 		s.Hold(p.Piece)
@@ -227,3 +264,16 @@
 		}
 	}
 }
+
+// originAnswered keeps the line of feeders while the origin is down: without
+// it, all agents would be due when it returns, and each would draw a copy.
+func (s *Swarm) originAnswered(outcome Outcome, now time.Time) {
+	if outcome != Refused && outcome != NoProgress {
+		s.originFaults = 0
+		return
+	}
+	s.originFaults++
+	pause := min(originRetry<<min(s.originFaults-1, 4), maxOriginRetry)
+	s.originUntil = now.Add(pause/2 + time.Duration(s.random.Int64N(int64(pause))))
+	s.began = now
+}
--- a/node/registry/registry.go
+++ b/node/registry/registry.go
@@ -42,6 +42,7 @@
 	gone     map[string]int64
 	changed  chan struct{}
 	read     time.Time
+	back     time.Time
 }
 
 type entry struct {
@@ -58,11 +59,13 @@
 	return &List{epoch: rand.Uint64(), servers: map[string]entry{}, gone: map[string]int64{}, changed: make(chan struct{})}
 }
 
-// Read notes that the list agrees with the store now.
-func (l *List) Read() {
+// Read notes that the list agrees with the store as it was some time ago.
+func (l *List) Read(ago time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.read = time.Now()
+	if at := time.Now().Add(-ago); at.After(l.read) {
+		l.read = at
+	}
 }
 
 // Age returns the time since the list last agreed with the store.
@@ -75,6 +78,24 @@
 	return time.Since(l.read)
 }
 
+// settleTime is how long after an outage a list may still hold servers that
+// have left: removals wait for servers that lapsed during the outage.
+const settleTime = 3 * time.Second
+
+// Back notes that the store is reached again after an outage.
+func (l *List) Back() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.back = time.Now()
+}
+
+// Settled reports whether other entries may rely on the list.
+func (l *List) Settled() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.back.IsZero() || time.Since(l.back) >= settleTime
+}
+
 // Put adds or changes a server.
 func (l *List) Put(s placement.Server) {
 	l.mu.Lock()
@@ -147,7 +168,8 @@
 
 func (l *List) update(epoch uint64, since int64) Update {
 	u := Update{Epoch: l.epoch, Revision: l.revision, Full: epoch != l.epoch || since > l.revision, AgeMS: time.Hour.Milliseconds()}
-	if !l.read.IsZero() {
+	settled := l.back.IsZero() || time.Since(l.back) >= settleTime
+	if settled && !l.read.IsZero() {
 		u.AgeMS = time.Since(l.read).Milliseconds()
 	}
 	for _, e := range l.servers {
--- a/node/registry/sync.go
+++ b/node/registry/sync.go
@@ -162,6 +162,7 @@
 		return ErrStale
 	}
 	s.apply(u)
+	s.cfg.List.Read(time.Duration(u.AgeMS) * time.Millisecond)
 	s.epoch, s.revision = u.Epoch, u.Revision
 	return nil
 }
@@ -199,6 +200,7 @@
 		s.connected()
 		s.offset, s.known = end, true
 		s.takeAll(records)
+		s.cfg.List.Read(0)
 		return nil
 	}
 	records, next, err := s.cfg.Source.Read(ctx, s.offset, 0)
@@ -211,20 +213,38 @@
 	}
 	s.connected()
 	s.offset = next
-	for _, r := range records {
+	for _, r := range newestByKey(records) {
 		s.take(r)
 	}
+	s.cfg.List.Read(0)
 	return nil
 }
 
+// newestByKey keeps the last record of each key: what lies between was never
+// true for a reader that comes back after an outage, and must not be passed
+// on.
+func newestByKey(records []feed.Record) []feed.Record {
+	last := map[string]int{}
+	for i, r := range records {
+		last[r.Key] = i
+	}
+	var newest []feed.Record
+	for i, r := range records {
+		if last[r.Key] == i {
+			newest = append(newest, r)
+		}
+	}
+	return newest
+}
+
 // connected notes contact with the store.
 func (s *Sync) connected() {
 	now := time.Now()
 	if !s.contact.IsZero() && now.Sub(s.contact) > outageAfter && s.storeLost {
 		s.backAt = now
+		s.cfg.List.Back()
 	}
 	s.contact = now
-	s.cfg.List.Read()
 }
 
 // takeAll takes the newest record of every key over; other servers are gone.
--- a/node/stager/announce.go
+++ b/node/stager/announce.go
@@ -13,17 +13,22 @@
 	answerEvery = 150 * time.Millisecond
 )
 
-// heldPieces is what an agent of the region said last.
-type heldPieces struct {
-	version int64
-	pieces  []bool
-}
+// heldPieces is what an agent of the region said last of some versions.
+type heldPieces map[int64][]bool
 
 // Told takes over what another agent of the region holds, and answers if that
 // agent lacks pieces that are here.
 func (s *Stager) Told(id string, version int64, pieces []bool) {
 	s.mu.Lock()
-	s.heldBy[id] = heldPieces{version, pieces}
+	if s.heldBy[id] == nil {
+		s.heldBy[id] = heldPieces{}
+	}
+	s.heldBy[id][version] = pieces
+	for old := range s.heldBy[id] {
+		if old+keptVersions < version {
+			delete(s.heldBy[id], old)
+		}
+	}
 	answer := slices.Contains(pieces, false) && time.Since(s.answered) >= answerEvery && s.holds(version)
 	if answer {
 		s.answered = time.Now()
@@ -48,16 +53,18 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for id, held := range f.heldBy {
-		if held.version == f.manifest.Version {
-			f.swarm.Told(id, held.pieces)
+		if pieces, ok := held[f.manifest.Version]; ok {
+			f.swarm.Told(id, pieces)
 		}
 	}
 }
 
-// announce tells the region what this agent holds of the newest version.
+// announce tells the region what this agent holds of the kept versions.
 func (s *Stager) announce() {
-	if version, held := s.store.held(0); version > 0 {
-		s.cfg.Announce(version, held)
+	for _, version := range s.store.kept() {
+		if of, held := s.store.held(version); of != 0 {
+			s.cfg.Announce(of, held)
+		}
 	}
 }
 
--- a/node/stager/fetch.go
+++ b/node/stager/fetch.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/laburnumloft/laburnumloft/core/rollout"
@@ -16,8 +17,9 @@
 	// outside the region and from inside it at once.
 	feedPulls     = 2
 	exchangePulls = 4
-	// feederPatience is how long the next agent in line waits for a feeder.
-	feederPatience = 1500 * time.Millisecond
+	// feederPatience is how long the next agent in line waits for a feeder:
+	// pieces reach the last region in about that time.
+	feederPatience = 2500 * time.Millisecond
 	// originPatience is how long a feeder waits for the region before it. A
 	// copy enters a region within it at a third of the regions' links.
 	originPatience = 2500 * time.Millisecond
@@ -35,8 +37,10 @@
 	// serving says that the engine serves meanwhile, so that its requests
 	// share the link.
 	serving bool
-	swarm   *rollout.Swarm
-	done    chan pulled
+	// originDown says that the origin failed last.
+	originDown atomic.Bool
+	swarm      *rollout.Swarm
+	done       chan pulled
 }
 
 type pulled struct {
@@ -46,19 +50,39 @@
 }
 
 // fetcher keeps the pieces of the newest version in memory as far as the engine
-// needs them.
+// needs them. When another version is named meanwhile, the fetch of the one
+// before goes on beside the new one: its pieces are in the region already, and
+// it can be loaded even if the origin fails now.
 func (s *Stager) fetcher(ctx context.Context) {
-	for ctx.Err() == nil {
-		pause := stepPause
-		if target, origin, serving, needed := s.fetchNeeded(); needed {
+	active := map[int64]context.CancelFunc{}
+	ended := make(chan int64)
+	for {
+		target, origin, serving, needed := s.fetchNeeded()
+		if _, running := active[target.Version]; needed && !running {
+			fetchCtx, cancel := context.WithCancel(ctx)
+			active[target.Version] = cancel
 			f := &fetch{Stager: s, target: target, from: origin, serving: serving, done: make(chan pulled, feedPulls+exchangePulls)}
-			if err := f.untilMoved(ctx); err != nil && !errors.Is(err, ErrMoved) && ctx.Err() == nil {
-				s.cfg.Log.Event("fetch_failed", "model", target.Model, "version", target.Version, "cause", err.Error())
-				pause = failurePause
+			go func() {
+				f.untilDone(fetchCtx)
+				ended <- target.Version
+			}()
+		}
+		for version, cancel := range active {
+			if s.obsolete(version) {
+				cancel()
 			}
 		}
-		// The error only says that ctx ended.
-		_ = sleep(ctx, pause)
+		select {
+		case version := <-ended:
+			active[version]()
+			delete(active, version)
+		case <-time.After(stepPause):
+		case <-ctx.Done():
+			for len(active) > 0 {
+				delete(active, <-ended)
+			}
+			return
+		}
 	}
 }
 
@@ -78,31 +102,26 @@
 	return s.target, s.origin, s.state.Version > 0, needed && !s.down
 }
 
-// untilMoved fetches until all pieces are here or another version is wanted.
-func (f *fetch) untilMoved(ctx context.Context) error {
-	ctx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
-	go func() {
-		for {
-			f.mu.Lock()
-			moved, target := f.moved, f.Stager.target
-			f.mu.Unlock()
-			if target.Version != f.target.Version || target.Origin != f.target.Origin {
-				cancel(ErrMoved)
-				return
-			}
-			select {
-			case <-moved:
-			case <-ctx.Done():
-				return
-			}
+// obsolete reports whether the engine needs no pieces of a version any more.
+func (s *Stager) obsolete(version int64) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	newer := 0
+	for v := range s.target.Learnt {
+		if v > version {
+			newer++
 		}
-	}()
-	err := f.all(ctx)
-	if errors.Is(context.Cause(ctx), ErrMoved) {
-		return ErrMoved
 	}
-	return err
+	return newer >= keptVersions || newer > 0 && (version <= s.state.Version || s.store.complete(s.target.Model, s.target.Version))
+}
+
+// untilDone fetches and logs a failure.
+func (f *fetch) untilDone(ctx context.Context) {
+	if err := f.all(ctx); err != nil && ctx.Err() == nil {
+		f.cfg.Log.Event("fetch_failed", "model", f.target.Model, "version", f.target.Version, "cause", err.Error())
+		// The error only says that ctx ended.
+		_ = sleep(ctx, failurePause)
+	}
 }
 
 // all fetches every piece.
@@ -219,16 +238,30 @@
 	if err == nil {
 		f.store.put(f.manifest, p.Piece, data)
 		f.announceSoon()
-	} else if ctx.Err() == nil && result.outcome != rollout.NotYet && result.outcome != rollout.Throttled {
-		from := p.Source.Peer.ID
-		if p.Source.Origin {
-			from = "origin"
+		if p.Source.Origin && f.originDown.Swap(false) {
+			f.cfg.Log.Event("origin_regained", "version", f.manifest.Version)
 		}
-		f.cfg.Log.Event("piece_failed", "number", p.Piece, "version", f.manifest.Version, "from", from, "cause", err.Error())
+	} else if ctx.Err() == nil {
+		f.logFailure(p, result.outcome, err)
 	}
 	f.done <- result
 }
 
+// logFailure logs a failed pull; of an origin that stays down only the first.
+func (f *fetch) logFailure(p rollout.Pull, outcome rollout.Outcome, err error) {
+	if outcome == rollout.NotYet || outcome == rollout.Throttled {
+		return
+	}
+	from := p.Source.Peer.ID
+	if p.Source.Origin {
+		from = "origin"
+		if outcome == rollout.Refused && f.originDown.Swap(true) {
+			return
+		}
+	}
+	f.cfg.Log.Event("piece_failed", "number", p.Piece, "version", f.manifest.Version, "from", from, "outcome", outcome.String(), "cause", err.Error())
+}
+
 func (f *fetch) receive(ctx context.Context, p rollout.Pull) ([]byte, error) {
 	var data []byte
 	var err error
--- a/node/stager/pieces.go
+++ b/node/stager/pieces.go
@@ -132,6 +132,17 @@
 	}
 }
 
+// kept returns the versions that are kept.
+func (s *pieceStore) kept() []int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var versions []int64
+	for _, set := range s.versions {
+		versions = append(versions, set.manifest.Version)
+	}
+	return versions
+}
+
 // held returns which pieces of a version are here; the newest version for 0.
 func (s *pieceStore) held(version int64) (of int64, pieces []bool) {
 	s.mu.Lock()
