Give manifests to agents that start while the origin is down

Change: agents keep the manifest of the version that their engine runs and give it to others; engines' staged pieces are served beside those in memory.

--- a/node/stager/announce.go
+++ b/node/stager/announce.go
@@ -42,10 +42,8 @@
 // holds reports whether pieces of a version can be had here. The caller holds
 // the lock.
 func (s *Stager) holds(version int64) bool {
-	if of, _ := s.store.held(version); of != 0 {
-		return true
-	}
-	return s.state.Version == version && s.target.Version <= version
+	_, pieces := s.store.held(version)
+	return slices.Contains(pieces, true) || s.state.Version == version && s.target.Version <= version
 }
 
 // tellSwarm hands the other agents' words to the swarm.
@@ -71,8 +69,8 @@
 // announceVersion tells of pieces in memory, or of all pieces if the engine
 // ran the version before this process started.
 func (s *Stager) announceVersion(version int64, pieces int) {
-	if of, held := s.store.held(version); of != 0 {
-		s.cfg.Announce(of, held)
+	if _, held := s.store.held(version); slices.Contains(held, true) {
+		s.cfg.Announce(version, held)
 		return
 	}
 	s.cfg.Announce(version, slices.Repeat([]bool{true}, pieces))
--- a/node/stager/fetch.go
+++ b/node/stager/fetch.go
@@ -67,6 +67,7 @@
 				ended <- target.Version
 			}()
 		}
+		s.keepManifest(ctx)
 		for version, cancel := range active {
 			if s.obsolete(version) {
 				cancel()
@@ -128,7 +129,7 @@
 func (f *fetch) all(ctx context.Context) error {
 	began := time.Now()
 	var err error
-	if f.manifest, err = f.fetchManifest(ctx); err != nil {
+	if f.manifest, err = f.findManifest(ctx, f.from, f.target.Model, f.target.Version); err != nil {
 		return err
 	}
 	f.store.begin(f.manifest)
@@ -150,21 +151,6 @@
 	return nil
 }
 
-// fetchManifest returns the manifest in memory, or that of the origin.
-func (f *fetch) fetchManifest(ctx context.Context) (*Manifest, error) {
-	if m := f.store.manifestOf(f.target.Model, f.target.Version); m != nil {
-		return m, nil
-	}
-	m, err := f.from.Manifest(ctx, f.target.Model, f.target.Version)
-	if err != nil {
-		return nil, err
-	}
-	if m.Model != f.target.Model || f.target.Version > 0 && m.Version != f.target.Version || len(m.Digests) == 0 {
-		return nil, ErrSpoilt
-	}
-	return m, nil
-}
-
 // takeHeld takes over pieces in memory, and those that a former run staged at
 // an engine without weights.
 func (f *fetch) takeHeld(ctx context.Context) {
--- /dev/null
+++ b/node/stager/manifest.go
@@ -0,0 +1,109 @@
+package stager
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/laburnumloft/laburnumloft/core/rollout"
+)
+
+const (
+	// askedPeers is how many agents are asked for a manifest that the origin
+	// doesn't give.
+	askedPeers = 4
+	// manifestSpread is the time over which agents fetch the manifest of the
+	// version that their engines ran before, for others that need it while
+	// the origin is down.
+	manifestSpread = 4 * time.Second
+)
+
+// findManifest returns a manifest from memory, from an agent that announced
+// the version, from the origin, or from other agents while the origin fails.
+// Version 0 is the newest.
+func (s *Stager) findManifest(ctx context.Context, origin Origin, model string, version int64) (*Manifest, error) {
+	if m := s.store.manifestOf(model, version); m != nil {
+		return m, nil
+	}
+	peers := s.cfg.Peers()
+	if version > 0 {
+		if m := s.askPeers(ctx, s.announcers(peers, version), model, version); m != nil {
+			return m, nil
+		}
+	}
+	m, err := origin.Manifest(ctx, model, version)
+	if err == nil {
+		err = checkManifest(m, model, version)
+	}
+	if err == nil || ctx.Err() != nil {
+		return m, err
+	}
+	s.cfg.Log.Event("manifest_failed", "from", "origin", "version", version, "cause", err.Error())
+	if m := s.askPeers(ctx, peers, model, version); m != nil {
+		return m, nil
+	}
+	return nil, err
+}
+
+// askPeers asks a few agents, those of the own region first.
+func (s *Stager) askPeers(ctx context.Context, peers []rollout.Peer, model string, version int64) *Manifest {
+	var near, far []rollout.Peer
+	for _, i := range rand.Perm(len(peers)) {
+		if peers[i].Region == s.cfg.Self.Region {
+			near = append(near, peers[i])
+		} else {
+			far = append(far, peers[i])
+		}
+	}
+	for i, peer := range append(near, far...) {
+		if i >= askedPeers || ctx.Err() != nil {
+			break
+		}
+		m, err := s.peers.manifest(ctx, peer, model, version)
+		if err == nil && checkManifest(m, model, version) == nil {
+			return m
+		}
+	}
+	return nil
+}
+
+// announcers returns the agents that announced pieces of a version.
+func (s *Stager) announcers(peers []rollout.Peer, version int64) []rollout.Peer {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var found []rollout.Peer
+	for _, p := range peers {
+		if _, ok := s.heldBy[p.ID][version]; ok {
+			found = append(found, p)
+		}
+	}
+	return found
+}
+
+func checkManifest(m *Manifest, model string, version int64) error {
+	if m.Model != model || version > 0 && m.Version != version || m.Version < 1 || len(m.Digests) == 0 {
+		return ErrSpoilt
+	}
+	return nil
+}
+
+// keepManifest fetches the manifest of the version that the engine ran before
+// this process started.
+func (s *Stager) keepManifest(ctx context.Context) {
+	s.mu.Lock()
+	target, origin, version := s.target, s.origin, s.state.Version
+	due := s.seen && !s.down && version > 0 && origin != nil && target.Version <= version && time.Now().After(s.manifestDue)
+	if due {
+		s.manifestDue = time.Now().Add(manifestSpread)
+	}
+	s.mu.Unlock()
+	if !due || s.store.manifestOf(target.Model, version) != nil {
+		return
+	}
+	go func() {
+		m, err := s.findManifest(ctx, origin, target.Model, version)
+		if err == nil {
+			s.store.begin(m)
+		}
+	}()
+}
--- a/node/stager/peers.go
+++ b/node/stager/peers.go
@@ -19,8 +19,9 @@
 
 // Paths that agents serve to each other.
 const (
-	PiecePath = "/v1/pieces"
-	StatePath = "/v1/engine"
+	PiecePath    = "/v1/pieces"
+	ManifestPath = "/v1/manifests"
+	StatePath    = "/v1/engine"
 )
 
 const (
@@ -89,6 +90,23 @@
 	return data, nil
 }
 
+// manifest asks a peer for a manifest.
+func (c *peerClient) manifest(ctx context.Context, peer rollout.Peer, model string, version int64) (*Manifest, error) {
+	resp, err := c.get(ctx, peer, ManifestPath, pieceQuery{Model: model, Version: version})
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		return nil, ErrNoPiece
+	}
+	var m Manifest
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxPiece)).Decode(&m); err != nil {
+		return nil, eris.Wrap(err, "reading a manifest of a peer")
+	}
+	return &m, nil
+}
+
 func (c *peerClient) get(ctx context.Context, peer rollout.Peer, path string, query any) (*http.Response, error) {
 	req, err := sling.New().Base("http://" + peer.Address).Get(path).QueryStruct(query).Request()
 	if err != nil {
@@ -146,6 +164,7 @@
 func (s *Stager) Handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc(PiecePath, s.servePiece)
+	mux.HandleFunc(ManifestPath, s.serveManifest)
 	mux.HandleFunc(StatePath, func(w http.ResponseWriter, _ *http.Request) {
 		_, _, state, up := s.known()
 		w.Header().Set("Content-Type", "application/json")
@@ -155,6 +174,23 @@
 	return mux
 }
 
+// serveManifest serves a manifest in memory; version 0 asks for the newest.
+func (s *Stager) serveManifest(w http.ResponseWriter, r *http.Request) {
+	version, err := strconv.ParseInt(r.URL.Query().Get("version"), 10, 64)
+	if err != nil {
+		http.Error(w, "version is a whole number", http.StatusBadRequest)
+		return
+	}
+	m := s.store.manifestOf(r.URL.Query().Get("model"), version)
+	if m == nil {
+		http.Error(w, "the manifest is not here", http.StatusNotFound)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	// A peer that left asks again.
+	_ = json.NewEncoder(w).Encode(m)
+}
+
 func (s *Stager) servePiece(w http.ResponseWriter, r *http.Request) {
 	q := r.URL.Query()
 	version, err := strconv.ParseInt(q.Get("version"), 10, 64)
@@ -207,26 +243,33 @@
 	}
 }
 
-// piece returns a piece from memory, waiting for it if asked to, or from the
-// engine that ran the version before this process started. The asking agent
-// checks the bytes.
+// piece returns a piece from memory, from the engine that ran the version
+// before this process started, or, if asked to wait, as soon as it arrives. The
+// asking agent checks the bytes.
 func (s *Stager) piece(ctx context.Context, model string, version int64, n int, wait bool) []byte {
-	if m := s.store.manifestOf(model, version); m != nil && version != 0 {
-		limit := time.Duration(0)
-		if wait {
-			limit = pieceWait
+	m := s.store.manifestOf(model, version)
+	if m != nil {
+		if data := s.store.get(m, n); data != nil {
+			return data
 		}
-		return s.store.wait(ctx, m, n, limit)
 	}
-	target, _, state, up := s.known()
-	if !up || state.Version != version || target.Model != model || target.Version > version {
-		return nil
+	if s.stagedBefore(model, version) {
+		callCtx, cancel := context.WithTimeout(ctx, engineTimeout)
+		defer cancel()
+		// An engine that fails here is seen by the watch.
+		if data, err := s.cfg.Engine.Get(callCtx, model, n); err == nil {
+			return data
+		}
 	}
-	ctx, cancel := context.WithTimeout(ctx, engineTimeout)
-	defer cancel()
-	data, err := s.cfg.Engine.Get(ctx, model, n)
-	if err != nil {
+	if m == nil || !wait {
 		return nil
 	}
-	return data
+	return s.store.wait(ctx, m, n, pieceWait)
+}
+
+// stagedBefore reports whether the engine's staged pieces are those of a
+// version that it runs and that this process did not fetch.
+func (s *Stager) stagedBefore(model string, version int64) bool {
+	target, _, state, up := s.known()
+	return up && state.Version == version && target.Model == model && target.Version <= version
 }
--- a/node/stager/stager.go
+++ b/node/stager/stager.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -145,6 +146,9 @@
 	// last told what is here.
 	heldBy   map[string]heldPieces
 	answered time.Time
+	// manifestDue is when the manifest of a version that the engine ran before
+	// is fetched.
+	manifestDue time.Time
 }
 
 // New returns a stager without target.
@@ -153,6 +157,7 @@
 		cfg: cfg, store: newPieceStore(), peers: newPeerClient(), moved: make(chan struct{}),
 		uplink: newPace(cfg.LinkMbps), downlink: newPace(cfg.LinkMbps), uploads: make(chan struct{}, activeUploads),
 		news: make(chan struct{}, 1), heldBy: map[string]heldPieces{},
+		manifestDue: time.Now().Add(rand.N(manifestSpread)),
 	}
 }
 
