core: tests that replay the load patterns; forget what dead feeders said

Cause: TestSwarmReplacesFeedersThatDie failed: pieces that a dead feeder had announced counted as held in the region for ever, so no other agent fed them. Change: an agent that can't be reached loses what it announced until it says so again.

--- /dev/null
+++ b/core/eventstream/eventstream_test.go
@@ -0,0 +1,119 @@
+package eventstream
+
+import (
+	"bytes"
+	"fmt"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+func event(id int) string { return fmt.Sprintf("id: %d\ndata: tokens %d\n\n", id, id) }
+
+// Bytes arrive in any pieces; an event is handed out only when it is whole.
+func TestSplitterHandsOutWholeEvents(t *testing.T) {
+	c := qt.New(t)
+	all := event(1) + event(2) + "id: 3\ndata: cut"
+	for size := 1; size < len(all); size++ {
+		var s Splitter
+		var got []int64
+		for rest := []byte(all); len(rest) > 0; {
+			n := min(size, len(rest))
+			s.Write(rest[:n])
+			rest = rest[n:]
+			for {
+				e, ok, err := s.Next()
+				c.Assert(err, qt.IsNil)
+				if !ok {
+					break
+				}
+				c.Assert(string(e.Raw), qt.Equals, event(int(e.ID)))
+				got = append(got, e.ID)
+			}
+		}
+		c.Assert(got, qt.DeepEquals, []int64{1, 2})
+		c.Assert(s.Rest(), qt.Equals, len("id: 3\ndata: cut"))
+	}
+}
+
+// Garbage must end an attempt and not fill the memory.
+func TestSplitterRefusesGarbage(t *testing.T) {
+	c := qt.New(t)
+	var s Splitter
+	s.Write(bytes.Repeat([]byte("x"), MaxEventBytes+1))
+	_, _, err := s.Next()
+	c.Assert(err, qt.Equals, ErrTooLong)
+	for _, raw := range []string{"data: no id\n\n", "id: abc\n\n", "id:\n\n"} {
+		var s Splitter
+		s.Write([]byte(raw))
+		_, _, err := s.Next()
+		c.Assert(err, qt.Equals, ErrNoID, qt.Commentf("%q", raw))
+	}
+}
+
+// A second run repeats events that the caller has, or skips some; the caller
+// must get each once and no gap.
+func TestSequenceOverTwoRuns(t *testing.T) {
+	c := qt.New(t)
+	s := NewSequence(0, false)
+	for id := int64(1); id <= 3; id++ {
+		ok, err := s.Accept(id)
+		c.Assert(err, qt.IsNil)
+		c.Assert(ok, qt.IsTrue)
+	}
+	for id := int64(1); id <= 3; id++ {
+		ok, err := s.Accept(id)
+		c.Assert(err, qt.IsNil)
+		c.Assert(ok, qt.IsFalse)
+	}
+	_, err := s.Accept(5)
+	c.Assert(err, qt.Equals, ErrGap)
+	ok, err := s.Accept(4)
+	c.Assert(err, qt.IsNil)
+	c.Assert(ok, qt.IsTrue)
+	last, has := s.Last()
+	c.Assert(has, qt.IsTrue)
+	c.Assert(last, qt.Equals, int64(4))
+}
+
+// A caller that resumes by itself must not get what it has.
+func TestSequenceOfResumingCaller(t *testing.T) {
+	c := qt.New(t)
+	s := NewSequence(12, true)
+	ok, err := s.Accept(12)
+	c.Assert(err, qt.IsNil)
+	c.Assert(ok, qt.IsFalse)
+	ok, err = s.Accept(13)
+	c.Assert(err, qt.IsNil)
+	c.Assert(ok, qt.IsTrue)
+}
+
+func FuzzSplitter(f *testing.F) {
+	f.Add([]byte(event(1)+event(2)), 3)
+	f.Add([]byte("id: 1\n\n\n\nid: x\n\n"), 1)
+	f.Fuzz(func(t *testing.T, data []byte, size int) {
+		if size < 1 {
+			size = 1
+		}
+		var s Splitter
+		var out []byte
+		for rest := data; len(rest) > 0; {
+			n := min(size, len(rest))
+			s.Write(rest[:n])
+			rest = rest[n:]
+			for {
+				e, ok, err := s.Next()
+				if err != nil {
+					return
+				}
+				if !ok {
+					break
+				}
+				out = append(out, e.Raw...)
+			}
+		}
+		if len(out)+s.Rest() != len(data) || !bytes.HasPrefix(data, out) {
+			t.Fatalf("%d bytes out, %d left of %d", len(out), s.Rest(), len(data))
+		}
+	})
+}
--- a/core/rollout/swarm.go
+++ b/core/rollout/swarm.go
@@ -261,6 +261,9 @@
 		s.denied[p.Piece] = now.Add(deniedPause)
 		if !p.Source.Origin {
 			s.aside[p.Source.Peer.ID] = now.Add(s.cfg.SetAside)
+			// What it said that it holds can't be had; it says so again if it
+			// lives.
+			delete(s.holders, p.Source.Peer.ID)
 		}
 	}
 }
--- /dev/null
+++ b/core/rollout/swarm_test.go
@@ -0,0 +1,199 @@
+package rollout
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// swarmSim plays a swarm in virtual time on links that carry one piece a tick.
+type swarmSim struct {
+	now     time.Time
+	peers   []Peer
+	swarms  []*Swarm
+	dead    map[string]bool
+	origin  bool
+	drawn   int
+	crossed int
+}
+
+const (
+	simTick   = 50 * time.Millisecond
+	simPieces = 48
+	// simOriginPieces is what the origin's link carries in a tick; 15 Mbit/s
+	// are 1.9 pieces of 49 KB.
+	simOriginPieces = 2
+)
+
+func newSwarmSim(perRegion int) *swarmSim {
+	s := &swarmSim{now: time.Unix(0, 0), dead: map[string]bool{}, origin: true}
+	for _, region := range []string{"north", "middle", "south"} {
+		for i := range perRegion {
+			s.peers = append(s.peers, Peer{ID: fmt.Sprint(region, i), Address: "a", Region: region})
+		}
+	}
+	for i, p := range s.peers {
+		s.swarms = append(s.swarms, NewSwarm(SwarmConfig{
+			Self: p, Peers: s.peers, OriginRegion: "south", Version: "2", Pieces: simPieces,
+			FeederPatience: 2500 * time.Millisecond, OriginPatience: 2500 * time.Millisecond, SetAside: time.Second, Seed: uint64(i),
+		}, s.now))
+	}
+	return s
+}
+
+func (s *swarmSim) index(id string) int {
+	for i, p := range s.peers {
+		if p.ID == id {
+			return i
+		}
+	}
+	return -1
+}
+
+// tick lets every agent pull: each machine receives and sends two pieces.
+func (s *swarmSim) tick() {
+	sent := map[string]int{}
+	originLeft := simOriginPieces
+	for i, p := range s.peers {
+		if s.dead[p.ID] {
+			continue
+		}
+		for received, asked := 0, 0; received < 2 && asked < 8; asked++ {
+			pull, ok := s.swarms[i].Feed(s.now)
+			if !ok {
+				pull, ok = s.swarms[i].Exchange(s.now)
+			}
+			if !ok {
+				break
+			}
+			outcome := s.serve(p, pull, sent, &originLeft)
+			if outcome == Delivered {
+				received++
+			}
+			s.swarms[i].Done(pull, outcome, s.now)
+		}
+	}
+	for i, p := range s.peers {
+		for j, q := range s.peers {
+			if i != j && p.Region == q.Region && !s.dead[p.ID] && !s.dead[q.ID] {
+				s.swarms[j].Told(p.ID, s.swarms[i].Held())
+			}
+		}
+	}
+	s.now = s.now.Add(simTick)
+}
+
+func (s *swarmSim) serve(to Peer, pull Pull, sent map[string]int, originLeft *int) Outcome {
+	if pull.Source.Origin {
+		if !s.origin {
+			return Refused
+		}
+		if *originLeft == 0 {
+			return Throttled
+		}
+		*originLeft--
+		s.drawn++
+		return Delivered
+	}
+	from := pull.Source.Peer
+	if s.dead[from.ID] {
+		return Refused
+	}
+	if !s.swarms[s.index(from.ID)].Held()[pull.Piece] {
+		return NotYet
+	}
+	if sent[from.ID] >= 2 {
+		return Throttled
+	}
+	sent[from.ID]++
+	if from.Region != to.Region {
+		s.crossed++
+	}
+	return Delivered
+}
+
+func (s *swarmSim) run(limit time.Duration) time.Duration {
+	begin := s.now
+	for s.now.Sub(begin) < limit && !s.done() {
+		s.tick()
+	}
+	return s.now.Sub(begin)
+}
+
+func (s *swarmSim) done() bool {
+	for i, p := range s.peers {
+		if !s.dead[p.ID] && s.swarms[i].Left() > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// A burst onto all machines: one copy from the origin, each region's link
+// crossed once, and little more time than the links need.
+func TestSwarmCarriesOneCopyAcrossEachLink(t *testing.T) {
+	for _, n := range []int{1, 2, 5, 9, 20} {
+		t.Run(fmt.Sprint(n), func(t *testing.T) {
+			c := qt.New(t)
+			s := newSwarmSim(n)
+			took := s.run(time.Minute)
+			c.Assert(s.done(), qt.IsTrue)
+			c.Check(s.drawn, qt.Equals, simPieces)
+			c.Check(s.crossed, qt.Equals, 2*simPieces)
+			// Each machine receives 48 pieces in 24 ticks at best.
+			c.Check(took <= 3*24*simTick, qt.IsTrue, qt.Commentf("took %v", took))
+		})
+	}
+}
+
+// The origin is down in the middle of a burst: when it returns, not every agent
+// may draw a copy of its own (7.5 copies on a hunted day).
+func TestSwarmKeepsTheLineWhileTheOriginIsDown(t *testing.T) {
+	c := qt.New(t)
+	s := newSwarmSim(5)
+	s.run(400 * time.Millisecond)
+	s.origin = false
+	for range int(6 * time.Second / simTick) {
+		s.tick()
+	}
+	s.origin = true
+	s.run(time.Minute)
+	c.Assert(s.done(), qt.IsTrue)
+	c.Check(s.drawn <= simPieces*13/10, qt.IsTrue, qt.Commentf("%d pieces drawn", s.drawn))
+}
+
+// Feeders that died before the burst hold it up for a moment only.
+func TestSwarmPassesDeadFeeders(t *testing.T) {
+	c := qt.New(t)
+	s := newSwarmSim(5)
+	for _, id := range []string{"south0", "middle1", "north2", "north3"} {
+		s.dead[id] = true
+	}
+	took := s.run(time.Minute)
+	c.Assert(s.done(), qt.IsTrue)
+	c.Check(took <= 5*time.Second, qt.IsTrue, qt.Commentf("took %v", took))
+}
+
+// Feeders that die in the middle take pieces with them that nobody else has.
+func TestSwarmReplacesFeedersThatDie(t *testing.T) {
+	c := qt.New(t)
+	s := newSwarmSim(5)
+	s.run(300 * time.Millisecond)
+	s.dead["south1"], s.dead["middle2"] = true, true
+	took := s.run(time.Minute)
+	c.Assert(s.done(), qt.IsTrue)
+	c.Check(took <= 8*time.Second, qt.IsTrue, qt.Commentf("took %v", took))
+}
+
+// A whole region is cut off: the region after it goes to the origin.
+func TestSwarmPassesALostRegion(t *testing.T) {
+	c := qt.New(t)
+	s := newSwarmSim(3)
+	for i := range 3 {
+		s.dead[fmt.Sprint("middle", i)] = true
+	}
+	s.run(time.Minute)
+	c.Assert(s.done(), qt.IsTrue)
+}
--- /dev/null
+++ b/core/route/route_test.go
@@ -0,0 +1,82 @@
+package route
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+func table() *Table {
+	low := 3
+	return NewTable(Configuration{
+		Version: 4,
+		Routes: []Route{
+			{Name: "short", Host: "a.example", Prefix: "/x/", Kind: Safe, Shares: []Share{{"one", 1}}},
+			{Name: "long", Host: "A.example", Prefix: "/x/y/", Kind: Stream, Shares: []Share{{"one", 90}, {"two", 10}}},
+			{Name: "open", Host: "a.example", Prefix: "/open/", Public: true, Shares: []Share{{"one", 1}}},
+		},
+		Services:   []Service{{Name: "one"}, {Name: "two"}},
+		Workspaces: []Workspace{{Name: "w", Keys: []string{"k1", "k2"}, Priority: &low}},
+	})
+}
+
+// A request that takes the shorter prefix runs at a service that its route
+// does not name.
+func TestMatchTakesLongestPrefix(t *testing.T) {
+	c := qt.New(t)
+	for _, test := range []struct{ host, path, want string }{
+		{"a.example", "/x/1", "short"},
+		{"a.example:8080", "/x/y/1", "long"},
+		{"A.EXAMPLE", "/x/y", "short"},
+		{"a.example", "/xy/", ""},
+		{"b.example", "/x/1", ""},
+		{"a.example", "/", ""},
+	} {
+		got := ""
+		if r := table().Match(test.host, test.path); r != nil {
+			got = r.Name
+		}
+		c.Check(got, qt.Equals, test.want, qt.Commentf("%s %s", test.host, test.path))
+	}
+}
+
+// A key that was taken away, or none, must open no route but a public one.
+func TestAuthenticate(t *testing.T) {
+	c := qt.New(t)
+	tab := table()
+	w, ok := tab.Authenticate(tab.Match("a.example", "/x/1"), "k2")
+	c.Assert(ok, qt.IsTrue)
+	c.Assert(w.Name, qt.Equals, "w")
+	_, ok = tab.Authenticate(tab.Match("a.example", "/x/1"), "gone")
+	c.Assert(ok, qt.IsFalse)
+	_, ok = tab.Authenticate(tab.Match("a.example", "/x/1"), "")
+	c.Assert(ok, qt.IsFalse)
+	w, ok = tab.Authenticate(tab.Match("a.example", "/open/1"), "gone")
+	c.Assert(ok, qt.IsTrue)
+	c.Assert(w, qt.IsNil)
+}
+
+// Shares of a split route follow the weights, and one request id always takes
+// the same service.
+func TestServiceFollowsWeights(t *testing.T) {
+	c := qt.New(t)
+	r := table().Match("a.example", "/x/y/")
+	counts := map[string]int{}
+	for i := range 10000 {
+		id := string(rune('a'+i%26)) + string(rune('a'+i/26%26)) + string(rune('a'+i/676%26))
+		counts[r.Service(id)]++
+		c.Assert(r.Service(id), qt.Equals, r.Service(id))
+	}
+	share := float64(counts["two"]) / 10000
+	c.Assert(share > 0.05 && share < 0.15, qt.IsTrue, qt.Commentf("share %v", share))
+	c.Assert((&Route{Shares: []Share{{"one", 0}, {"two", 0}}}).Service("x"), qt.Equals, "")
+}
+
+// An order must never count as repeatable, nor a stream that can't be resumed.
+func TestRepeatable(t *testing.T) {
+	c := qt.New(t)
+	c.Assert((&Route{Kind: Unsafe, Resumable: true}).Repeatable(), qt.IsFalse)
+	c.Assert((&Route{Kind: Stream}).Repeatable(), qt.IsFalse)
+	c.Assert((&Route{Kind: Stream, Resumable: true}).Repeatable(), qt.IsTrue)
+	c.Assert((&Route{Kind: Safe}).Repeatable(), qt.IsTrue)
+}
