--- a/core/rollout/swarm.go
+++ b/core/rollout/swarm.go
@@ -29,15 +29,16 @@
 	Seed     uint64
 }
 
-// Swarm decides which piece an agent asks for next, and whom.
+// Swarm decides which piece an agent asks for next, and whom. It never waits for
+// a piece at a source that may not have it, or has died.
 //
 // A burst of a whole version onto many machines with thin links: each piece
 // enters a region once, through its feeder, and inside a region every agent
 // that holds a piece passes it on. Agents tell the others of their region what
 // they hold, so that all links carry pieces from the first moment on; in a
 // fixed tree the links of the leaves idle until the end, and one slow parent
-// holds up its whole branch. Telling costs a few kilobytes inside a region,
-// where bytes are free.
+// holds up its whole branch. Telling costs a few kilobytes
+// an agent and version; regions are told less often.
 type Swarm struct {
 	cfg      SwarmConfig
 	random   *rand.Rand
@@ -121,7 +122,7 @@
 // Held returns what this agent holds.
 func (s *Swarm) Held() []bool { return slices.Clone(s.have) }
 
-// Told takes over what another agent of the region says that it holds.
+// Told takes over what another agent says that it holds.
 func (s *Swarm) Told(id string, held []bool) {
 	if len(held) == s.cfg.Pieces {
 		s.holders[id] = held
@@ -139,8 +140,6 @@
 type Pull struct {
 	Piece  int
 	Source Source
-	// Wait says that the source may not hold the piece yet.
-	Wait bool
 }
 
 // Feed returns the next piece that this agent is to bring into its region. It
@@ -156,15 +155,13 @@
 		if s.have[piece] || s.asked[piece] || now.Before(due) || now.Before(s.denied[piece]) {
 			continue
 		}
-		if place > 0 && s.heldNear(piece) {
+		if place > 0 && len(s.usable(piece, now, true)) > 0 {
 			continue
 		}
-		source := s.outside(piece, now.Sub(due), now)
-		if source.Origin && now.Before(s.originUntil) {
-			continue
+		if source, ok := s.outside(piece, now.Sub(due), now); ok {
+			s.asked[piece] = true
+			return Pull{Piece: piece, Source: source}, true
 		}
-		s.asked[piece] = true
-		return Pull{Piece: piece, Source: source, Wait: true}, true
 	}
 	return Pull{}, false
 }
@@ -185,30 +182,18 @@
 	return due
 }
 
-func (s *Swarm) heldNear(piece int) bool {
-	for _, held := range s.holders {
-		if held[piece] {
-			return true
-		}
+// outside returns where a feeder gets a piece: from an agent of another region
+// that holds it, or from the origin. It returns false while the piece is on its
+// way to the region before this one.
+func (s *Swarm) outside(piece int, waited time.Duration, now time.Time) (Source, bool) {
+	if ids := s.usable(piece, now, false); len(ids) > 0 {
+		return Source{Peer: s.peers[ids[s.random.IntN(len(ids))]]}, true
 	}
-	return false
-}
-
-// outside returns where a feeder gets a piece.
-func (s *Swarm) outside(piece int, waited time.Duration, now time.Time) Source {
 	chain := s.chains[piece]
-	hop := slices.Index(chain, s.cfg.Self.Region)
-	if hop <= 0 || waited >= s.cfg.OriginPatience {
-		return Source{Origin: true}
-	}
-	before := s.byRegion[chain[hop-1]]
-	for i := range before {
-		peer := before[(piece+i)%len(before)].peer
-		if now.After(s.aside[peer.ID]) {
-			return Source{Peer: peer}
-		}
+	if chain[0] != s.cfg.Self.Region && waited < s.cfg.OriginPatience {
+		return Source{}, false
 	}
-	return Source{Origin: true}
+	return Source{Origin: true}, !now.Before(s.originUntil)
 }
 
 // Exchange returns the rarest missing piece that an agent of the region holds.
@@ -221,23 +206,25 @@
 		if s.have[piece] || s.asked[piece] || now.Before(s.denied[piece]) {
 			continue
 		}
-		if n := len(s.usable(piece, now)); n > 0 && (best < 0 || n < fewest) {
+		if n := len(s.usable(piece, now, true)); n > 0 && (best < 0 || n < fewest) {
 			best, fewest = piece, n
 		}
 	}
 	if best < 0 {
 		return Pull{}, false
 	}
-	holders := s.usable(best, now)
+	holders := s.usable(best, now, true)
 	s.asked[best] = true
 	return Pull{Piece: best, Source: Source{Peer: s.peers[holders[s.random.IntN(len(holders))]]}}, true
 }
 
-// usable returns the ids of the agents that can be asked for a piece.
-func (s *Swarm) usable(piece int, now time.Time) []string {
+// usable returns the ids of the agents, inside the region or outside, that can
+// be asked for a piece.
+func (s *Swarm) usable(piece int, now time.Time, near bool) []string {
 	var ids []string
 	for id, held := range s.holders {
-		if _, known := s.peers[id]; known && held[piece] && now.After(s.aside[id]) {
+		peer, known := s.peers[id]
+		if known && near == (peer.Region == s.cfg.Self.Region) && held[piece] && now.After(s.aside[id]) {
 			ids = append(ids, id)
 		}
 	}
--- a/core/rollout/swarm_test.go
+++ b/core/rollout/swarm_test.go
@@ -77,7 +77,7 @@
 	}
 	for i, p := range s.peers {
 		for j, q := range s.peers {
-			if i != j && p.Region == q.Region && !s.dead[p.ID] && !s.dead[q.ID] {
+			if i != j && !s.dead[p.ID] && !s.dead[q.ID] {
 				s.swarms[j].Told(p.ID, s.swarms[i].Held())
 			}
 		}
--- a/node/feed/feed.go
+++ b/node/feed/feed.go
@@ -49,10 +49,11 @@
 }
 
 const (
-	// firstRetry and maxRetry bound the pause after a failed call. All
-	// processes together stay below the store's rates during its outage.
+	// firstRetry and maxRetry bound the pause after a failed call. Refused
+	// calls are priced too, and entries that are cut off take configurations
+	// from others meanwhile.
 	firstRetry = 150 * time.Millisecond
-	maxRetry   = 600 * time.Millisecond
+	maxRetry   = 1500 * time.Millisecond
 	// callTimeout bounds a call beyond the time that it may wait.
 	callTimeout = 1500 * time.Millisecond
 )
--- a/node/mesh/datagram.go
+++ b/node/mesh/datagram.go
@@ -6,6 +6,7 @@
 import (
 	"bytes"
 	"encoding/binary"
+	"encoding/json"
 	"errors"
 	"hash/fnv"
 	"net/netip"
@@ -18,6 +19,7 @@
 	kindHello  = 1
 	kindReport = 2
 	kindHeld   = 3
+	kindJoin   = 4
 )
 
 // paceScale turns the pace into a whole number on the wire.
@@ -54,6 +56,23 @@
 	Pieces  []bool
 }
 
+// EncodeJoin returns the datagram by which a new process makes itself known.
+func EncodeJoin(m Member) ([]byte, error) {
+	b, err := json.Marshal(m)
+	if err != nil || len(b) >= datagramBytes {
+		return nil, ErrDatagram
+	}
+	return append([]byte{kindJoin}, b...), nil
+}
+
+func decodeJoin(b []byte) (*Member, error) {
+	var m Member
+	if json.Unmarshal(b[1:], &m) != nil || m.ID == "" {
+		return nil, ErrDatagram
+	}
+	return &m, nil
+}
+
 // wireHeld precedes the pieces, one bit each.
 type wireHeld struct {
 	Kind, Flags uint8
@@ -139,7 +158,7 @@
 	}), nil
 }
 
-// Decode returns a *Hello, a *placement.Report or a *Held.
+// Decode returns a *Hello, a *placement.Report, a *Held or a *Member.
 func Decode(b []byte) (any, error) {
 	if len(b) == 0 {
 		return nil, ErrDatagram
@@ -164,6 +183,8 @@
 		}, nil
 	case kindHeld:
 		return decodeHeld(b)
+	case kindJoin:
+		return decodeJoin(b)
 	default:
 		return nil, ErrDatagram
 	}
--- a/node/mesh/mesh.go
+++ b/node/mesh/mesh.go
@@ -55,7 +55,7 @@
 	Log  *decision.Log
 	// OnReport takes the report of an agent; entries only.
 	OnReport func(placement.Report)
-	// OnHeld takes what another agent of the region holds; agents only.
+	// OnHeld takes what another agent holds; agents only.
 	OnHeld func(id string, held Held)
 	// Status returns what the next hello says; entries only.
 	Status func() Hello
@@ -201,6 +201,8 @@
 		if p != nil && m.cfg.OnHeld != nil {
 			m.cfg.OnHeld(p.member.ID, *d)
 		}
+	case *Member:
+		m.Put(*d)
 	case *placement.Report:
 		if m.cfg.OnReport != nil {
 			m.cfg.OnReport(*d)
@@ -240,13 +242,26 @@
 	return nil
 }
 
-// Held tells the agents of the own region which pieces this one holds.
-func (m *Mesh) Held(version int64, pieces []bool) error {
+// Held tells the agents of the own region, or of all, which pieces this one
+// holds.
+func (m *Mesh) Held(version int64, pieces []bool, everywhere bool) error {
 	b, err := EncodeHeld(Held{Member: MemberHash(m.cfg.Self.ID), Version: version, Pieces: pieces})
 	if err != nil {
 		return err
 	}
-	m.send(b, func(o Member) bool { return o.Role == Agent && o.Region == m.cfg.Self.Region })
+	m.send(b, func(o Member) bool { return o.Role == Agent && (everywhere || o.Region == m.cfg.Self.Region) })
+	return nil
+}
+
+// Join makes this process known to all members that it knows. Of two processes
+// that publish themselves and then read the list, the later one finds the
+// other; telling it spares everybody a poll of the list.
+func (m *Mesh) Join() error {
+	b, err := EncodeJoin(m.cfg.Self)
+	if err != nil {
+		return err
+	}
+	m.send(b, func(Member) bool { return true })
 	return nil
 }
 
--- a/node/registry/registry_test.go
+++ b/node/registry/registry_test.go
@@ -58,7 +58,7 @@
 		Decode: func(r feed.Record) (placement.Server, bool) {
 			return placement.Server{ID: r.Key, Address: string(r.Value)}, string(r.Value) != "junk"
 		},
-		Relay: func() string { return relay }, Others: func() []string { return nil },
+		Relays: func() []string { return []string{relay} }, Others: func() []string { return nil },
 		OnPut: func(placement.Server) {}, OnRemove: func(string, string) {},
 	}), list
 }
@@ -115,6 +115,7 @@
 	store.down = true
 	s.round(t.Context())
 	s.contact = s.contact.Add(-2 * outageAfter)
+	s.storeRetry = time.Time{}
 	store.down = false
 	store.put("a", "")
 	store.put("b", "")
--- a/node/registry/sync.go
+++ b/node/registry/sync.go
@@ -28,9 +28,12 @@
 	followTimeout = followWait + 300*time.Millisecond
 	// maxAge is the age of the relay's list beyond which it counts as cut off.
 	maxAge = 1200 * time.Millisecond
-	// directFor is how long an entry reads the store itself after its relay
-	// was lost.
-	directFor = 2 * time.Second
+	// relayAvoid is how long a relay that failed is not asked. It is the time
+	// in which the others notice its silence.
+	relayAvoid = 2500 * time.Millisecond
+	// cutRetry is the time between two tries of the store while other entries
+	// give the list.
+	cutRetry = 1500 * time.Millisecond
 	// lapseGrace is how long removals wait after the store came back: entries
 	// of servers that lapsed meanwhile are back within two seconds.
 	lapseGrace = 2200 * time.Millisecond
@@ -53,9 +56,9 @@
 	// Decode turns a record into a server. It returns false for records that
 	// name none.
 	Decode func(feed.Record) (placement.Server, bool)
-	// Relay returns the address of the entry to ask; empty if this entry
-	// reads the store.
-	Relay func() string
+	// Relays returns the addresses of the entries to ask, best first. An
+	// empty one is this entry, which reads the store.
+	Relays func() []string
 	// Others returns entries to ask when neither store nor relay answer.
 	Others func() []string
 	// OnPut and OnRemove are told of changes.
@@ -74,17 +77,18 @@
 	backAt time.Time
 	held   map[string]bool
 
-	relay       string
-	epoch       uint64
-	revision    int64
-	directUntil time.Time
-	relayLost   bool
-	storeLost   bool
+	relay      string
+	epoch      uint64
+	revision   int64
+	avoid      map[string]time.Time
+	storeRetry time.Time
+	relayLost  bool
+	storeLost  bool
 }
 
 // NewSync returns a Sync without contact.
 func NewSync(cfg Config) *Sync {
-	return &Sync{cfg: cfg, held: map[string]bool{}}
+	return &Sync{cfg: cfg, held: map[string]bool{}, avoid: map[string]time.Time{}}
 }
 
 // Run keeps the list up to date until ctx ends.
@@ -100,28 +104,43 @@
 
 // round asks the relay or the store once and returns the pause after it.
 func (s *Sync) round(ctx context.Context) time.Duration {
-	relay := s.cfg.Relay()
-	if relay != "" && time.Now().After(s.directUntil) {
+	if relay := s.relayNow(); relay != "" {
 		err := s.follow(ctx, relay, maxAge)
 		s.note(&s.relayLost, "relay", err)
 		if err == nil {
 			return 0
 		}
-		s.directUntil = time.Now().Add(directFor)
+		s.avoid[relay] = time.Now().Add(relayAvoid)
+		if s.relayNow() != "" {
+			return 0
+		}
 	}
-	err := s.readStore(ctx)
-	s.note(&s.storeLost, "registry", err)
-	if err == nil {
-		s.removeHeld()
-		return relayPoll
+	if time.Now().After(s.storeRetry) {
+		err := s.readStore(ctx)
+		s.note(&s.storeLost, "registry", err)
+		if err == nil {
+			s.removeHeld()
+			return relayPoll
+		}
+		s.storeRetry = time.Now().Add(cutRetry/2 + rand.N(cutRetry))
 	}
-	// Cut off from the store: another entry may know more, however old.
-	if others := s.cfg.Others(); len(others) > 0 {
-		_ = s.follow(ctx, others[rand.N(len(others))], maxAge)
+	// Cut off from the store: another entry may know more.
+	if others := s.cfg.Others(); len(others) > 0 && s.follow(ctx, others[rand.N(len(others))], maxAge) == nil {
+		return 0
 	}
 	return relayPoll/2 + rand.N(relayPoll)
 }
 
+// relayNow returns the first relay that did not fail a moment ago.
+func (s *Sync) relayNow() string {
+	for _, relay := range s.cfg.Relays() {
+		if until, avoided := s.avoid[relay]; !avoided || time.Now().After(until) {
+			return relay
+		}
+	}
+	return ""
+}
+
 // note logs a change between contact and loss.
 func (s *Sync) note(lost *bool, name string, err error) {
 	if (err != nil) == *lost {
--- a/node/stager/announce.go
+++ b/node/stager/announce.go
@@ -7,8 +7,10 @@
 )
 
 const (
-	// announceEvery bounds how often an agent tells its region what it holds.
+	// announceEvery bounds how often an agent tells its region what it holds,
+	// announceFar how often it tells all regions.
 	announceEvery = 40 * time.Millisecond
+	announceFar   = 200 * time.Millisecond
 	// answerEvery bounds how often it tells so because another lacks pieces.
 	answerEvery = 150 * time.Millisecond
 )
@@ -16,8 +18,8 @@
 // heldPieces is what an agent of the region said last of some versions.
 type heldPieces map[int64][]bool
 
-// Told takes over what another agent of the region holds, and answers if that
-// agent lacks pieces that are here.
+// Told takes over what another agent holds, and answers if that agent lacks
+// pieces that are here.
 func (s *Stager) Told(id string, version int64, pieces []bool) {
 	s.mu.Lock()
 	if s.heldBy[id] == nil {
@@ -57,11 +59,11 @@
 	}
 }
 
-// announce tells the region what this agent holds of the kept versions.
-func (s *Stager) announce() {
+// announce tells what this agent holds of the kept versions.
+func (s *Stager) announce(everywhere bool) {
 	for _, version := range s.store.kept() {
 		if of, held := s.store.held(version); of != 0 {
-			s.cfg.Announce(of, held)
+			s.cfg.Announce(of, held, everywhere)
 		}
 	}
 }
@@ -70,10 +72,10 @@
 // ran the version before this process started.
 func (s *Stager) announceVersion(version int64, pieces int) {
 	if _, held := s.store.held(version); slices.Contains(held, true) {
-		s.cfg.Announce(version, held)
+		s.cfg.Announce(version, held, true)
 		return
 	}
-	s.cfg.Announce(version, slices.Repeat([]bool{true}, pieces))
+	s.cfg.Announce(version, slices.Repeat([]bool{true}, pieces), true)
 }
 
 // announceSoon asks the announcer to tell the region.
@@ -84,17 +86,28 @@
 	}
 }
 
-// announcer tells the region of new pieces, some at a time.
+// announcer tells of new pieces: the own region at once, others a few pieces at
+// a time, since bytes between regions are dear.
 func (s *Stager) announcer(ctx context.Context) {
+	far := time.NewTimer(announceFar)
+	defer far.Stop()
+	pending := false
 	for {
 		select {
 		case <-s.news:
+			s.announce(false)
+			pending = true
+			if sleep(ctx, announceEvery) != nil {
+				return
+			}
+		case <-far.C:
+			far.Reset(announceFar)
+			if pending {
+				pending = false
+				s.announce(true)
+			}
 		case <-ctx.Done():
 			return
 		}
-		s.announce()
-		if sleep(ctx, announceEvery) != nil {
-			return
-		}
 	}
 }
--- a/node/stager/fetch.go
+++ b/node/stager/fetch.go
@@ -23,6 +23,11 @@
 	// originPatience is how long a feeder waits for the region before it. A
 	// copy enters a region within it at a third of the regions' links.
 	originPatience = 2500 * time.Millisecond
+	// begunShare: a fetch of which less than the fourth part is here gives way
+	// to that of a newer version; two at once take twice as long.
+	begunShare = 4
+	// peersEvery is the time between two looks for agents that appeared.
+	peersEvery = 500 * time.Millisecond
 	// pullPause is the time after which a fetch looks again for a piece.
 	pullPause = 15 * time.Millisecond
 )
@@ -113,7 +118,18 @@
 			newer++
 		}
 	}
-	return newer >= keptVersions || newer > 0 && (version <= s.state.Version || s.store.complete(s.target.Model, s.target.Version))
+	if newer == 0 {
+		return false
+	}
+	_, held := s.store.held(version)
+	here := 0
+	for _, h := range held {
+		if h {
+			here++
+		}
+	}
+	return newer >= keptVersions || version <= s.state.Version || here < len(held)/begunShare ||
+		s.store.complete(s.target.Model, s.target.Version)
 }
 
 // untilDone fetches and logs a failure.
@@ -143,7 +159,7 @@
 	defer wait.Wait()
 	defer cancel()
 	f.takeHeld(ctx)
-	f.announce()
+	f.announce(true)
 	if err := f.run(ctx, &wait); err != nil {
 		return err
 	}
@@ -180,8 +196,17 @@
 
 func (f *fetch) run(ctx context.Context, wait *sync.WaitGroup) error {
 	feeding, exchanging := 0, 0
+	peersTold := time.Now()
 	for f.swarm.Left() > 0 {
 		f.tellSwarm()
+		if time.Since(peersTold) >= peersEvery {
+			peersTold = time.Now()
+			// Datagrams may be lost, and who holds pieces answers this one.
+			f.announceSoon()
+			for _, peer := range f.cfg.Peers() {
+				f.swarm.Join(peer)
+			}
+		}
 		for feeding < feedPulls {
 			pull, ok := f.swarm.Feed(time.Now())
 			if !ok {
@@ -255,7 +280,7 @@
 		data, err = f.from.Piece(ctx, f.manifest.Model, f.manifest.Version, p.Piece)
 	} else {
 		data, err = f.peers.piece(ctx, p.Source.Peer, pieceQuery{
-			Model: f.manifest.Model, Version: f.manifest.Version, Number: p.Piece, Wait: p.Wait,
+			Model: f.manifest.Model, Version: f.manifest.Version, Number: p.Piece,
 		})
 	}
 	if err == nil && f.serving {
--- a/node/stager/manifest.go
+++ b/node/stager/manifest.go
@@ -12,6 +12,10 @@
 	// askedPeers is how many agents are asked for a manifest that the origin
 	// doesn't give.
 	askedPeers = 4
+	// manifestFeeders is how many agents of a region ask the origin for a
+	// manifest at once; the others wait up to announcerWait for their word.
+	manifestFeeders = 2
+	announcerWait   = 600 * time.Millisecond
 	// manifestSpread is the time over which agents fetch the manifest of the
 	// version that their engines ran before, for others that need it while
 	// the origin is down.
@@ -27,7 +31,7 @@
 	}
 	peers := s.cfg.Peers()
 	if version > 0 {
-		if m := s.askPeers(ctx, s.announcers(peers, version), model, version); m != nil {
+		if m := s.awaitAnnouncer(ctx, peers, model, version); m != nil {
 			return m, nil
 		}
 	}
@@ -45,6 +49,30 @@
 	return nil, err
 }
 
+// awaitAnnouncer waits a moment for an agent that announces the version, unless
+// this agent is one of the first in its region, which ask the origin: the
+// manifests of a large fleet would hold up the first pieces.
+func (s *Stager) awaitAnnouncer(ctx context.Context, peers []rollout.Peer, model string, version int64) *Manifest {
+	rank := 0
+	for _, p := range peers {
+		if p.Region == s.cfg.Self.Region && p.ID < s.cfg.Self.ID {
+			rank++
+		}
+	}
+	wait := announcerWait
+	if rank < manifestFeeders {
+		wait = 0
+	}
+	for begun := time.Now(); ; {
+		if m := s.askPeers(ctx, s.announcers(peers, version), model, version); m != nil {
+			return m
+		}
+		if time.Since(begun) >= wait || sleep(ctx, stepPause) != nil {
+			return nil
+		}
+	}
+}
+
 // askPeers asks a few agents, those of the own region first.
 func (s *Stager) askPeers(ctx context.Context, peers []rollout.Peer, model string, version int64) *Manifest {
 	var near, far []rollout.Peer
--- a/node/stager/peers.go
+++ b/node/stager/peers.go
@@ -25,13 +25,9 @@
 )
 
 const (
-	// pieceWait is how long an agent waits for a piece that it is fetching
-	// itself before it tells the asking one that it has none.
-	pieceWait = 800 * time.Millisecond
-	// pieceTimeout bounds a whole answer: the wait, and a piece behind a few
-	// others.
-	pieceTimeout = pieceWait + 1500*time.Millisecond
-	// uploadQueue is how many pieces of the own region may wait for a place;
+	// pieceTimeout bounds a whole answer: a piece behind a few others.
+	pieceTimeout = 1500 * time.Millisecond
+	// uploadQueue is how many pieces may wait for a place;
 	// the asking agent goes to another one beyond it.
 	uploadQueue = 3
 	// peerDialTimeout bounds a connection to another agent, whose link may
@@ -65,8 +61,6 @@
 	Model   string `url:"model"`
 	Version int64  `url:"version"`
 	Number  int    `url:"number"`
-	// Wait asks the peer to wait for the piece.
-	Wait bool `url:"wait,omitempty"`
 }
 
 func (c *peerClient) piece(ctx context.Context, peer rollout.Peer, q pieceQuery) ([]byte, error) {
@@ -200,12 +194,12 @@
 		return
 	}
 	model := q.Get("model")
-	data := s.piece(r.Context(), model, version, number, q.Get("wait") != "")
+	data := s.piece(r.Context(), model, version, number)
 	if data == nil {
 		http.Error(w, fmt.Sprintf("piece %d is not here", number), http.StatusNotFound)
 		return
 	}
-	if q.Get("wait") == "" && s.queued.Load() >= uploadQueue {
+	if s.queued.Load() >= uploadQueue {
 		http.Error(w, "other pieces wait already", http.StatusTooManyRequests)
 		return
 	}
@@ -243,28 +237,25 @@
 	}
 }
 
-// piece returns a piece from memory, from the engine that ran the version
-// before this process started, or, if asked to wait, as soon as it arrives. The
-// asking agent checks the bytes.
-func (s *Stager) piece(ctx context.Context, model string, version int64, n int, wait bool) []byte {
-	m := s.store.manifestOf(model, version)
-	if m != nil {
+// piece returns a piece from memory, or from the engine that ran the version
+// before this process started. The asking agent checks the bytes.
+func (s *Stager) piece(ctx context.Context, model string, version int64, n int) []byte {
+	if m := s.store.manifestOf(model, version); m != nil {
 		if data := s.store.get(m, n); data != nil {
 			return data
 		}
 	}
-	if s.stagedBefore(model, version) {
-		callCtx, cancel := context.WithTimeout(ctx, engineTimeout)
-		defer cancel()
-		// An engine that fails here is seen by the watch.
-		if data, err := s.cfg.Engine.Get(callCtx, model, n); err == nil {
-			return data
-		}
+	if !s.stagedBefore(model, version) {
+		return nil
 	}
-	if m == nil || !wait {
+	ctx, cancel := context.WithTimeout(ctx, engineTimeout)
+	defer cancel()
+	data, err := s.cfg.Engine.Get(ctx, model, n)
+	if err != nil {
+		// An engine that fails here is seen by the watch.
 		return nil
 	}
-	return s.store.wait(ctx, m, n, pieceWait)
+	return data
 }
 
 // stagedBefore reports whether the engine's staged pieces are those of a
--- a/node/stager/pieces.go
+++ b/node/stager/pieces.go
@@ -1,10 +1,6 @@
 package stager
 
-import (
-	"context"
-	"sync"
-	"time"
-)
+import "sync"
 
 // keptVersions is how many versions are kept in memory: one that is complete
 // and may still be loaded, and the next one that arrives.
@@ -16,7 +12,6 @@
 type pieceStore struct {
 	mu       sync.Mutex
 	versions []*pieceSet
-	arrived  chan struct{}
 }
 
 type pieceSet struct {
@@ -26,7 +21,7 @@
 }
 
 func newPieceStore() *pieceStore {
-	return &pieceStore{arrived: make(chan struct{})}
+	return &pieceStore{}
 }
 
 // begin makes room for a version; the oldest one is dropped.
@@ -40,7 +35,6 @@
 	if len(s.versions) > keptVersions {
 		s.versions = s.versions[len(s.versions)-keptVersions:]
 	}
-	s.wake()
 }
 
 // find returns a version, the newest for 0, or nil. The caller holds the lock.
@@ -53,11 +47,6 @@
 	return nil
 }
 
-func (s *pieceStore) wake() {
-	close(s.arrived)
-	s.arrived = make(chan struct{})
-}
-
 // manifestOf returns the manifest of a version, of the newest for 0, or nil.
 func (s *pieceStore) manifestOf(model string, version int64) *Manifest {
 	s.mu.Lock()
@@ -108,28 +97,6 @@
 	}
 	set.pieces[n] = data
 	set.missing--
-	s.wake()
-}
-
-// wait returns a piece, waiting for it while it may still arrive.
-func (s *pieceStore) wait(ctx context.Context, m *Manifest, n int, limit time.Duration) []byte {
-	timeout := time.NewTimer(limit)
-	defer timeout.Stop()
-	for {
-		s.mu.Lock()
-		arrived := s.arrived
-		s.mu.Unlock()
-		if data := s.get(m, n); data != nil {
-			return data
-		}
-		select {
-		case <-arrived:
-		case <-timeout.C:
-			return nil
-		case <-ctx.Done():
-			return nil
-		}
-	}
 }
 
 // kept returns the versions that are kept.
--- a/node/stager/stager.go
+++ b/node/stager/stager.go
@@ -91,8 +91,9 @@
 	// Report sends the engine's load to the entries.
 	Report func(placement.Report)
 	Log    *decision.Log
-	// Announce tells the agents of the region which pieces are here.
-	Announce func(version int64, pieces []bool)
+	// Announce tells the agents of the region, or of all regions, which pieces
+	// are here.
+	Announce func(version int64, pieces []bool, everywhere bool)
 	// LinkMbps is the machine's link in Mbit/s; 0 is unknown.
 	LinkMbps float64
 	// Bootstrap says that the whole system starts for the first time. Engines
--- a/node/stager/stager_test.go
+++ b/node/stager/stager_test.go
@@ -175,7 +175,7 @@
 		s := New(Config{
 			Self: g.peers[i], Address: "127.0.0.1:1", Engine: engines[i], NewOrigin: func(string) Origin { return origin },
 			Peers: func() []rollout.Peer { return g.peers }, Report: func(placement.Report) {},
-			Announce: func(version int64, pieces []bool) { g.announce(i, version, pieces) },
+			Announce: func(version int64, pieces []bool, _ bool) { g.announce(i, version, pieces) },
 			Log:      decision.New(decision.Config{Output: io.Discard}), Bootstrap: true, Within: 4 * time.Second,
 		})
 		g.stagers = append(g.stagers, s)
