--- a/node/stager/loader.go
+++ b/node/stager/loader.go
@@ -155,6 +155,7 @@
 	for time.Since(ordered) < loadPatience {
 		_, _, state, up := s.known()
 		if up && state.Version == m.Version {
+			s.store.dropBefore(m.Version)
 			s.cfg.Log.Event("load_done", "version", state.Version, "ms", time.Since(ordered).Milliseconds())
 			return nil
 		}
--- a/node/stager/pieces.go
+++ b/node/stager/pieces.go
@@ -1,6 +1,9 @@
 package stager
 
-import "sync"
+import (
+	"slices"
+	"sync"
+)
 
 // keptVersions is how many versions are kept in memory: one that is complete
 // and may still be loaded, and the next one that arrives.
@@ -37,6 +40,13 @@
 	}
 }
 
+// dropBefore forgets versions older than one that the engine runs.
+func (s *pieceStore) dropBefore(version int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.versions = slices.DeleteFunc(s.versions, func(set *pieceSet) bool { return set.manifest.Version < version })
+}
+
 // find returns a version, the newest for 0, or nil. The caller holds the lock.
 func (s *pieceStore) find(model string, version int64) *pieceSet {
 	for i := len(s.versions) - 1; i >= 0; i-- {
