--- a/Makefile
+++ b/Makefile
@@ -4,6 +4,7 @@
 RUNS ?= 1000
 BENCH ?= .
 FUZZTIME ?= 30s
+SOAKTIME ?= 60s
 BIN := bin
 PACKAGES := $(MODULES:%=./%/...)
 
@@ -37,6 +38,7 @@
 
 soak: ## long randomised runs: make soak SEED=n RUNS=n
 	cd core && go test -tags soak -count=1 -timeout 80m ./... -run Soak -rapid.seed=$(SEED) -rapid.checks=$(RUNS)
+	go test -count=1 -timeout 80m ./bench/fleet -run Soak -v -soak.seed=$(SEED) -soak.time=$(SOAKTIME)
 
 bench: ## benchmarks: make bench BENCH=regexp
 	cd bench && go test -run '^$$' -bench '$(BENCH)' -benchtime 1x -timeout 60m ./...
@@ -45,6 +47,10 @@
 	cd core && go test ./settings -run '^$$' -fuzz FuzzParse -fuzztime $(FUZZTIME)
 	cd core && go test ./rollout -run '^$$' -fuzz FuzzManifest -fuzztime $(FUZZTIME)
 	cd node && go test ./entry -run '^$$' -fuzz FuzzAgentFrames -fuzztime $(FUZZTIME)
+	cd core && go test ./eventstream -run '^$$' -fuzz FuzzSplitter -fuzztime $(FUZZTIME)
+	cd node && go test ./mesh -run '^$$' -fuzz FuzzDecode -fuzztime $(FUZZTIME)
+	cd platform && go test . -run '^$$' -fuzz FuzzDecodeFrame -fuzztime $(FUZZTIME)
+	cd platform && go test . -run '^$$' -fuzz FuzzRecords -fuzztime $(FUZZTIME)
 
 generate: ## regenerate node/rpc (needs protoc, protoc-gen-go, protoc-gen-twirp)
 	protoc -I node/proto --go_out=node/rpc --go_opt=paths=source_relative --twirp_out=node/rpc --twirp_opt=paths=source_relative node/proto/laburnum.proto
--- /dev/null
+++ b/bench/fleet/fleet_test.go
@@ -0,0 +1,400 @@
+// Package fleet runs entries and agents as processes against stand-ins that
+// speak the users' platform's protocol, injects faults from outside and checks
+// the promises while they run.
+package fleet
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/laburnumloft/laburnumloft/standin/platform"
+)
+
+const (
+	entries, engines, plains = 3, 4, 2
+	// beatEvery is the time between two records of a server.
+	beatEvery = 500 * time.Millisecond
+	model     = "model-1"
+	ownPort   = 7700
+)
+
+var bin string
+
+func TestMain(m *testing.M) {
+	dir, err := os.MkdirTemp("", "laburnum-fleet")
+	if err != nil {
+		panic(err)
+	}
+	bin = dir
+	out, err := exec.Command("go", "build", "-o", dir+"/", "../../node/cmd/...").CombinedOutput()
+	if err != nil {
+		panic(string(out))
+	}
+	code := m.Run()
+	_ = os.RemoveAll(dir)
+	os.Exit(code)
+}
+
+// fleet is a small deployment on loopback addresses.
+type fleet struct {
+	c       *qt.C
+	dir     string
+	store   *platform.Store
+	origin  *platform.Origin
+	engines []*platform.Server
+	plains  []*platform.Server
+	logs    lockedBuffer
+
+	mu      sync.Mutex
+	entries []*exec.Cmd
+	agents  []*exec.Cmd
+	version int64
+	config  int64
+	client  *http.Client
+}
+
+type lockedBuffer struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+func (l *lockedBuffer) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.Write(p)
+}
+
+func (l *lockedBuffer) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.String()
+}
+
+// The third byte of a loopback address tells the kind of machine.
+func entryIP(i int) string  { return fmt.Sprintf("127.77.0.%d", i+1) }
+func engineIP(i int) string { return fmt.Sprintf("127.77.1.%d", i+1) }
+func plainIP(i int) string  { return fmt.Sprintf("127.77.3.%d", i+1) }
+
+const (
+	storeAddress  = "127.77.2.1:8007"
+	originAddress = "127.77.2.2:8006"
+)
+
+func start(c *qt.C) *fleet {
+	f := &fleet{c: c, dir: c.TempDir(), store: platform.NewStore(), origin: platform.NewOrigin(), version: 1, config: 1,
+		client: &http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}}
+	f.listen(storeAddress, f.store)
+	f.listen(originAddress, f.origin)
+	for i := range engines {
+		f.engines = append(f.engines, platform.NewServer(fmt.Sprint("engine-", i), model))
+		f.listen(engineIP(i)+":8001", f.engines[i])
+	}
+	for i := range plains {
+		f.plains = append(f.plains, platform.NewServer(fmt.Sprint("plain-", i), ""))
+		f.listen(plainIP(i)+":8001", f.plains[i])
+	}
+	f.configure()
+	ctx, cancel := context.WithCancel(context.Background())
+	var beats sync.WaitGroup
+	beats.Go(func() { f.beat(ctx) })
+	c.Cleanup(func() { cancel(); beats.Wait() })
+	c.Cleanup(f.killAll)
+	for i := range entries {
+		f.entries = append(f.entries, f.spawn("laburnum-entry", f.settings(entryIP(i), "entry", i)))
+	}
+	for i := range engines {
+		f.agents = append(f.agents, f.spawn("laburnum-agent", f.settings(engineIP(i), "agent", i)))
+	}
+	for i := range entries {
+		f.eventually("entry ready", func() bool { return f.ready(i) })
+	}
+	return f
+}
+
+func (f *fleet) listen(address string, handler http.Handler) {
+	listener, err := net.Listen("tcp4", address)
+	f.c.Assert(err, qt.IsNil)
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: time.Minute}
+	go func() { _ = server.Serve(listener) }()
+	f.c.Cleanup(func() { _ = server.Close() })
+}
+
+// settings writes the platform's settings file of a process.
+func (f *fleet) settings(ip, role string, i int) string {
+	text := fmt.Sprintf("node: %q\nip: %q\nzone: \"z\"\nregion: \"r\"\nzones: {z: \"r\"}\nportRange: [%d, %d]\nbootstrap: true\n"+
+		"seeds: [\"%s:8000\"]\nlimits: {memoryMb: 200, linkMbps: 0}\n"+
+		"bounds: {retryBudgetRatio: 0.2, budgetSlack: 200, graceS: 4, version_ms: 8000}\nplatform: {address: %q, form: \"log\"}\n",
+		fmt.Sprint(role, "-", i), ip, ownPort, ownPort+15, entryIP(0), storeAddress)
+	if role == "entry" {
+		text += fmt.Sprintf("listen: {front: \"%[1]s:8005\", ready: \"%[1]s:8002\", control: \"%[1]s:8000\", directory: \"%[1]s:8009\"}\n", ip)
+	} else {
+		text += fmt.Sprintf("listen: {}\napp: \"%s:8001\"\nservice: \"llm\"\n", ip)
+	}
+	path := filepath.Join(f.dir, fmt.Sprint(role, i, ".yaml"))
+	f.c.Assert(os.WriteFile(path, []byte(text), 0o600), qt.IsNil)
+	return path
+}
+
+func (f *fleet) spawn(program, settings string) *exec.Cmd {
+	cmd := exec.Command(filepath.Join(bin, program), "platform", "--log-routine-share", "1")
+	cmd.Env = append(os.Environ(), "LABURNUMLOFT_CONFIG="+settings)
+	cmd.Stdout, cmd.Stderr = &f.logs, &f.logs
+	f.c.Assert(cmd.Start(), qt.IsNil)
+	return cmd
+}
+
+// restart kills a process and starts it again.
+func (f *fleet) restart(set []*exec.Cmd, i int, signal syscall.Signal) {
+	f.mu.Lock()
+	old := set[i]
+	f.mu.Unlock()
+	_ = old.Process.Signal(signal)
+	_ = old.Wait()
+	settings := ""
+	for _, e := range old.Env {
+		if path, ok := strings.CutPrefix(e, "LABURNUMLOFT_CONFIG="); ok {
+			settings = path
+		}
+	}
+	again := f.spawn(filepath.Base(old.Path), settings)
+	f.mu.Lock()
+	set[i] = again
+	f.mu.Unlock()
+}
+
+func (f *fleet) killAll() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, cmd := range append(append([]*exec.Cmd{}, f.entries...), f.agents...) {
+		_ = cmd.Process.Signal(syscall.SIGCONT)
+		_ = cmd.Process.Kill()
+		_ = cmd.Wait()
+	}
+}
+
+func (f *fleet) beat(ctx context.Context) {
+	for {
+		for i, s := range f.engines {
+			_ = f.store.Put("keyed.servers", fmt.Sprint("engine-", i), s.Beat("llm", engineIP(i)+":8001", "z"))
+		}
+		for i, s := range f.plains {
+			_ = f.store.Put("keyed.servers", fmt.Sprint("plain-", i), s.Beat("switching", plainIP(i)+":8001", "z"))
+		}
+		select {
+		case <-time.After(beatEvery):
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// configure publishes the next configuration. Its version is a route of its
+// own, by which a test sees what is in force.
+func (f *fleet) configure() {
+	f.mu.Lock()
+	f.config++
+	version := f.config
+	f.mu.Unlock()
+	route := func(prefix, kind, service string, attempts int) map[string]any {
+		return map[string]any{"name": prefix, "hostname": "h.example", "pathPrefix": prefix, "kind": kind, "service": service,
+			"timeoutMs": 3000, "targetLatencyMs": 400, "maxAttempts": attempts, "streamResume": true}
+	}
+	err := f.store.Put("keyed.op", "config", map[string]any{
+		"version": version,
+		"routes": []any{route("/notice/", "streaming", "llm", 2), route("/order/", "unsafe", "switching", 2), route("/read/", "safe", "switching", 2),
+			route(fmt.Sprintf("/v%d/", version), "safe", "switching", 2)},
+		"services": []any{
+			map[string]any{"name": "llm", "engine": map[string]any{"slots": 16, "models": []any{map[string]any{"name": model}}, "layers": platform.Pieces}},
+			map[string]any{"name": "switching"}, map[string]any{"name": "weights", "origin": originAddress, "zone": "z"},
+		},
+		"limits":  map[string]any{"maxBodyBytes": 65536},
+		"tenants": []any{map[string]any{"name": "w", "apiKeys": []string{"key"}}},
+	})
+	f.c.Check(err, qt.IsNil)
+}
+
+// nameWeights names the next weight version.
+func (f *fleet) nameWeights() {
+	f.mu.Lock()
+	f.version++
+	version := f.version
+	f.mu.Unlock()
+	f.origin.Name(version)
+	f.c.Check(f.store.Put("keyed.op", "version/"+model, map[string]any{"model": model, "version": version}), qt.IsNil)
+}
+
+func (f *fleet) ready(i int) bool {
+	resp, err := f.client.Get("http://" + entryIP(i) + ":8002/v1/ready")
+	if err != nil {
+		return false
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+func (f *fleet) eventually(what string, done func() bool) {
+	deadline := time.After(30 * time.Second)
+	for !done() {
+		select {
+		case <-time.After(50 * time.Millisecond):
+		case <-deadline:
+			f.c.Fatalf("%s: not within 30 s\n%s", what, tail(f.logs.String()))
+		}
+	}
+}
+
+func tail(s string) string { return s[max(0, len(s)-6000):] }
+
+// call sends one request to an entry and checks what comes back. It returns the
+// status; 0 is a broken connection.
+func (f *fleet) call(entry int, path, id string) int {
+	req, err := http.NewRequest(http.MethodPost, "http://"+entryIP(entry)+":8005"+path+id, strings.NewReader("body of "+id))
+	f.c.Assert(err, qt.IsNil)
+	req.Host = "h.example"
+	for name, value := range map[string]string{"X-Request-Id": id, "X-Deadline-Ms": "3000", "X-Credential": "key"} {
+		req.Header.Set(name, value)
+	}
+	resp, err := f.client.Do(req)
+	if err != nil {
+		return 0
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return 0
+	}
+	if resp.StatusCode == http.StatusOK {
+		want := fmt.Sprintf("answer to %s: body of %s", id, id)
+		if path == "/notice/" {
+			want = ""
+			for n := 1; n <= platform.Events; n++ {
+				want += fmt.Sprintf("id: %d\ndata: %s\n\n", n, id)
+			}
+		}
+		f.c.Check(string(body), qt.Equals, want, qt.Commentf("%s%s is whole and its own", path, id))
+		f.c.Check(resp.Header.Get("X-Response-Signature"), qt.Equals, "sig")
+	}
+	return resp.StatusCode
+}
+
+// inForce reports whether an entry has the newest configuration.
+func (f *fleet) inForce(entry int) bool {
+	f.mu.Lock()
+	version := f.config
+	f.mu.Unlock()
+	return f.call(entry, fmt.Sprintf("/v%d/", version), "probe") == http.StatusOK
+}
+
+// onVersion reports whether all engines run the newest weights.
+func (f *fleet) onVersion() bool {
+	f.mu.Lock()
+	version := f.version
+	f.mu.Unlock()
+	for _, e := range f.engines {
+		if e.Version() != version {
+			return false
+		}
+	}
+	return true
+}
+
+// checkServers checks what the servers saw: whole weights, no key, and no order
+// twice.
+func (f *fleet) checkServers(refused map[string]bool) {
+	runs := map[string]int{}
+	for _, s := range append(append([]*platform.Server{}, f.engines...), f.plains...) {
+		f.c.Check(s.Broken(), qt.HasLen, 0)
+		for id, n := range s.Runs() {
+			runs[id] += n
+		}
+	}
+	for id, n := range runs {
+		if strings.HasPrefix(id, "order") && n > 1 {
+			f.c.Errorf("%s ran %d times", id, n)
+		}
+		if refused[id] {
+			f.c.Errorf("%s was refused and ran", id)
+		}
+	}
+}
+
+// The whole path: every kind of request is answered, a configuration is in force
+// within its bound, and a weight version reaches every engine.
+func TestCalmDay(t *testing.T) {
+	c := qt.New(t)
+	f := start(c)
+	for n := range 30 {
+		for _, path := range []string{"/notice/", "/order/", "/read/"} {
+			c.Check(f.call(n%entries, path, fmt.Sprint(strings.Trim(path, "/"), n)), qt.Equals, http.StatusOK)
+		}
+	}
+	f.configure()
+	published := time.Now()
+	for i := range entries {
+		f.eventually("configuration in force", func() bool { return f.inForce(i) })
+	}
+	c.Check(time.Since(published) < 2*time.Second, qt.IsTrue)
+	f.nameWeights()
+	named := time.Now()
+	f.eventually("weights on all engines", f.onVersion)
+	c.Check(time.Since(named) < 8*time.Second, qt.IsTrue)
+	f.checkServers(nil)
+}
+
+// An entry that is asked to stop ends what is in flight whole.
+func TestPlannedStop(t *testing.T) {
+	c := qt.New(t)
+	f := start(c)
+	var calls sync.WaitGroup
+	for n := range 20 {
+		calls.Go(func() { c.Check(f.call(0, "/notice/", fmt.Sprint("notice", n)), qt.Equals, http.StatusOK) })
+	}
+	c.Assert(f.entries[0].Process.Signal(syscall.SIGTERM), qt.IsNil)
+	calls.Wait()
+	f.eventually("not ready", func() bool { return !f.ready(0) })
+	c.Assert(f.entries[0].Wait(), qt.IsNil)
+	f.checkServers(nil)
+}
+
+// An entry that starts while the store is down takes configuration and members
+// from another one.
+func TestStartDuringOutage(t *testing.T) {
+	c := qt.New(t)
+	f := start(c)
+	f.store.SetDown(true)
+	f.restart(f.entries, 1, syscall.SIGKILL)
+	f.eventually("configuration from another entry", func() bool { return f.inForce(1) })
+	c.Check(f.call(1, "/order/", "order-1"), qt.Equals, http.StatusOK)
+	f.store.SetDown(false)
+	f.checkServers(nil)
+}
+
+// A settings file that can't be used stops the start with one line and code 2.
+func TestBadSettings(t *testing.T) {
+	c := qt.New(t)
+	path := filepath.Join(c.TempDir(), "bad.yaml")
+	c.Assert(os.WriteFile(path, []byte("node: \"x\"\nzone: \"z\"\nportRange: [1]\n"), 0o600), qt.IsNil)
+	for _, program := range []string{"laburnum-entry", "laburnum-agent"} {
+		cmd := exec.Command(filepath.Join(bin, program), "platform")
+		cmd.Env = append(os.Environ(), "LABURNUMLOFT_CONFIG="+path)
+		out, err := cmd.CombinedOutput()
+		c.Assert(err, qt.Not(qt.IsNil))
+		c.Check(cmd.ProcessState.ExitCode(), qt.Equals, 2)
+		c.Check(strings.Count(strings.TrimSpace(string(out)), "\n"), qt.Equals, 0, qt.Commentf("%s", out))
+		c.Check(string(out), qt.Contains, "portRange")
+	}
+}
--- /dev/null
+++ b/standin/platform/store.go
@@ -0,0 +1,202 @@
+// Package platform holds stand-ins that speak the users' platform's published
+// protocol: the store with keyed topics, model engines with staged weights,
+// plain services and the origin of weights, each with switches for faults.
+package platform
+
+import (
+	"encoding/base64"
+	"encoding/binary"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+)
+
+// maxWait bounds a long poll.
+const maxWait = 30 * time.Second
+
+// maxAppend bounds the body of an append.
+const maxAppend = 2 << 20
+
+// record is one record of a keyed topic; a nil value drops the key.
+type record struct {
+	key   string
+	value []byte
+}
+
+type topic struct {
+	records []record
+	changed chan struct{}
+}
+
+// Store is an in-memory store with one partition a topic.
+type Store struct {
+	mu     sync.Mutex
+	topics map[string]*topic
+	// down answers 503, losing executes appends without an answer.
+	down, losing bool
+}
+
+// NewStore returns an empty store.
+func NewStore() *Store {
+	return &Store{topics: map[string]*topic{}}
+}
+
+// SetDown makes every call fail with 503.
+func (s *Store) SetDown(down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down = down
+}
+
+// SetLosing makes appends take effect without an answer.
+func (s *Store) SetLosing(losing bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.losing = losing
+}
+
+// Put appends a record, as the operator or a server does. It works while the
+// store is down for the system.
+func (s *Store) Put(name, key string, value any) error {
+	data, err := json.Marshal(value)
+	if err != nil {
+		return err
+	}
+	s.append(name, record{key, data})
+	return nil
+}
+
+// Drop appends a record without a value.
+func (s *Store) Drop(name, key string) { s.append(name, record{key: key}) }
+
+func (s *Store) append(name string, r record) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t := s.topic(name)
+	t.records = append(t.records, r)
+	close(t.changed)
+	t.changed = make(chan struct{})
+	return len(t.records)
+}
+
+// topic returns a topic. The caller holds the lock.
+func (s *Store) topic(name string) *topic {
+	if s.topics[name] == nil {
+		s.topics[name] = &topic{changed: make(chan struct{})}
+	}
+	return s.topics[name]
+}
+
+// ServeHTTP implements http.Handler.
+func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	down, losing := s.down, s.losing
+	s.mu.Unlock()
+	if down {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	name := r.URL.Query().Get("topic")
+	switch r.URL.Path {
+	case "/v1/log-append":
+		s.serveAppend(w, r, name, losing)
+	case "/v1/log-read":
+		s.serveRead(w, r, name)
+	case "/v1/log-newest":
+		s.serveNewest(w, name)
+	default:
+		http.NotFound(w, r)
+	}
+}
+
+func (s *Store) serveAppend(w http.ResponseWriter, r *http.Request, name string, losing bool) {
+	body, err := io.ReadAll(io.LimitReader(r.Body, maxAppend))
+	if err != nil || len(body) < 5 || name == "keyed.op" || name == "keyed.servers" {
+		w.WriteHeader(http.StatusForbidden)
+		return
+	}
+	keyLength := int(body[4])
+	value := body[5+keyLength:]
+	if len(value) == 0 {
+		value = nil
+	}
+	end := s.append(name, record{string(body[5 : 5+keyLength]), value})
+	if losing {
+		panic(http.ErrAbortHandler)
+	}
+	writeJSON(w, map[string]int{"offset": end - 1, "end": end})
+}
+
+func (s *Store) serveRead(w http.ResponseWriter, r *http.Request, name string) {
+	from, err := strconv.Atoi(r.URL.Query().Get("from"))
+	waitMS, _ := strconv.Atoi(r.URL.Query().Get("waitMs"))
+	if err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	timeout := time.After(min(time.Duration(waitMS)*time.Millisecond, maxWait))
+	for {
+		s.mu.Lock()
+		t := s.topic(name)
+		records, changed, down := t.records, t.changed, s.down
+		s.mu.Unlock()
+		if down {
+			panic(http.ErrAbortHandler)
+		}
+		if from < len(records) {
+			writeFrame(w, records, from)
+			return
+		}
+		select {
+		case <-changed:
+		case <-timeout:
+			writeFrame(w, records, len(records))
+			return
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+func writeFrame(w http.ResponseWriter, records []record, from int) {
+	out := binary.BigEndian.AppendUint64(nil, uint64(len(records)))
+	out = binary.BigEndian.AppendUint64(out, 0)
+	for _, r := range records[from:] {
+		out = binary.BigEndian.AppendUint32(out, uint32(1+len(r.key)+len(r.value)))
+		out = append(out, byte(len(r.key)))
+		out = append(append(out, r.key...), r.value...)
+	}
+	// A caller that left reads again.
+	_, _ = w.Write(out)
+}
+
+func (s *Store) serveNewest(w http.ResponseWriter, name string) {
+	type item struct {
+		Key    string `json:"key"`
+		Value  string `json:"value"`
+		Offset int    `json:"offset"`
+	}
+	s.mu.Lock()
+	records := s.topic(name).records
+	s.mu.Unlock()
+	newest := map[string]int{}
+	for i, r := range records {
+		newest[r.key] = i
+	}
+	items := []item{}
+	for i, r := range records {
+		if newest[r.key] == i && r.value != nil {
+			items = append(items, item{r.key, base64.StdEncoding.EncodeToString(r.value), i})
+		}
+	}
+	writeJSON(w, map[string]any{"items": items, "truncated": false, "end": len(records)})
+}
+
+func writeJSON(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	// A caller that left asks again.
+	_ = json.NewEncoder(w).Encode(v)
+}
