--- a/core/placement/named.go
+++ b/core/placement/named.go
@@ -8,8 +8,9 @@
 // Rolling restarts: an entry that starts reads the newest version from the
 // store, but not how long ago it was named. Counting from its own start would
 // let it use older weights for too long, and it doesn't even see the version
-// before the newest. It therefore assumes that the version was named long ago,
-// until another entry tells the age of each.
+// before the newest. It therefore requires the version at once, until another
+// entry tells the age of each. When none does, because all have just started,
+// it assumes an age.
 type Named struct {
 	within time.Duration
 	// assumed is the age of a version of which only the existence is known.
@@ -20,8 +21,14 @@
 type naming struct {
 	at    time.Time
 	exact bool
+	// found is when a version of unknown age was found.
+	found time.Time
 }
 
+// askTime is how long an entry that has just started waits for another one to
+// tell the ages. One round trip takes milliseconds.
+const askTime = time.Second
+
 // maxNamings bounds the remembered versions of a model.
 const maxNamings = 8
 
@@ -33,17 +40,17 @@
 
 // Saw takes a version that was just named.
 func (n *Named) Saw(model string, version int64, now time.Time) bool {
-	return n.learn(model, version, naming{now, true})
+	return n.learn(model, version, naming{at: now, exact: true})
 }
 
 // Found takes a version that was named at an unknown time.
 func (n *Named) Found(model string, version int64, now time.Time) bool {
-	return n.learn(model, version, naming{now.Add(-n.assumed), false})
+	return n.learn(model, version, naming{at: now.Add(-n.assumed), found: now})
 }
 
 // Told takes a version with the age that another entry tells.
 func (n *Named) Told(model string, version int64, age time.Duration, now time.Time) bool {
-	return n.learn(model, version, naming{now.Add(-age), true})
+	return n.learn(model, version, naming{at: now.Add(-age), exact: true})
 }
 
 // learn keeps the earliest exact time, and reports whether the version is new.
@@ -71,7 +78,8 @@
 func (n *Named) Required(model string, now time.Time) int64 {
 	var required int64
 	for version, naming := range n.models[model] {
-		if now.Sub(naming.at) >= n.within {
+		asking := !naming.exact && now.Sub(naming.found) < askTime
+		if asking || now.Sub(naming.at) >= n.within {
 			required = max(required, version)
 		}
 	}
--- a/core/placement/placement_test.go
+++ b/core/placement/placement_test.go
@@ -202,6 +202,10 @@
 	c := qt.New(t)
 	n := NewNamed(6*time.Second, 4*time.Second)
 	n.Found("m", 3, start)
+	// Nobody has told its age yet: it may be due already (tromba scale-1, an
+	// entry that started 7.4 s after the version was named).
+	c.Assert(n.Required("m", start.Add(time.Second-1)), qt.Equals, int64(3))
+	// Nobody tells, since all have just started.
 	c.Assert(n.Required("m", start.Add(time.Second)), qt.Equals, int64(0))
 	c.Assert(n.Required("m", start.Add(2*time.Second)), qt.Equals, int64(3))
 	n.Told("m", 2, 7*time.Second, start)
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -198,9 +198,10 @@
 }
 
 const (
-	// requireMargin of the time for named weights is left for requests on
-	// their way and in queues.
-	requireMargin = 1500 * time.Millisecond
+	// requireMargin of the time for named weights is left for an entry that
+	// learns late, half a second, and for the wait in an engine's queue, which
+	// firstEventPatience bounds.
+	requireMargin = 1800 * time.Millisecond
 	// restartGrace is how long an entry that has just started may use older
 	// weights, unless another entry says that they are out of date already.
 	restartGrace = 2 * time.Second
