Read the store soon after an outage at a start; explain a request from logs

All entries started without configuration; the store was back at 36.6 s, but the pause between tries had grown to 1.5 s, and all requests were refused until 38.2 s. Engines that had restarted were offered under their former ids, three misdirected sends a request. Change: pauses stay below 0.3 s until the first contact; engines whose agent sees a later incarnation wait for the registry; laburnum-entry explain tells a request's story from log lines.

--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -303,7 +303,7 @@
 		return NoServer
 	}
 	fresh := f.fresh(m, now)
-	if fresh && m.report.Down || now.Before(m.asideUntil) {
+	if fresh && (m.report.Down || m.replaced()) || now.Before(m.asideUntil) {
 		return NoServer
 	}
 	if q.Model != "" {
@@ -318,6 +318,13 @@
 	return Found
 }
 
+// replaced reports whether the agent sees a later incarnation than the registry
+// lists. It answers under another id, so every request would be misdirected
+// until the registry follows (three times a request after a power loss).
+func (m *member) replaced() bool {
+	return m.server.Born != 0 && m.report.Born > m.server.Born
+}
+
 // limit is the load up to which a server takes a request.
 func (f *Fleet) limit(m *member, q Query) float64 {
 	slots := float64(max(m.server.Slots, 1))
--- a/core/placement/placement_test.go
+++ b/core/placement/placement_test.go
@@ -149,7 +149,15 @@
 	s.Born, s.WeightVersion = 100, 1
 	f.Put(s)
 	_, miss = f.Choose(start, query())
-	c.Assert(miss, qt.Equals, NoWeights)
+	c.Assert(miss, qt.Equals, NoServer)
+	// Loaded again, but the registry still lists the id of before.
+	f.Report(Report{Address: "10.0.0.0:1", Born: 200, WeightVersion: 1}, start)
+	_, miss = f.Choose(start, query())
+	c.Assert(miss, qt.Equals, NoServer)
+	s.Born = 200
+	f.Put(s)
+	_, miss = f.Choose(start, query())
+	c.Assert(miss, qt.Equals, Found)
 }
 
 // A grey server is set aside, but never more than half of a service's: a cause
--- a/node/cmd/laburnum-entry/main.go
+++ b/node/cmd/laburnum-entry/main.go
@@ -47,6 +47,7 @@
 	}{
 		{"serve", "run an entry", "Runs an entry until SIGTERM.", &serveCommand{}},
 		{"platform", "run an entry on the users' platform", platformHelp, &platformCommand{}},
+		{"explain", "tell why a request ended as it did", explainHelp, &explainCommand{}},
 		{"check", "check documents before publishing", checkHelp, &checkCommand{}},
 		{"publish", "publish documents", publishHelp, &publishCommand{}},
 		{"get", "print the document in force", getHelp, &getCommand{}},
--- a/node/feed/feed.go
+++ b/node/feed/feed.go
@@ -54,6 +54,8 @@
 	// from others meanwhile.
 	firstRetry = 150 * time.Millisecond
 	maxRetry   = 1500 * time.Millisecond
+	// startRetry bounds it until the first successful call.
+	startRetry = 300 * time.Millisecond
 	// callTimeout bounds a call beyond the time that it may wait.
 	callTimeout = 1500 * time.Millisecond
 )
@@ -154,6 +156,11 @@
 		age, _ := f.ContactAge()
 		f.cfg.Log.Event("store_lost", "feed", f.cfg.Name, "cause", err.Error(), "contact_age_ms", age.Milliseconds())
 	}
-	f.retry = min(max(2*f.retry, firstRetry), maxRetry)
+	limit := maxRetry
+	if _, ok := f.ContactAge(); !ok {
+		// A process that knows nothing yet serves nobody.
+		limit = startRetry
+	}
+	f.retry = min(max(2*f.retry, firstRetry), limit)
 	return f.retry/2 + rand.N(f.retry)
 }
--- a/node/feed/feed_test.go
+++ b/node/feed/feed_test.go
@@ -87,3 +87,20 @@
 	_, ok := f.ContactAge()
 	c.Assert(ok, qt.IsTrue)
 }
+
+// A process that starts during an outage knows no configuration and serves
+// nobody: it must read soon after the store is back (recorded incident: 1.5 s
+// after it all requests were still refused).
+func TestRetriesQuicklyUntilTheFirstContact(t *testing.T) {
+	c := qt.New(t)
+	f := NewFollower(Config{Name: "op", Log: decision.New(decision.Config{Output: io.Discard})})
+	for range 20 {
+		c.Assert(f.failed(t.Context(), errors.New("down")) <= startRetry*3/2, qt.IsTrue)
+	}
+	f.succeeded()
+	longest := time.Duration(0)
+	for range 20 {
+		longest = max(longest, f.failed(t.Context(), errors.New("down")))
+	}
+	c.Assert(longest > startRetry*3/2, qt.IsTrue)
+}
--- a/node/registry/sync.go
+++ b/node/registry/sync.go
@@ -122,7 +122,9 @@
 			s.removeHeld()
 			return relayPoll
 		}
-		s.storeRetry = time.Now().Add(cutRetry/2 + rand.N(cutRetry))
+		if !s.contact.IsZero() {
+			s.storeRetry = time.Now().Add(cutRetry/2 + rand.N(cutRetry))
+		}
 	}
 	// Cut off from the store: another entry may know more.
 	if others := s.cfg.Others(); len(others) > 0 && s.follow(ctx, others[rand.N(len(others))], maxAge) == nil {
