--- a/bench/fleet/fleet_test.go
+++ b/bench/fleet/fleet_test.go
@@ -95,8 +95,10 @@
 )
 
 func start(c *qt.C) *fleet {
-	f := &fleet{c: c, dir: c.TempDir(), store: platform.NewStore(), origin: platform.NewOrigin(), version: 1, config: 1,
-		client: &http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}}
+	f := &fleet{
+		c: c, dir: c.TempDir(), store: platform.NewStore(), origin: platform.NewOrigin(), version: 1, config: 1,
+		client: &http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}},
+	}
 	f.listen(storeAddress, f.store)
 	f.listen(originAddress, f.origin)
 	for i := range engines {
@@ -210,16 +212,21 @@
 	version := f.config
 	f.mu.Unlock()
 	route := func(prefix, kind, service string, attempts int) map[string]any {
-		return map[string]any{"name": prefix, "hostname": "h.example", "pathPrefix": prefix, "kind": kind, "service": service,
-			"timeoutMs": 3000, "targetLatencyMs": 400, "maxAttempts": attempts, "streamResume": true}
+		return map[string]any{
+			"name": prefix, "hostname": "h.example", "pathPrefix": prefix, "kind": kind, "service": service,
+			"timeoutMs": 3000, "targetLatencyMs": 400, "maxAttempts": attempts, "streamResume": true,
+		}
 	}
 	err := f.store.Put("keyed.op", "config", map[string]any{
 		"version": version,
-		"routes": []any{route("/notice/", "streaming", "llm", 2), route("/order/", "unsafe", "switching", 2), route("/read/", "safe", "switching", 2),
-			route(fmt.Sprintf("/v%d/", version), "safe", "switching", 2)},
+		"routes": []any{
+			route("/notice/", "streaming", "llm", 2), route("/order/", "unsafe", "switching", 2), route("/read/", "safe", "switching", 2),
+			route(fmt.Sprintf("/v%d/", version), "safe", "switching", 2),
+		},
 		"services": []any{
 			map[string]any{"name": "llm", "engine": map[string]any{"slots": 16, "models": []any{map[string]any{"name": model}}, "layers": platform.Pieces}},
-			map[string]any{"name": "switching"}, map[string]any{"name": "weights", "origin": originAddress, "zone": "z"},
+			map[string]any{"name": "switching"},
+			map[string]any{"name": "weights", "origin": originAddress, "zone": "z"},
 		},
 		"limits":  map[string]any{"maxBodyBytes": 65536},
 		"tenants": []any{map[string]any{"name": "w", "apiKeys": []string{"key"}}},
@@ -398,3 +405,18 @@
 		c.Check(string(out), qt.Contains, "portRange")
 	}
 }
+
+// SIGHUP and a changed settings file must end no process; a bad file is refused
+// and the settings in force stay.
+func TestReload(t *testing.T) {
+	c := qt.New(t)
+	f := start(c)
+	path := filepath.Join(f.dir, "entry0.yaml")
+	c.Assert(f.entries[0].Process.Signal(syscall.SIGHUP), qt.IsNil)
+	c.Assert(f.agents[0].Process.Signal(syscall.SIGHUP), qt.IsNil)
+	f.eventually("reload", func() bool { return strings.Count(f.logs.String(), "settings_reloaded") >= 2 })
+	c.Assert(os.WriteFile(path, []byte("node: 1\n"), 0o600), qt.IsNil)
+	f.eventually("refusal without a signal", func() bool { return strings.Contains(f.logs.String(), "settings_refused") })
+	c.Check(f.ready(0), qt.IsTrue)
+	c.Check(f.call(0, "/order/", "order-1"), qt.Equals, http.StatusOK)
+}
--- a/node/cmd/laburnum-agent/platform.go
+++ b/node/cmd/laburnum-agent/platform.go
@@ -25,13 +25,14 @@
 	if err := options.NoArguments(rest); err != nil {
 		return options.Exit(err)
 	}
-	settings, err := platform.LoadSettings(os.Getenv(platform.SettingsVariable))
+	path := os.Getenv(platform.SettingsVariable)
+	settings, err := platform.LoadSettings(path)
 	if err != nil {
 		return options.Exit(err)
 	}
 	ctx, _, release := lifecycle.Signals()
 	defer release()
-	err = platform.RunAgent(ctx, settings, opts.Options("agent", os.Stdout))
+	err = platform.RunAgent(ctx, settings, opts.Options("agent", path, os.Stdout))
 	if errors.Is(err, platform.ErrSettings) {
 		return options.Exit(err)
 	}
--- a/node/cmd/laburnum-entry/platform.go
+++ b/node/cmd/laburnum-entry/platform.go
@@ -21,13 +21,14 @@
 	if err := options.NoArguments(rest); err != nil {
 		return err
 	}
-	settings, err := platform.LoadSettings(os.Getenv(platform.SettingsVariable))
+	path := os.Getenv(platform.SettingsVariable)
+	settings, err := platform.LoadSettings(path)
 	if err != nil {
 		return err
 	}
 	ctx, _, release := lifecycle.Signals()
 	defer release()
-	err = platform.RunEntry(ctx, settings, c.Options("entry", os.Stdout))
+	err = platform.RunEntry(ctx, settings, c.Options("entry", path, os.Stdout))
 	if err != nil && !errors.Is(err, platform.ErrSettings) {
 		return &failure{err}
 	}
--- a/node/gateway/front.go
+++ b/node/gateway/front.go
@@ -180,9 +180,11 @@
 		status = http.StatusBadGateway
 	}
 	outcomes.Add(string(reason), 1)
-	args := []any{"request", req.call.RequestID, "reason", string(reason), "status", status, "configuration", req.config,
+	args := []any{
+		"request", req.call.RequestID, "reason", string(reason), "status", status, "configuration", req.config,
 		"service", req.service, "workspace", req.workspace, "offers", len(req.offers), "runs", req.runs,
-		"ms", time.Since(req.start).Milliseconds(), "late", req.late}
+		"ms", time.Since(req.start).Milliseconds(), "late", req.late,
+	}
 	if status == http.StatusServiceUnavailable {
 		after := g.retryAfter(req, reason)
 		args = append(args, "retry_after_ms", after.Milliseconds())
--- a/node/gateway/place.go
+++ b/node/gateway/place.go
@@ -6,7 +6,6 @@
 
 	"github.com/laburnumloft/laburnumloft/core/limits"
 	"github.com/laburnumloft/laburnumloft/core/placement"
-	"github.com/laburnumloft/laburnumloft/core/route"
 )
 
 const (
@@ -108,5 +107,3 @@
 	}
 	g.wake()
 }
-
-func (r *request) isStream() bool { return r.route.Kind == route.Stream }
--- a/node/gateway/stream.go
+++ b/node/gateway/stream.go
@@ -31,7 +31,6 @@
 	// begun says that the header and an event were sent to the caller.
 	begun  bool
 	events int64
-	first  time.Duration
 }
 
 // serveStream forwards whole events as they arrive. When an engine fails, a
