--- a/node/gateway/stream.go
+++ b/node/gateway/stream.go
@@ -172,22 +172,10 @@
 
 // afterStream decides what follows an attempt, as afterWhole does.
 func (g *Gateway) afterStream(ctx context.Context, req *request, e *exchange, s *stream) (reason Reason, again bool) {
-	if ctx.Err() != nil && e.err != nil {
-		g.logAttempt(req, e, "ended")
-		return g.ended(ctx, req), false
+	if reason, again, failed := g.afterFailure(ctx, req, e); failed {
+		return reason, again
 	}
-	switch {
-	case !e.sent:
-		g.logAttempt(req, e, "unreachable")
-		return g.repeat(req, ReasonNoServer)
-	case e.err != nil:
-		g.logAttempt(req, e, "broken")
-		return g.rerun(req, ReasonBroken)
-	case e.answer.NotRun || e.answer.Misdirected:
-		g.logAttempt(req, e, "not_run")
-		_ = e.resp.Body.Close()
-		return g.repeat(req, ReasonRefusedByAll)
-	case e.resp.StatusCode == http.StatusOK:
+	if e.resp.StatusCode == http.StatusOK {
 		return "", false
 	}
 	return g.failedStream(req, e, s)
--- a/node/gateway/whole.go
+++ b/node/gateway/whole.go
@@ -79,21 +79,10 @@
 // afterWhole decides what follows an attempt: the answer (no reason), another
 // attempt, or the end.
 func (g *Gateway) afterWhole(ctx context.Context, req *request, e *exchange) (reason Reason, again bool) {
-	if ctx.Err() != nil && e.err != nil {
-		g.logAttempt(req, e, "ended")
-		return g.ended(ctx, req), false
+	if reason, again, failed := g.afterFailure(ctx, req, e); failed {
+		return reason, again
 	}
-	switch {
-	case !e.sent:
-		g.logAttempt(req, e, "unreachable")
-		return g.repeat(req, ReasonNoServer)
-	case e.err != nil:
-		g.logAttempt(req, e, "broken")
-		return g.rerun(req, ReasonBroken)
-	case e.answer.NotRun || e.answer.Misdirected:
-		g.logAttempt(req, e, "not_run")
-		return g.repeat(req, ReasonRefusedByAll)
-	case e.resp.StatusCode >= http.StatusInternalServerError && req.route.Kind == route.Safe:
+	if e.resp.StatusCode >= http.StatusInternalServerError && req.route.Kind == route.Safe {
 		g.logAttempt(req, e, "errored")
 		if _, again := g.rerun(req, ReasonBroken); again {
 			return "", true
@@ -105,6 +94,30 @@
 	return "", false
 }
 
+// afterFailure decides what follows an attempt that brought no answer of the
+// server's application; failed is false if it brought one.
+func (g *Gateway) afterFailure(ctx context.Context, req *request, e *exchange) (reason Reason, again, failed bool) {
+	switch {
+	case ctx.Err() != nil && e.err != nil:
+		g.logAttempt(req, e, "ended")
+		return g.ended(ctx, req), false, true
+	case !e.sent:
+		g.logAttempt(req, e, "unreachable")
+		reason, again = g.repeat(req, ReasonNoServer)
+	case e.err != nil:
+		g.logAttempt(req, e, "broken")
+		reason, again = g.rerun(req, ReasonBroken)
+	case e.answer.NotRun || e.answer.Misdirected:
+		g.logAttempt(req, e, "not_run")
+		// Nothing of a body that refuses is of use.
+		_ = e.resp.Body.Close()
+		reason, again = g.repeat(req, ReasonRefusedByAll)
+	default:
+		return "", false, false
+	}
+	return reason, again, true
+}
+
 // repeat allows another offer of a request that has not run.
 func (g *Gateway) repeat(req *request, last Reason) (Reason, bool) {
 	if len(req.offers) >= maxOffers {
