--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -409,14 +409,6 @@
 	}
 }
 
-// Busy marks a server that refused because it changes weights, until its
-// agent reports again.
-func (f *Fleet) Busy(h Handle) {
-	if h.member != nil && !h.member.reported.IsZero() {
-		h.member.report.Loading = true
-	}
-}
-
 func (f *Fleet) setAsideNow(m *member, now time.Time) {
 	m.setAside = min(max(2*m.setAside, f.cfg.SetAside), f.cfg.MaxSetAside)
 	m.asideUntil = later(m.asideUntil, now.Add(m.setAside))
@@ -442,24 +434,6 @@
 	}
 }
 
-// Use returns the taken share of the places of a service's usable servers,
-// and how many of these there are.
-func (f *Fleet) Use(now time.Time, service string) (share float64, usable int) {
-	var load, slots float64
-	for _, m := range f.services[service] {
-		if m.server.Draining || m.misdirected {
-			continue
-		}
-		usable++
-		load += f.load(m, now)
-		slots += float64(max(m.server.Slots, 1))
-	}
-	if slots == 0 {
-		return 0, 0
-	}
-	return load / slots, usable
-}
-
 func later(a, b time.Time) time.Time {
 	if b.After(a) {
 		return b
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -73,8 +73,8 @@
 	ID, Zone string
 	Codec    Codec
 	Log      *decision.Log
-	// RetryRatio, RetrySlack and RetryWindow bound repeats over all entries:
-	// in a window, a service gets at most ratio x requests + slack of them.
+	// RetryRatio and RetrySlack bound repeats over all entries: in a window of
+	// the platform's, a service gets at most ratio x requests + slack of them.
 	RetryRatio, RetrySlack float64
 	// WeightsWithin is the time in which named weights must be in use.
 	WeightsWithin time.Duration
