Hold no removals after a cut of one's own

Change: removals are held only if no other entry reached the store meanwhile, which hellos tell. Test: TestOwnCutHoldsNoRemovals fails without the change.

--- a/node/registry/registry_test.go
+++ b/node/registry/registry_test.go
@@ -21,6 +21,8 @@
 type fakeStore struct {
 	records []feed.Record
 	down    bool
+	// othersInTouch says that only this entry is cut off.
+	othersInTouch bool
 }
 
 func (s *fakeStore) put(key, value string) {
@@ -58,7 +60,7 @@
 		Decode: func(r feed.Record) (placement.Server, bool) {
 			return placement.Server{ID: r.Key, Address: string(r.Value)}, string(r.Value) != "junk"
 		},
-		Relays: func() []string { return []string{relay} }, Others: func() []string { return nil },
+		Relays: func() []string { return []string{relay} }, Others: func() []string { return nil }, OthersInTouch: func() bool { return store.othersInTouch },
 		OnPut: func(placement.Server) {}, OnRemove: func(string, string) {},
 	}), list
 }
@@ -129,6 +131,26 @@
 	c.Assert(ids(list), qt.DeepEquals, map[string]bool{"a": true})
 }
 
+// An entry that alone was cut off must not hold removals: the servers have left
+// (hunted day, DRAIN: a request 2.66 s after its server had left).
+func TestOwnCutHoldsNoRemovals(t *testing.T) {
+	c := qt.New(t)
+	store := &fakeStore{}
+	store.put("a", "10.0.0.1:1")
+	store.put("b", "10.0.0.2:1")
+	s, list := newSync(store, "")
+	s.round(t.Context())
+	store.down = true
+	s.round(t.Context())
+	s.contact = s.contact.Add(-2 * outageAfter)
+	s.storeRetry = time.Time{}
+	store.down, store.othersInTouch = false, true
+	store.put("a", "")
+	s.round(t.Context())
+	c.Assert(ids(list), qt.DeepEquals, map[string]bool{"b": true})
+	c.Assert(list.Settled(), qt.IsFalse)
+}
+
 // A follower takes changes from the relay, and reads the store itself as soon
 // as the relay is stale.
 func TestFollowerLeavesAStaleRelay(t *testing.T) {
--- a/node/registry/sync.go
+++ b/node/registry/sync.go
@@ -61,6 +61,9 @@
 	Relays func() []string
 	// Others returns entries to ask when neither store nor relay answer.
 	Others func() []string
+	// OthersInTouch reports whether another entry has reached the store all
+	// the while.
+	OthersInTouch func() bool
 	// OnPut and OnRemove are told of changes.
 	OnPut    func(placement.Server)
 	OnRemove func(id, reason string)
@@ -262,8 +265,12 @@
 func (s *Sync) connected() {
 	now := time.Now()
 	if !s.contact.IsZero() && now.Sub(s.contact) > outageAfter && s.storeLost {
-		s.backAt = now
 		s.cfg.List.Back()
+		// While others reached the store, only this entry was cut off; the
+		// servers that are missing now have left.
+		if !s.cfg.OthersInTouch() {
+			s.backAt = now
+		}
 	}
 	s.contact = now
 }
