--- a/node/registry/registry_test.go
+++ b/node/registry/registry_test.go
@@ -151,6 +151,22 @@
 	c.Assert(list.Settled(), qt.IsFalse)
 }
 
+// An entry that starts during an outage must take the list of another entry,
+// however old: it has none (TestStartDuringOutage failed when the restart came
+// more than 1.2 s after the store went down).
+func TestStartTakesAnOldList(t *testing.T) {
+	c := qt.New(t)
+	old := NewList()
+	old.Put(placement.Server{ID: "a", Address: "10.0.0.1:1"})
+	old.Read(10 * time.Second)
+	server := httptest.NewServer(Handler(old))
+	defer server.Close()
+	s, list := newSync(&fakeStore{down: true}, "")
+	s.cfg.Others = func() []string { return []string{strings.TrimPrefix(server.URL, "http://")} }
+	s.round(t.Context())
+	c.Assert(ids(list), qt.DeepEquals, map[string]bool{"a": true})
+}
+
 // A follower takes changes from the relay, and reads the store itself as soon
 // as the relay is stale.
 func TestFollowerLeavesAStaleRelay(t *testing.T) {
--- a/node/registry/sync.go
+++ b/node/registry/sync.go
@@ -129,8 +129,10 @@
 			s.storeRetry = time.Now().Add(cutRetry/2 + rand.N(cutRetry))
 		}
 	}
-	// Cut off from the store: another entry may know more.
-	if others := s.cfg.Others(); len(others) > 0 && s.follow(ctx, others[rand.N(len(others))], maxAge) == nil {
+	// Cut off from the store: another entry may know more. During an outage
+	// every list is old; one that is not older than the own one is taken.
+	oldest := max(maxAge, s.cfg.List.Age())
+	if others := s.cfg.Others(); len(others) > 0 && s.follow(ctx, others[rand.N(len(others))], oldest) == nil {
 		return 0
 	}
 	return relayPoll/2 + rand.N(relayPoll)
