Let a few entries of each region read the operator's records for the others

Cause: every entry and agent read whole configurations from the store.

Named versions count as named a moment ago only for who read the store all the while.

--- a/core/placement/named.go
+++ b/core/placement/named.go
@@ -107,23 +107,24 @@
 	return max(left, 0), bounded
 }
 
-// Ages returns the age of every version of which it is known.
-func (n *Named) Ages(now time.Time) map[string]map[int64]time.Duration {
-	out := map[string]map[int64]time.Duration{}
+// All returns every version with its age, as far as it is known.
+func (n *Named) All(now time.Time) map[string]map[int64]Age {
+	out := map[string]map[int64]Age{}
 	for model, versions := range n.models {
+		out[model] = map[int64]Age{}
 		for version, naming := range versions {
-			if !naming.exact {
-				continue
-			}
-			if out[model] == nil {
-				out[model] = map[int64]time.Duration{}
-			}
-			out[model][version] = now.Sub(naming.at)
+			out[model][version] = Age{Age: now.Sub(naming.at), Exact: naming.exact}
 		}
 	}
 	return out
 }
 
+// Age is the time since a version was named; an estimate unless Exact.
+type Age struct {
+	Age   time.Duration
+	Exact bool
+}
+
 // Newest returns the sum of the newest known version of each model. It grows
 // with each version that is named.
 func (n *Named) Newest() int64 {
--- a/core/placement/placement_test.go
+++ b/core/placement/placement_test.go
@@ -242,7 +242,7 @@
 	c.Assert(n.Required("m", start), qt.Equals, int64(2))
 	c.Assert(n.Required("m", start.Add(4*time.Second)), qt.Equals, int64(2))
 	c.Assert(n.Required("m", start.Add(5*time.Second)), qt.Equals, int64(3))
-	c.Assert(n.Ages(start.Add(time.Second))["m"][3], qt.Equals, 2*time.Second)
+	c.Assert(n.All(start.Add(time.Second))["m"][3], qt.Equals, Age{2 * time.Second, true})
 	c.Assert(n.Newest(), qt.Equals, int64(3))
 }
 
--- a/node/feed/feed.go
+++ b/node/feed/feed.go
@@ -44,6 +44,8 @@
 	Pause time.Duration
 	// OnRecords takes records in order. A snapshot holds all keys.
 	OnRecords func(records []Record, snapshot bool)
+	// Active reports whether this process is to read; nil means always.
+	Active func() bool
 	// OnContact is called after each successful call; nil if not needed.
 	OnContact func()
 }
@@ -56,6 +58,8 @@
 	maxRetry   = 1500 * time.Millisecond
 	// startRetry bounds it until the first successful call.
 	startRetry = 300 * time.Millisecond
+	// idlePause is the time between two looks whether this process is to read.
+	idlePause = 100 * time.Millisecond
 	// callTimeout bounds a call beyond the time that it may wait.
 	callTimeout = 1500 * time.Millisecond
 )
@@ -71,6 +75,7 @@
 	known   bool
 	retry   time.Duration
 	lost    bool
+	failing atomic.Bool
 }
 
 // NewFollower returns a follower that has read nothing.
@@ -87,11 +92,17 @@
 	return time.Since(f.started) - time.Duration(at), at >= 0
 }
 
+// Failing reports whether the last call failed.
+func (f *Follower) Failing() bool { return f.failing.Load() }
+
 // Run follows the topic until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
 	for ctx.Err() == nil {
 		pause := f.cfg.Pause
-		if err := f.step(ctx); err != nil {
+		if f.cfg.Active != nil && !f.cfg.Active() {
+			// What others read meanwhile is not read again one by one.
+			f.known, pause = false, idlePause
+		} else if err := f.step(ctx); err != nil {
 			pause = f.failed(ctx, err)
 		} else {
 			f.succeeded()
@@ -132,6 +143,7 @@
 func (f *Follower) succeeded() {
 	f.contact.Store(int64(time.Since(f.started)))
 	f.retry = 0
+	f.failing.Store(false)
 	if f.lost {
 		f.lost = false
 		f.cfg.Log.Event("store_regained", "feed", f.cfg.Name, "offset", f.offset)
@@ -151,6 +163,7 @@
 		f.cfg.Log.Event("feed_expired", "feed", f.cfg.Name, "offset", f.offset)
 		return 0
 	}
+	f.failing.Store(true)
 	if !f.lost {
 		f.lost = true
 		age, _ := f.ContactAge()
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -246,11 +246,38 @@
 	}
 }
 
-// WeightAges returns the age of the named versions by model.
-func (g *Gateway) WeightAges() map[string]map[int64]time.Duration {
+// WeightsFound tells of a version that was named at an unknown time.
+func (g *Gateway) WeightsFound(model string, version int64) {
+	g.WeightsNamed(model, version, NamedBefore)
+}
+
+// KnowsWeights reports whether a version is known as named.
+func (g *Gateway) KnowsWeights(model string, version int64) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	_, known := g.named.All(time.Now())[model][version]
+	return known
+}
+
+// NamedAge is the time since a weight version was named, in milliseconds; it
+// is an estimate unless Exact.
+type NamedAge struct {
+	AgeMS int64 `json:"age_ms"`
+	Exact bool  `json:"exact"`
+}
+
+// NamedWeights returns the named versions by model.
+func (g *Gateway) NamedWeights() map[string]map[int64]NamedAge {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.named.Ages(time.Now())
+	out := map[string]map[int64]NamedAge{}
+	for model, versions := range g.named.All(time.Now()) {
+		out[model] = map[int64]NamedAge{}
+		for version, age := range versions {
+			out[model][version] = NamedAge{age.Age.Milliseconds(), age.Exact}
+		}
+	}
+	return out
 }
 
 // NewestWeights grows with each weight version that becomes known here.
--- a/node/mesh/datagram.go
+++ b/node/mesh/datagram.go
@@ -32,6 +32,7 @@
 	flagStore
 	flagLoading
 	flagDown
+	flagCut
 )
 
 // ErrDatagram is returned for bytes that are no datagram of this package.
@@ -45,6 +46,8 @@
 	Ready bool
 	// Store says that the sender reaches the platform's store.
 	Store bool
+	// Cut says that the sender tried to reach the store lately and failed.
+	Cut bool
 	// Configuration is the version that the sender has in force.
 	Configuration int64
 	// Weights is the sum of the newest weight versions that the sender knows
@@ -168,7 +171,7 @@
 
 // EncodeHello returns the datagram of a hello.
 func EncodeHello(h Hello) []byte {
-	return encode(wireHello{kindHello, flag(h.Ready, flagReady) | flag(h.Store, flagStore), h.Member, h.Configuration, h.Weights})
+	return encode(wireHello{kindHello, flag(h.Ready, flagReady) | flag(h.Store, flagStore) | flag(h.Cut, flagCut), h.Member, h.Configuration, h.Weights})
 }
 
 // EncodeReport returns the datagram of a report, or an error if the address
@@ -198,7 +201,10 @@
 		if err := decode(b, &w); err != nil {
 			return nil, err
 		}
-		return &Hello{w.Member, w.Flags&flagReady != 0, w.Flags&flagStore != 0, w.Configuration, w.Weights}, nil
+		return &Hello{
+			Member: w.Member, Ready: w.Flags&flagReady != 0, Store: w.Flags&flagStore != 0, Cut: w.Flags&flagCut != 0,
+			Configuration: w.Configuration, Weights: w.Weights,
+		}, nil
 	case kindReport:
 		var w wireReport
 		if err := decode(b, &w); err != nil {
--- a/node/registry/registry.go
+++ b/node/registry/registry.go
@@ -63,6 +63,9 @@
 func (l *List) Read(ago time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if l.read.IsZero() {
+		l.wake()
+	}
 	if at := time.Now().Add(-ago); at.After(l.read) {
 		l.read = at
 	}
@@ -148,7 +151,8 @@
 	defer timeout.Stop()
 	for {
 		l.mu.Lock()
-		if epoch != l.epoch || since != l.revision {
+		// A list that was never read may be so in a moment.
+		if !l.read.IsZero() && (epoch != l.epoch || since != l.revision) {
 			defer l.mu.Unlock()
 			return l.update(epoch, since)
 		}
