Let callers that return wait for engines that load

Cause: after a loss of all VMs, callers are refused and come back while the engines have just begun to load; the second refusal is their last answer.

Change: with no weights anywhere, a caller that returns is held for up to 1.5 s if it has 3 s left. How long a request may wait is now one decision in core/placement.

--- a/core/placement/placement_test.go
+++ b/core/placement/placement_test.go
@@ -99,6 +99,20 @@
 	c.Assert(miss, qt.Equals, Found)
 }
 
+// All VMs lose power: callers that were refused come back when engines begin to
+// load. They wait for them; a first attempt, a burst and a caller with little
+// time left do not.
+func TestReturningCallersWaitForWeights(t *testing.T) {
+	c := qt.New(t)
+	const target, left = 400 * time.Millisecond, 4 * time.Second
+	short := 80 * time.Millisecond
+	c.Assert(Hold(NoWeights, true, target, left), qt.Equals, loadHold)
+	c.Assert(Hold(NoWeights, false, target, left), qt.Equals, short)
+	c.Assert(Hold(AllFull, true, target, left), qt.Equals, short)
+	c.Assert(Hold(NoWeights, true, target, 2*time.Second), qt.Equals, short)
+	c.Assert(Hold(NoServer, false, 0, left), qt.Equals, minHold)
+}
+
 // Engines that drain, change weights, hold none, or are down get nothing.
 func TestUnusableServers(t *testing.T) {
 	c := qt.New(t)
--- a/node/gateway/place.go
+++ b/node/gateway/place.go
@@ -8,21 +8,13 @@
 	"github.com/laburnumloft/laburnumloft/core/placement"
 )
 
-const (
-	// holdShare of the target is how long a request waits here for a free
-	// place. An engine frees a place every 100 ms or so when its batch is
-	// full; a longer wait makes the answer late, and a refusal as well.
-	holdShare = 0.2
-	// maxOffers bounds the servers that refuse one request before the
-	// gateway does.
-	maxOffers = 3
-)
+// maxOffers bounds the servers that refuse one request before the gateway does.
+const maxOffers = 3
 
 // place chooses a server, and waits for one within the hold time.
 func (g *Gateway) place(ctx context.Context, req *request) (placement.Choice, Reason) {
-	hold := time.Duration(holdShare * float64(req.route.Target))
-	timeout := time.NewTimer(max(hold, time.Millisecond))
-	defer timeout.Stop()
+	begun := time.Now()
+	left := req.deadline.Sub(begun)
 	for {
 		g.mu.Lock()
 		choice, miss := g.fleet.Choose(time.Now(), placement.Query{
@@ -33,13 +25,19 @@
 		if miss == placement.Found {
 			return choice, ""
 		}
+		hold := placement.Hold(miss, req.late, req.route.Target, left) - time.Since(begun)
+		if hold <= 0 {
+			return placement.Choice{}, missReason(miss, req)
+		}
+		timeout := time.NewTimer(hold)
 		select {
 		case <-changed:
 		case <-timeout.C:
-			return placement.Choice{}, missReason(miss, req)
 		case <-ctx.Done():
+			timeout.Stop()
 			return placement.Choice{}, g.ended(ctx, req)
 		}
+		timeout.Stop()
 	}
 }
 
