Publish manifests in the store, and spare narrow links

Causes: (1) after a loss of power on the grown site, 99 agents asked the origin for a manifest at once; its queue was full, and the region of the store waited 1.3 to 2.1 s although all pieces were staged. (3) Agents of a large region tell what they hold every 130 ms instead of 40.

Changes: (1) the first agent of each region puts the manifest into the list of members, which agents read at a start. (2) An agent whose pieces reach two receivers of the region eight times slower than its link allows sends none for 1.5 s. (3) The pause grows only beyond 100 agents.

--- a/node/stager/announce.go
+++ b/node/stager/announce.go
@@ -8,12 +8,14 @@
 
 const (
 	// announceEvery bounds how often an agent tells its region what it holds,
-	// announceFar how often it tells all regions. Both grow with the agents
-	// beyond announceAgents, so that what an agent receives stays below 300
-	// datagrams a second.
-	announceEvery  = 40 * time.Millisecond
-	announceFar    = 250 * time.Millisecond
-	announceAgents = 30
+	// announceFar how often it tells all regions. They grow with the agents
+	// beyond announceNearAgents and announceFarAgents: a region of 33 agents
+	// receives 800 datagrams a second each while a version is on its way, and
+	// bytes between regions are dear.
+	announceEvery      = 40 * time.Millisecond
+	announceFar        = 250 * time.Millisecond
+	announceNearAgents = 100
+	announceFarAgents  = 30
 	// answerEvery bounds how often it tells so because another lacks pieces.
 	answerEvery = 150 * time.Millisecond
 )
@@ -100,11 +102,11 @@
 		case <-s.news:
 			s.announce(false)
 			pending = true
-			if sleep(ctx, s.announcePause(announceEvery)) != nil {
+			if sleep(ctx, s.announcePause(announceEvery, announceNearAgents)) != nil {
 				return
 			}
 		case <-far.C:
-			far.Reset(s.announcePause(announceFar))
+			far.Reset(s.announcePause(announceFar, announceFarAgents))
 			if pending {
 				pending = false
 				s.announce(true)
@@ -115,6 +117,7 @@
 	}
 }
 
-func (s *Stager) announcePause(pause time.Duration) time.Duration {
-	return pause * time.Duration(max(len(s.cfg.Peers()), announceAgents)) / announceAgents
+// announcePause stretches a pause in a fleet of more than some agents.
+func (s *Stager) announcePause(pause time.Duration, agents int) time.Duration {
+	return pause * time.Duration(max(len(s.cfg.Peers()), agents)) / time.Duration(agents)
 }
--- a/node/stager/manifest.go
+++ b/node/stager/manifest.go
@@ -29,6 +29,9 @@
 	if m := s.store.manifestOf(model, version); m != nil {
 		return m, nil
 	}
+	if m := s.publishedManifest(model, version); m != nil {
+		return m, nil
+	}
 	peers := s.cfg.Peers()
 	if version > 0 {
 		if m := s.awaitAnnouncer(ctx, peers, model, version); m != nil {
@@ -39,8 +42,12 @@
 	if err == nil {
 		err = checkManifest(m, model, version)
 	}
-	if err == nil || ctx.Err() != nil {
-		return m, err
+	if err == nil {
+		s.publish(m, peers)
+		return m, nil
+	}
+	if ctx.Err() != nil {
+		return nil, err
 	}
 	s.cfg.Log.Event("manifest_failed", "from", "origin", "version", version, "cause", err.Error())
 	if m := s.askPeers(ctx, peers, model, version); m != nil {
@@ -49,18 +56,52 @@
 	return nil, err
 }
 
-// awaitAnnouncer waits a moment for an agent that announces the version, unless
-// this agent is one of the first in its region, which ask the origin: the
-// manifests of a large fleet would hold up the first pieces.
-func (s *Stager) awaitAnnouncer(ctx context.Context, peers []rollout.Peer, model string, version int64) *Manifest {
+// TakeManifest takes over a manifest that another agent published.
+func (s *Stager) TakeManifest(m *Manifest) {
+	if checkManifest(m, m.Model, m.Version) != nil {
+		s.cfg.Log.Event("manifest_refused", "model", m.Model, "version", m.Version, "reason", "malformed")
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.published[m.Model] = m
+}
+
+func (s *Stager) publishedManifest(model string, version int64) *Manifest {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if m := s.published[model]; m != nil && m.Version == version {
+		return m
+	}
+	return nil
+}
+
+// publish makes a manifest known to agents that start later. When all VMs lose
+// power at once, nobody is left to ask, and the origin turns most of a large
+// fleet away for seconds. One agent of each region does it.
+func (s *Stager) publish(m *Manifest, peers []rollout.Peer) {
+	if s.cfg.Publish != nil && s.rank(peers) == 0 {
+		s.cfg.Publish(m)
+	}
+}
+
+// rank is the agent's place among those of its region, by id.
+func (s *Stager) rank(peers []rollout.Peer) int {
 	rank := 0
 	for _, p := range peers {
 		if p.Region == s.cfg.Self.Region && p.ID < s.cfg.Self.ID {
 			rank++
 		}
 	}
+	return rank
+}
+
+// awaitAnnouncer waits a moment for an agent that announces the version, unless
+// this agent is one of the first in its region, which ask the origin: the
+// manifests of a large fleet would hold up the first pieces.
+func (s *Stager) awaitAnnouncer(ctx context.Context, peers []rollout.Peer, model string, version int64) *Manifest {
 	wait := announcerWait
-	if rank < manifestFeeders {
+	if s.rank(peers) < manifestFeeders {
 		wait = 0
 	}
 	for begun := time.Now(); ; {
--- a/node/stager/peers.go
+++ b/node/stager/peers.go
@@ -199,18 +199,18 @@
 		http.Error(w, fmt.Sprintf("piece %d is not here", number), http.StatusNotFound)
 		return
 	}
-	if s.queued.Load() >= uploadQueue {
+	if s.queued.Load() >= uploadQueue || s.link.narrow(time.Now()) {
 		http.Error(w, "other pieces wait already", http.StatusTooManyRequests)
 		return
 	}
-	s.upload(r.Context(), w, data)
+	s.upload(r.Context(), w, r.RemoteAddr, data)
 }
 
 // uploadChunk is how much is written between two looks at the pace, in bytes.
 const uploadChunk = 8 << 10
 
 // upload sends a piece at the pace that leaves room for live answers.
-func (s *Stager) upload(ctx context.Context, w http.ResponseWriter, data []byte) {
+func (s *Stager) upload(ctx context.Context, w http.ResponseWriter, remote string, data []byte) {
 	s.queued.Add(1)
 	select {
 	case s.uploads <- struct{}{}:
@@ -222,6 +222,7 @@
 	defer func() { <-s.uploads }()
 	w.Header().Set("Content-Length", strconv.Itoa(len(data)))
 	flush := http.NewResponseController(w)
+	begun, size := time.Now(), len(data)
 	for len(data) > 0 {
 		n := min(len(data), uploadChunk)
 		if s.uplink.wait(ctx, n) != nil {
@@ -235,6 +236,24 @@
 		}
 		data = data[n:]
 	}
+	if to, near := s.receiver(remote); near && s.link.sent(to, size, time.Since(begun), time.Now()) {
+		s.cfg.Log.Event("link_narrow", "piece_bytes", size, "ms", time.Since(begun).Milliseconds(), "to", to)
+	}
+}
+
+// receiver returns the host of a remote address and whether it is an agent of
+// the own region.
+func (s *Stager) receiver(remote string) (host string, near bool) {
+	host, _, err := net.SplitHostPort(remote)
+	if err != nil {
+		return remote, false
+	}
+	for _, p := range s.cfg.Peers() {
+		if peerHost, _, err := net.SplitHostPort(p.Address); err == nil && peerHost == host {
+			return host, p.Region == s.cfg.Self.Region
+		}
+	}
+	return host, false
 }
 
 // piece returns a piece from memory, or from the engine that ran the version
--- a/node/stager/stager.go
+++ b/node/stager/stager.go
@@ -94,6 +94,9 @@
 	// Announce tells the agents of the region, or of all regions, which pieces
 	// are here.
 	Announce func(version int64, pieces []bool, everywhere bool)
+	// Publish makes a manifest known to agents that start later; nil if that
+	// isn't possible. It must not block.
+	Publish func(*Manifest)
 	// LinkMbps is the machine's link in Mbit/s; 0 is unknown.
 	LinkMbps float64
 	// Bootstrap says that the whole system starts for the first time. Engines
@@ -130,6 +133,7 @@
 	// on their way from here, queued counts the ones that wait for a place.
 	uplink, downlink *pace
 	uploads          chan struct{}
+	link             *narrowLink
 	queued           atomic.Int32
 	// news says that there is something to announce.
 	news chan struct{}
@@ -147,6 +151,8 @@
 	// last told what is here.
 	heldBy   map[string]heldPieces
 	answered time.Time
+	// published are manifests that other agents published, by model.
+	published map[string]*Manifest
 	// manifestDue is when the manifest of a version that the engine ran before
 	// is fetched.
 	manifestDue time.Time
@@ -157,7 +163,8 @@
 	return &Stager{
 		cfg: cfg, store: newPieceStore(), peers: newPeerClient(), moved: make(chan struct{}),
 		uplink: newPace(cfg.LinkMbps), downlink: newPace(cfg.LinkMbps), uploads: make(chan struct{}, activeUploads),
-		news: make(chan struct{}, 1), heldBy: map[string]heldPieces{},
+		link: newNarrowLink(cfg.LinkMbps),
+		news: make(chan struct{}, 1), heldBy: map[string]heldPieces{}, published: map[string]*Manifest{},
 		manifestDue: time.Now().Add(rand.N(manifestSpread)),
 	}
 }
--- a/node/stager/stager_test.go
+++ b/node/stager/stager_test.go
@@ -178,6 +178,9 @@
 
 // group is a few stagers that reach each other.
 type group struct {
+	mu        sync.Mutex
+	published []string
+
 	c       *qt.C
 	origin  *fakeOrigin
 	stagers []*Stager
@@ -196,6 +199,11 @@
 		s := New(Config{
 			Self: g.peers[i], Address: "127.0.0.1:1", Engine: engines[i], NewOrigin: func(string) Origin { return origin },
 			Peers: func() []rollout.Peer { return g.peers }, Report: engines[i].report,
+			Publish: func(m *Manifest) {
+				g.mu.Lock()
+				defer g.mu.Unlock()
+				g.published = append(g.published, fmt.Sprintf("%s %d", g.peers[i].ID, m.Version))
+			},
 			Announce: func(version int64, pieces []bool, _ bool) { g.announce(i, version, pieces) },
 			Log:      decision.New(decision.Config{Output: io.Discard}), Bootstrap: true, Within: 4 * time.Second,
 		})
@@ -380,6 +388,53 @@
 	g.await(2)
 }
 
+// All VMs lose power while the origin turns agents away; the staged pieces are
+// still there. A published manifest is all that an agent needs (grown pldpr
+// trouble-1: 1.3 to 2.1 s until the origin answered).
+func TestPublishedManifestSparesTheOrigin(t *testing.T) {
+	c := qt.New(t)
+	e := newFakeEngine(2)
+	e.state = EngineState{Born: 1, Pace: 1}
+	g := newGroup(c, &fakeOrigin{newest: 1, down: true}, e)
+	wrong := testManifest(2)
+	wrong.Digests = nil
+	g.stagers[0].TakeManifest(wrong)
+	g.stagers[0].TakeManifest(testManifest(2))
+	g.target(2)
+	g.await(2)
+}
+
+// The first agent of a region publishes the manifest that it got.
+func TestFirstAgentPublishesTheManifest(t *testing.T) {
+	c := qt.New(t)
+	g := newGroup(c, &fakeOrigin{newest: 1}, newFakeEngine(1), newFakeEngine(1), newFakeEngine(1))
+	g.target(2)
+	g.await(2)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	c.Assert(g.published, qt.DeepEquals, []string{"agent0 2"})
+}
+
+// Two slow receivers in a row mean that the own link is narrow, one slow
+// receiver does not; a fast piece ends the suspicion.
+func TestNarrowLink(t *testing.T) {
+	c := qt.New(t)
+	const piece = 48 << 10
+	l := newNarrowLink(9.4)
+	now := time.Now()
+	c.Assert(l.sent("a", piece, time.Second, now), qt.IsFalse)
+	c.Assert(l.sent("a", piece, time.Second, now), qt.IsFalse)
+	c.Assert(l.sent("b", piece, 200*time.Millisecond, now), qt.IsFalse)
+	c.Assert(l.sent("c", piece, time.Second, now), qt.IsFalse)
+	c.Assert(l.narrow(now), qt.IsFalse)
+	c.Assert(l.sent("b", piece, time.Second, now), qt.IsTrue)
+	c.Assert(l.narrow(now), qt.IsTrue)
+	c.Assert(l.narrow(now.Add(narrowFor)), qt.IsFalse)
+	// Still narrow: one more piece is enough.
+	c.Assert(l.sent("c", piece, time.Second, now.Add(narrowFor+time.Millisecond)), qt.IsTrue)
+	c.Assert(newNarrowLink(0).sent("a", piece, time.Hour, now), qt.IsFalse)
+}
+
 // The origin is away in the middle of a version's way.
 func TestOriginOutage(t *testing.T) {
 	c := qt.New(t)
