Know the age of named weights, and use older ones until 7.45 s

Cause: an entry could learn of a version 0.45 s late, the pause between two reads, and left 0.6 s for it. On the grown sites three turns of 1.45 s do not fit between the fetch (4.2 s) and the end of the older weights (7.05 s), so two thirds of the engines load at once.

Change: a feed tells how long a record may have been there; entries and agents count that into the age, and 0.2 s are left. Agents load up to 0.4 s later. Load reports go to other regions half as often, unless what the engine can serve changed. The agents that ask the origin first publish the manifest (the test failed when another one was first).

--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -77,8 +77,6 @@
 	// hold. Two keep its batch full between two reports and wait less than
 	// half of the time to the first event that callers accept.
 	QueueAllowance float64
-	// ReportFresh is the age up to which a report is taken as it is.
-	ReportFresh time.Duration
 	// ReportMaxAge is the age after which a report is not used any more.
 	ReportMaxAge time.Duration
 	// ZoneBias is the load, as a share of the slots, that a server of the
@@ -101,8 +99,7 @@
 	return Config{
 		Zone:               zone,
 		QueueAllowance:     2,
-		ReportFresh:        400 * time.Millisecond, // two report intervals
-		ReportMaxAge:       2 * time.Second,        // several lost datagrams
+		ReportMaxAge:       2 * time.Second, // several lost datagrams
 		ZoneBias:           0.15,
 		FailuresToSetAside: 2,
 		SetAside:           1 * time.Second,
--- a/node/feed/feed.go
+++ b/node/feed/feed.go
@@ -33,6 +33,17 @@
 	Read(ctx context.Context, from int64, wait time.Duration) (records []Record, next int64, err error)
 }
 
+// Batch is what one call brought.
+type Batch struct {
+	Records []Record
+	// Snapshot says that Records are the newest ones of all keys.
+	Snapshot bool
+	// Late bounds the time for which the records were there before this call:
+	// a read that waited gets a record at once, the pause before a read may
+	// have hidden it.
+	Late time.Duration
+}
+
 // Config sets up a Follower.
 type Config struct {
 	Name   string
@@ -42,8 +53,8 @@
 	Wait time.Duration
 	// Pause is the time between two reads, in which records collect.
 	Pause time.Duration
-	// OnRecords takes records in order. A snapshot holds all keys.
-	OnRecords func(records []Record, snapshot bool)
+	// OnRecords takes records in order.
+	OnRecords func(Batch)
 	// Active reports whether this process is to read; nil means always.
 	Active func() bool
 	// OnContact is called after each successful call; nil if not needed.
@@ -58,6 +69,9 @@
 	maxRetry   = 1500 * time.Millisecond
 	// startRetry bounds it until the first successful call.
 	startRetry = 300 * time.Millisecond
+	// waitedAtLeast is how long a read takes that waited for its record: the
+	// store answers in 4 ms, over a squeezed link in ten times that.
+	waitedAtLeast = 50 * time.Millisecond
 	// idlePause is the time between two looks whether this process is to read.
 	idlePause = 100 * time.Millisecond
 	// callTimeout bounds a call beyond the time that it may wait.
@@ -76,6 +90,8 @@
 	retry   time.Duration
 	lost    bool
 	failing atomic.Bool
+	// ended is when the last call ended.
+	ended time.Time
 }
 
 // NewFollower returns a follower that has read nothing.
@@ -107,6 +123,7 @@
 		} else {
 			f.succeeded()
 		}
+		f.ended = time.Now()
 		select {
 		case <-time.After(pause):
 		case <-ctx.Done():
@@ -124,18 +141,23 @@
 			return err
 		}
 		f.offset, f.known = end, true
-		f.cfg.OnRecords(records, true)
+		f.cfg.OnRecords(Batch{Records: records, Snapshot: true})
 		return nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, f.cfg.Wait+callTimeout)
 	defer cancel()
+	begun := time.Now()
 	records, next, err := f.cfg.Source.Read(ctx, f.offset, f.cfg.Wait)
 	if err != nil {
 		return err
 	}
 	f.offset = next
 	if len(records) > 0 {
-		f.cfg.OnRecords(records, false)
+		late := time.Duration(0)
+		if took := time.Since(begun); took < waitedAtLeast {
+			late = took + begun.Sub(f.ended)
+		}
+		f.cfg.OnRecords(Batch{Records: records, Late: late})
 	}
 	return nil
 }
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -198,10 +198,10 @@
 }
 
 const (
-	// learnMargin of the time for named weights is left for an entry that
-	// learns of them late: the pause of a feed between two reads, 450 ms, and
-	// the way.
-	learnMargin = 600 * time.Millisecond
+	// learnMargin of the time for named weights is left for the way from the
+	// store and for timers that fire late. Entries count the pause between two
+	// reads into a version's age.
+	learnMargin = 200 * time.Millisecond
 	// requireMargin is when requests stop going to older weights: those that
 	// were sent before begin until then.
 	requireMargin = learnMargin + placement.BeginReserve
@@ -210,7 +210,7 @@
 	restartGrace = 2 * time.Second
 )
 
-// Naming is how an entry came to know of a weight version.
+// Naming is how a process came to know of a weight version.
 type Naming int
 
 // Ways to learn of a weight version.
@@ -221,22 +221,7 @@
 	NamedBefore
 )
 
-// WeightsNamed tells of a weight version that the operator named.
-func (g *Gateway) WeightsNamed(model string, version int64, naming Naming) {
-	g.mu.Lock()
-	var fresh bool
-	if naming == NamedNow {
-		fresh = g.named.Saw(model, version, time.Now())
-	} else {
-		fresh = g.named.Found(model, version, time.Now())
-	}
-	g.mu.Unlock()
-	if fresh {
-		g.cfg.Log.Event("weights_named", "model", model, "version", version, "just_now", naming == NamedNow)
-	}
-}
-
-// WeightsTold tells of a version with the age that another entry knows.
+// WeightsTold tells of a version that the operator named, with its age.
 func (g *Gateway) WeightsTold(model string, version int64, age time.Duration) {
 	g.mu.Lock()
 	fresh := g.named.Told(model, version, age, time.Now())
@@ -248,7 +233,12 @@
 
 // WeightsFound tells of a version that was named at an unknown time.
 func (g *Gateway) WeightsFound(model string, version int64) {
-	g.WeightsNamed(model, version, NamedBefore)
+	g.mu.Lock()
+	fresh := g.named.Found(model, version, time.Now())
+	g.mu.Unlock()
+	if fresh {
+		g.cfg.Log.Event("weights_named", "model", model, "version", version, "age_ms", -1)
+	}
 }
 
 // KnowsWeights reports whether a version is known as named.
--- a/node/mesh/mesh.go
+++ b/node/mesh/mesh.go
@@ -238,13 +238,14 @@
 	return m.toEntries(EncodeHello(hello))
 }
 
-// Report sends an engine's report to all entries.
-func (m *Mesh) Report(r placement.Report) error {
+// Report sends an engine's report to all entries, or to those of the own region
+// only.
+func (m *Mesh) Report(r placement.Report, everywhere bool) error {
 	b, err := EncodeReport(r)
 	if err != nil {
 		return err
 	}
-	m.toEntries(b)
+	m.send(b, func(o Member) bool { return o.Role == Entry && (everywhere || o.Region == m.cfg.Self.Region) })
 	return nil
 }
 
--- a/node/stager/loader.go
+++ b/node/stager/loader.go
@@ -20,12 +20,12 @@
 	turnTimeout = 2500 * time.Millisecond
 	// loadReserve of the time for a version is left when an agent loads
 	// without waiting for its turn any longer: entries use older weights until
-	// a second before the bound, and the last requests drain until then.
-	loadReserve = 1600 * time.Millisecond
+	// half a second before the bound, and the last requests drain until then.
+	loadReserve = 1200 * time.Millisecond
 	// drainReserve of the time for a version is left when an agent ends the
 	// drain, since entries send nothing to older weights any more and requests
 	// that go on elsewhere are done sooner.
-	drainReserve = 900 * time.Millisecond
+	drainReserve = 500 * time.Millisecond
 	// drainPatience is how long requests may go on at an engine that is about
 	// to load. Most end within it; the engine breaks off the others, and
 	// their entries resume them at other engines. Waiting for the longest
--- a/node/stager/manifest.go
+++ b/node/stager/manifest.go
@@ -78,9 +78,9 @@
 
 // publish makes a manifest known to agents that start later. When all VMs lose
 // power at once, nobody is left to ask, and the origin turns most of a large
-// fleet away for seconds. One agent of each region does it.
+// fleet away for seconds. The agents that ask it first do so.
 func (s *Stager) publish(m *Manifest, peers []rollout.Peer) {
-	if s.cfg.Publish != nil && s.rank(peers) == 0 {
+	if s.cfg.Publish != nil && s.rank(peers) < manifestFeeders {
 		s.cfg.Publish(m)
 	}
 }
--- a/node/stager/stager.go
+++ b/node/stager/stager.go
@@ -88,8 +88,9 @@
 	NewOrigin func(address string) Origin
 	// Peers are the other agents.
 	Peers func() []rollout.Peer
-	// Report sends the engine's load to the entries.
-	Report func(placement.Report)
+	// Report sends the engine's load to the entries of the region, or of all
+	// regions.
+	Report func(r placement.Report, everywhere bool)
 	Log    *decision.Log
 	// Announce tells the agents of the region, or of all regions, which pieces
 	// are here.
@@ -110,6 +111,10 @@
 	// reportEvery is the time between two reports of the load. A full engine
 	// ends a request every 100 ms.
 	reportEvery = 150 * time.Millisecond
+	// farReports is how many reports the own region gets for each that all
+	// regions get: bytes between regions are dear, and reports of load are
+	// most of them.
+	farReports = 2
 	// engineTimeout bounds a call to the engine on the same machine.
 	engineTimeout = time.Second
 	// stateTimeout bounds a question for the engine's state; it answers in
@@ -153,6 +158,10 @@
 	answered time.Time
 	// published are manifests that other agents published, by model.
 	published map[string]*Manifest
+	// farReport is the last report that all regions got, nearReports how many
+	// followed for the own region only.
+	farReport   placement.Report
+	nearReports int
 	// manifestDue is when the manifest of a version that the engine ran before
 	// is fetched.
 	manifestDue time.Time
@@ -234,12 +243,26 @@
 		Loading: s.loading || s.state.Busy, Down: s.down, Pace: s.state.Pace, Born: s.state.Born,
 	}
 	seen := s.seen || s.down
+	everywhere := s.reportsEverywhere(report)
 	s.mu.Unlock()
 	if seen {
-		s.cfg.Report(report)
+		s.cfg.Report(report, everywhere)
 	}
 }
 
+// reportsEverywhere reports whether all regions get a report: each second one,
+// and every change of what the engine can serve. The caller holds the lock.
+func (s *Stager) reportsEverywhere(r placement.Report) bool {
+	last := s.farReport
+	s.nearReports++
+	same := r.WeightVersion == last.WeightVersion && r.Loading == last.Loading && r.Down == last.Down && r.Born == last.Born
+	if same && s.nearReports < farReports {
+		return false
+	}
+	s.farReport, s.nearReports = r, 0
+	return true
+}
+
 // known returns the target, its origin, the engine's state and whether the
 // engine answers.
 func (s *Stager) known() (target Target, origin Origin, state EngineState, up bool) {
