bench/fleet: test of weights from neighbours with two readers a region

It had passed before when the third one still read at its start.

The test now waits for both readers, leaves one without an answer, and wants all three entries to know the version with its age; before, one entry was enough. Nothing of the product changed.

--- a/bench/fleet/fleet_test.go
+++ b/bench/fleet/fleet_test.go
@@ -28,8 +28,10 @@
 	entries, engines, plains = 3, 4, 2
 	// beatEvery is the time between two records of a server.
 	beatEvery = 500 * time.Millisecond
-	model     = "model-1"
-	ownPort   = 7700
+	// readers is how many entries of a region read the store.
+	readers = 2
+	model   = "model-1"
+	ownPort = 7700
 )
 
 var bin string
@@ -427,15 +429,17 @@
 func TestWeightsFromANeighbour(t *testing.T) {
 	c := qt.New(t)
 	f := start(c)
-	f.eventually("all entries wait for the store", func() bool { return f.store.Waiting() == entries })
+	f.eventually("the region's readers wait for the store", func() bool { return f.store.Waiting() == readers })
 	f.store.SetDeaf(1)
 	f.nameWeights()
-	f.eventually("weights known at the deaf entry", func() bool {
+	known := fmt.Sprintf(`"version":%d`, f.version)
+	f.eventually("weights known at all entries, with their age", func() bool {
+		n := 0
 		for _, line := range strings.Split(f.logs.String(), "\n") {
-			if strings.Contains(line, "weights_named") && strings.Contains(line, `"age_ms"`) {
-				return true
+			if strings.Contains(line, "weights_named") && strings.Contains(line, known) && !strings.Contains(line, `"age_ms":-1`) {
+				n++
 			}
 		}
-		return false
+		return n == entries
 	})
 }
