--- a/core/limits/budget.go
+++ b/core/limits/budget.go
@@ -93,6 +93,9 @@
 	return true
 }
 
+// Allows reports whether Retry would succeed now.
+func (b *RetryBudget) Allows(key RetryKey) bool { return b.state(key).level >= 1 }
+
 // Len returns the number of remembered keys.
 func (b *RetryBudget) Len() int { return len(b.keys) }
 
--- /dev/null
+++ b/node/gateway/bench_test.go
@@ -0,0 +1,25 @@
+package gateway
+
+import (
+	"io"
+	"net/http"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// BenchmarkStream is the cost of one stream of 14 events through the gateway,
+// that of the caller and of the server in the same process included.
+func BenchmarkStream(b *testing.B) {
+	c := qt.New(b)
+	s := newServer(c, events(14, false))
+	r := newRig(c, s)
+	b.ReportAllocs()
+	for range b.N {
+		resp, err := http.DefaultClient.Do(r.request(c, http.MethodPost, "/stream/1", "x"))
+		c.Assert(err, qt.IsNil)
+		_, err = io.Copy(io.Discard, resp.Body)
+		c.Assert(err, qt.IsNil)
+		_ = resp.Body.Close()
+	}
+}
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -7,6 +7,7 @@
 package gateway
 
 import (
+	"cmp"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -16,6 +17,7 @@
 	"github.com/laburnumloft/laburnumloft/core/placement"
 	"github.com/laburnumloft/laburnumloft/core/route"
 	"github.com/laburnumloft/laburnumloft/node/decision"
+	"github.com/laburnumloft/laburnumloft/node/lib/steady"
 )
 
 // Call is what a caller says of a request in its headers.
@@ -76,6 +78,9 @@
 	// RetryRatio and RetrySlack bound repeats over all entries: in a window of
 	// the platform's, a service gets at most ratio x requests + slack of them.
 	RetryRatio, RetrySlack float64
+	// AnswerBytes bounds the memory of all answers that are kept until they are
+	// whole; 0 stands for a default.
+	AnswerBytes int64
 	// WeightsWithin is the time in which named weights must be in use.
 	WeightsWithin time.Duration
 	Seed          uint64
@@ -96,6 +101,7 @@
 	// closing is set when new requests are refused because of a stop, leaving
 	// as soon as a stop was asked for.
 	closing, leaving atomic.Bool
+	answers          answerMemory
 
 	mu      sync.Mutex
 	fleet   *placement.Fleet
@@ -111,6 +117,7 @@
 		cfg: cfg, client: newTransport(),
 		changed: make(chan struct{}), named: placement.NewNamed(max(0, cfg.WeightsWithin-requireMargin), cfg.WeightsWithin-requireMargin-restartGrace),
 	}
+	g.answers.limit = cmp.Or(cfg.AnswerBytes, defaultAnswerBytes)
 	g.fleet = placement.NewFleet(placement.DefaultConfig(cfg.Zone), g.named, cfg.Seed)
 	g.setEntries(assumedEntries)
 	return g
@@ -170,7 +177,7 @@
 func (g *Gateway) Report(r placement.Report) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.fleet.Report(r, time.Now())
+	g.fleet.Report(r, steady.Now())
 	g.wake()
 }
 
@@ -224,7 +231,7 @@
 // WeightsTold tells of a version that the operator named, with its age.
 func (g *Gateway) WeightsTold(model string, version int64, age time.Duration) {
 	g.mu.Lock()
-	fresh := g.named.Told(model, version, age, time.Now())
+	fresh := g.named.Told(model, version, age, steady.Now())
 	g.mu.Unlock()
 	if fresh {
 		g.cfg.Log.Event("weights_named", "model", model, "version", version, "age_ms", age.Milliseconds())
@@ -234,7 +241,7 @@
 // WeightsFound tells of a version that was named at an unknown time.
 func (g *Gateway) WeightsFound(model string, version int64) {
 	g.mu.Lock()
-	fresh := g.named.Found(model, version, time.Now())
+	fresh := g.named.Found(model, version, steady.Now())
 	g.mu.Unlock()
 	if fresh {
 		g.cfg.Log.Event("weights_named", "model", model, "version", version, "age_ms", -1)
@@ -245,7 +252,7 @@
 func (g *Gateway) KnowsWeights(model string, version int64) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	_, known := g.named.All(time.Now())[model][version]
+	_, known := g.named.All(steady.Now())[model][version]
 	return known
 }
 
@@ -261,7 +268,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	out := map[string]map[int64]NamedAge{}
-	for model, versions := range g.named.All(time.Now()) {
+	for model, versions := range g.named.All(steady.Now()) {
 		out[model] = map[int64]NamedAge{}
 		for version, age := range versions {
 			out[model][version] = NamedAge{age.Age.Milliseconds(), age.Exact}
--- a/node/gateway/gateway_test.go
+++ b/node/gateway/gateway_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"runtime"
 	"strconv"
 	"strings"
 	"sync"
@@ -17,9 +18,11 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/laburnumloft/laburnumloft/core/limits"
 	"github.com/laburnumloft/laburnumloft/core/placement"
 	"github.com/laburnumloft/laburnumloft/core/route"
 	"github.com/laburnumloft/laburnumloft/node/decision"
+	"github.com/laburnumloft/laburnumloft/node/lib/steady"
 )
 
 // testCodec spells headers in a way of its own, as any platform may.
@@ -267,6 +270,130 @@
 	c.Assert(strings.Contains(body, "da\n"), qt.IsFalse)
 }
 
+// slowEvents sends events with a pause before each.
+func slowEvents(end int, pause time.Duration) answer {
+	return func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Id", r.Header.Get("Id"))
+		w.Header().Set("Signature", "s")
+		for i := 1; i <= end; i++ {
+			<-time.After(pause)
+			_, _ = fmt.Fprintf(w, "id: %d\ndata: t%d\n\n", i, i)
+			_ = http.NewResponseController(w).Flush()
+		}
+	}
+}
+
+// A slow but sound engine must not lose its stream when no other one may go on
+// with it: the route can't be resumed, or the budget is used up. Operators of
+// similar systems saw such streams cut.
+func TestSlowStreamIsNotCutInVain(t *testing.T) {
+	for _, test := range []struct {
+		name, path string
+		repeats    float64
+	}{{"not resumable", "/once/1", 1000}, {"no budget", "/stream/1", 0}} {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			s := newServer(c, slowEvents(2, minFirstEvent+100*time.Millisecond))
+			r := newRig(c, s)
+			cfg := configuration(2)
+			for i := range cfg.Routes {
+				cfg.Routes[i].Timeout = 6 * time.Second
+			}
+			c.Assert(r.Configure(cfg, "test"), qt.IsTrue)
+			r.cfg.RetryRatio, r.cfg.RetrySlack = 0, test.repeats
+			r.mu.Lock()
+			r.setEntries(1)
+			if test.repeats == 0 {
+				r.budget.Retry(limits.RetryKey{Service: "svc"})
+			}
+			r.mu.Unlock()
+			req := r.request(c, http.MethodPost, test.path, "x")
+			req.Header.Set("Left", "6000")
+			resp, err := http.DefaultClient.Do(req)
+			c.Assert(err, qt.IsNil)
+			body, err := io.ReadAll(resp.Body)
+			c.Assert(err, qt.IsNil)
+			c.Assert(string(body), qt.Equals, "id: 1\ndata: t1\n\nid: 2\ndata: t2\n\n")
+			c.Assert(s.count(), qt.Equals, 1)
+		})
+	}
+}
+
+// Where callers accept long pauses, an engine that keeps them must keep its
+// stream.
+func TestPatienceFollowsTheRoute(t *testing.T) {
+	c := qt.New(t)
+	s := newServer(c, slowEvents(2, minFirstEvent+100*time.Millisecond))
+	r := newRig(c, s)
+	cfg := configuration(2)
+	for i := range cfg.Routes {
+		cfg.Routes[i].Timeout, cfg.Routes[i].Target, cfg.Routes[i].PauseTarget = 6*time.Second, time.Second, time.Second
+	}
+	c.Assert(r.Configure(cfg, "test"), qt.IsTrue)
+	req := r.request(c, http.MethodPost, "/stream/1", "x")
+	req.Header.Set("Left", "6000")
+	resp, err := http.DefaultClient.Do(req)
+	c.Assert(err, qt.IsNil)
+	body, err := io.ReadAll(resp.Body)
+	c.Assert(err, qt.IsNil)
+	c.Assert(string(body), qt.Equals, "id: 1\ndata: t1\n\nid: 2\ndata: t2\n\n")
+	c.Assert(s.count(), qt.Equals, 1)
+}
+
+// endless sends bytes until the other side closes.
+func endless(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set("Id", r.Header.Get("Id"))
+	w.Header().Set("Signature", "s")
+	for block := bytes.Repeat([]byte("x"), 64<<10); ; {
+		if _, err := w.Write(block); err != nil {
+			return
+		}
+	}
+}
+
+// Servers in trouble may send bytes without end, to many requests at once. Each
+// must end with a failure, and together they must stay within their bound, or
+// the process ends with them.
+func TestEndlessAnswersStayWithinTheirMemory(t *testing.T) {
+	c := qt.New(t)
+	const requests, limit = 50, 24 << 20
+	s := newServer(c, endless)
+	r := newRig(c, s)
+	r.answers.limit = limit
+	var most uint64
+	sampled := make(chan struct{})
+	ctx, cancel := context.WithCancel(c.Context())
+	var before runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	go func() {
+		defer close(sampled)
+		for ctx.Err() == nil {
+			var m runtime.MemStats
+			runtime.ReadMemStats(&m)
+			most = max(most, m.HeapAlloc)
+			<-time.After(5 * time.Millisecond)
+		}
+	}()
+	var wait sync.WaitGroup
+	for range requests {
+		wait.Go(func() {
+			resp, _, err := r.do(c, http.MethodPost, "/order/1", "x")
+			c.Check(err, qt.IsNil)
+			if err == nil {
+				c.Check(resp.StatusCode/100, qt.Equals, 5)
+			}
+		})
+	}
+	wait.Wait()
+	cancel()
+	<-sampled
+	c.Assert(r.answers.used.Load(), qt.Equals, int64(0))
+	// A buffer that grows is copied: at most twice the old one for a moment,
+	// and the collector runs at twice what is live.
+	c.Assert(most-before.HeapAlloc < 4*limit, qt.IsTrue, qt.Commentf("%d MB", (most-before.HeapAlloc)>>20))
+}
+
 // A server gets the workspace and never the key, and no more time than is left.
 func TestWhatTheServerGets(t *testing.T) {
 	c := qt.New(t)
@@ -454,3 +581,20 @@
 	}
 	c.Assert(s.count() <= requests+1, qt.IsTrue, qt.Commentf("%d arrivals", s.count()))
 }
+
+// A VM that was suspended wakes with old permissions: it must not go on using
+// older weights for as long as it slept.
+func TestSuspensionCountsForNamedWeights(t *testing.T) {
+	c := qt.New(t)
+	r := newRig(c)
+	r.PutServer(placement.Server{ID: "e", Address: "10.0.0.1:1", Service: "svc", Zone: "z", Slots: 4, WeightVersion: 1})
+	r.WeightsTold("m", 2, 0)
+	place := func() Reason {
+		req := &request{in: r.request(c, http.MethodPost, "/stream/1", "x"), service: "svc", model: "m", route: &route.Route{}, deadline: time.Now().Add(time.Second)}
+		_, reason := r.place(c.Context(), req)
+		return reason
+	}
+	c.Assert(place(), qt.Equals, Reason(""))
+	steady.Suspended(8 * time.Second)
+	c.Assert(place(), qt.Equals, ReasonNoWeights)
+}
--- a/node/gateway/stream.go
+++ b/node/gateway/stream.go
@@ -5,23 +5,14 @@
 	"errors"
 	"io"
 	"net/http"
-	"sync/atomic"
 	"time"
 
 	"github.com/laburnumloft/laburnumloft/core/eventstream"
 	"github.com/laburnumloft/laburnumloft/core/placement"
 )
 
-const (
-	// firstEventPatience is how long an engine may take to its first event
-	// before another one gets the request: twice what callers accept.
-	firstEventPatience = 1200 * time.Millisecond
-	// eventPatience is the longest pause after which the stream goes on at
-	// another engine: more than a pass with a full batch and long prompts.
-	eventPatience = 900 * time.Millisecond
-	// readBuffer holds several events.
-	readBuffer = 8 << 10
-)
+// readBuffer holds several events, in bytes.
+const readBuffer = 8 << 10
 
 // stream is the state of one caller's stream over its attempts.
 type stream struct {
@@ -77,27 +68,22 @@
 	req.offers = append(req.offers, choice.Server.ID)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	var stalled atomic.Bool
-	patience, outdated := firstEventPatience, false
-	if choice.Bounded && choice.BeginWithin < patience {
-		patience, outdated = choice.BeginWithin, true
-	}
-	watch := time.AfterFunc(patience, func() { stalled.Store(true); cancel() })
-	defer watch.Stop()
+	watch := g.watchProgress(req, choice, cancel)
+	defer watch.stop()
 	offer := Offer{}
 	offer.LastEvent, offer.Resumes = s.sequence.Last()
 	e := g.send(ctx, req, choice, offer)
 	if e.err == nil && e.resp.StatusCode == http.StatusOK {
 		e.err = s.forward(e.resp, watch)
 	}
-	if e.err != nil && stalled.Load() {
+	if e.err != nil && watch.stalled.Load() {
 		e.err = errNoProgress
 	}
 	if e.ran() {
 		req.runs++
 	}
 	outcome := e.outcome()
-	if e.err != nil && (errors.Is(req.in.Context().Err(), context.Canceled) || outdated && errors.Is(e.err, errNoProgress)) {
+	if e.err != nil && (errors.Is(req.in.Context().Err(), context.Canceled) || watch.outdated && errors.Is(e.err, errNoProgress)) {
 		outcome = placement.Canceled
 	}
 	g.release(choice, outcome)
@@ -105,7 +91,7 @@
 }
 
 // forward copies whole events to the caller until the engine ends the stream.
-func (s *stream) forward(resp *http.Response, watch *time.Timer) error {
+func (s *stream) forward(resp *http.Response, watch *progress) error {
 	defer func() { _ = resp.Body.Close() }()
 	var split eventstream.Splitter
 	buffer := make([]byte, readBuffer)
@@ -118,7 +104,7 @@
 				return err
 			}
 			if forwarded {
-				watch.Reset(eventPatience)
+				watch.event()
 			}
 		}
 		if errors.Is(readErr, io.EOF) {
@@ -186,7 +172,8 @@
 
 // failedStream passes an engine's own failure on, or tries another engine.
 func (g *Gateway) failedStream(req *request, e *exchange, s *stream) (reason Reason, again bool) {
-	body, err := readWhole(e.resp)
+	body, release, err := g.readWhole(e.resp)
+	defer release()
 	g.logAttempt(req, e, "errored")
 	if e.resp.StatusCode >= http.StatusInternalServerError {
 		if _, again := g.rerun(req, ReasonBroken); again {
@@ -199,7 +186,6 @@
 	copyHeader(s.w.Header(), e.resp.Header)
 	s.begun = true
 	s.w.WriteHeader(e.resp.StatusCode)
-	// The caller may be gone; nothing is left to do.
-	_, _ = s.w.Write(body)
+	body.writeTo(s.w)
 	return "", false
 }
--- a/node/gateway/transport.go
+++ b/node/gateway/transport.go
@@ -29,11 +29,9 @@
 // for the next request's, and net/http may send a request again when a kept
 // connection turns out to be closed.
 func newTransport() *http.Transport {
-	dialer := &net.Dialer{
-		Timeout:         dialTimeout,
-		KeepAliveConfig: KeepAlive(),
-		Control:         LimitUnacked,
-	}
+	// A connection that went silent ends with its request's patience or
+	// deadline, long before probes would tell; they cost four system calls.
+	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: -1, Control: LimitUnacked}
 	return &http.Transport{
 		DialContext:            dialer.DialContext,
 		DisableKeepAlives:      true,
--- a/node/gateway/whole.go
+++ b/node/gateway/whole.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -12,13 +11,9 @@
 	"github.com/laburnumloft/laburnumloft/core/route"
 )
 
-const (
-	// maxWholeAnswer bounds an answer that is kept until it is whole.
-	maxWholeAnswer = 16 << 20
-	// hedgeTargets is how many times the target an idempotent request waits
-	// before it goes to another server. Half of the deadline is left then.
-	hedgeTargets = 2
-)
+// hedgeTargets is how many times the target an idempotent request waits before
+// it goes to another server. Half of the deadline is left then.
+const hedgeTargets = 2
 
 // serveWhole serves a request whose answer is returned in one piece: nothing
 // is forwarded before the whole answer is here, so that a broken one can be
@@ -31,30 +26,34 @@
 			g.refuse(w, req, reason)
 			return
 		}
-		e, body := g.tryWhole(ctx, req, choice)
-		if reason, again := g.afterWhole(ctx, req, e); again {
-			continue
-		} else if reason != "" {
+		e, body, release := g.tryWhole(ctx, req, choice)
+		reason, again := g.afterWhole(ctx, req, e)
+		switch {
+		case again:
+		case reason != "":
 			g.refuse(w, req, reason)
+		default:
+			g.answerWhole(w, req, e, body)
+		}
+		release()
+		if !again {
 			return
 		}
-		g.answerWhole(w, req, e, body)
-		return
 	}
 }
 
-// tryWhole makes one attempt and reads the answer's body.
-func (g *Gateway) tryWhole(ctx context.Context, req *request, choice placement.Choice) (*exchange, []byte) {
+// tryWhole makes one attempt and reads the answer's body, whose memory free
+// releases.
+func (g *Gateway) tryWhole(ctx context.Context, req *request, choice placement.Choice) (e *exchange, body answerBody, free func()) {
 	req.offers = append(req.offers, choice.Server.ID)
 	if req.mayRunAgain() && req.runs+1 < req.route.MaxAttempts {
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithTimeout(ctx, max(hedgeTargets*req.route.Target, time.Until(req.deadline)/2))
 		defer cancel()
 	}
-	e := g.send(ctx, req, choice, Offer{})
-	var body []byte
+	e, free = g.send(ctx, req, choice, Offer{}), func() {}
 	if e.err == nil {
-		body, e.err = readWhole(e.resp)
+		body, free, e.err = g.readWhole(e.resp)
 	}
 	if e.ran() {
 		req.runs++
@@ -64,16 +63,7 @@
 		outcome = placement.Canceled
 	}
 	g.release(choice, outcome)
-	return e, body
-}
-
-func readWhole(resp *http.Response) ([]byte, error) {
-	defer func() { _ = resp.Body.Close() }()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxWholeAnswer+1))
-	if err == nil && len(body) > maxWholeAnswer {
-		err = errTooLong
-	}
-	return body, err
+	return e, body, free
 }
 
 // afterWhole decides what follows an attempt: the answer (no reason), another
@@ -137,14 +127,13 @@
 	return "", true
 }
 
-func (g *Gateway) answerWhole(w http.ResponseWriter, req *request, e *exchange, body []byte) {
+func (g *Gateway) answerWhole(w http.ResponseWriter, req *request, e *exchange, body answerBody) {
 	copyHeader(w.Header(), e.resp.Header)
 	if req.in.Method != http.MethodHead {
-		w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+		w.Header().Set("Content-Length", strconv.Itoa(body.size()))
 	}
 	w.WriteHeader(e.resp.StatusCode)
-	// The caller may be gone; the server's work is done.
-	_, _ = w.Write(body)
+	body.writeTo(w)
 	g.ok(req, e.choice, e.resp.StatusCode, 0)
 }
 
--- a/node/share/ask.go
+++ b/node/share/ask.go
@@ -15,8 +15,9 @@
 	"github.com/laburnumloft/laburnumloft/node/mesh"
 )
 
-// maxAnswer bounds an answer after it was unpacked.
-const maxAnswer = 64 << 20
+// maxAnswer bounds an answer in bytes after it was unpacked: the store takes
+// records of 256 KiB, and a process has some 100 MB.
+const maxAnswer = 8 << 20
 
 // ErrNothing means that the entry has nothing to tell.
 var ErrNothing = eris.New("the entry has nothing to tell")
--- a/node/stager/peers.go
+++ b/node/stager/peers.go
@@ -35,8 +35,11 @@
 	peerDialTimeout = 800 * time.Millisecond
 	// peerSetAside is how long an agent that failed isn't asked.
 	peerSetAside = time.Second
-	// maxPiece bounds a piece in bytes.
-	maxPiece = 16 << 20
+	// maxPiece bounds a piece in bytes: six on their way at once take a sixth of
+	// a machine of 150 MB.
+	maxPiece = 4 << 20
+	// maxPeerState bounds what an agent says of its engine, in bytes.
+	maxPeerState = 4 << 10
 )
 
 var errPeerBusy = eris.New("the peer sends enough pieces already")
@@ -145,7 +148,7 @@
 	}
 	defer func() { _ = resp.Body.Close() }()
 	var state peerState
-	if json.NewDecoder(resp.Body).Decode(&state) != nil || state.Down {
+	if json.NewDecoder(io.LimitReader(resp.Body, maxPeerState)).Decode(&state) != nil || state.Down {
 		return rollout.PredecessorGone
 	}
 	if state.Version >= version {
