--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -46,6 +46,11 @@
 	Pace float64
 	// Born is the engine's incarnation, as in Server.
 	Born int64
+	// Sequence grows with each report of one run of the agent; 0 is unknown.
+	Sequence uint32
+	// Changed says that what the engine can serve differs from the report
+	// before.
+	Changed bool
 }
 
 // Outcome is how an attempt at a server ended.
@@ -137,6 +142,8 @@
 	services map[string][]*member
 	byAddr   map[string]*member
 	reports  map[string]timedReport
+	// eligible and aside are kept between decisions to spare allocations.
+	eligible, aside []*member
 	// named tells which weight version requests must not begin below.
 	named *Named
 }
@@ -209,8 +216,17 @@
 	return all
 }
 
-// Report takes an agent's report over.
+// overtakenWithin is the time in which a report with a lower number than the
+// last one counts as overtaken on its way, and not as one of a new agent.
+const overtakenWithin = time.Second
+
+// Report takes an agent's report over, unless it has it or a newer one: reports
+// come by two ways, which may be differently slow.
 func (f *Fleet) Report(r Report, now time.Time) {
+	last, known := f.reports[r.Address]
+	if known && r.Sequence != 0 && r.Sequence <= last.report.Sequence && now.Sub(last.at) < overtakenWithin {
+		return
+	}
 	f.reports[r.Address] = timedReport{r, now}
 	m := f.byAddr[r.Address]
 	if m == nil {
@@ -271,24 +287,14 @@
 // the less loaded is taken; always taking the least loaded of all would send
 // the requests of all entries to one engine between two reports.
 func (f *Fleet) Choose(now time.Time, q Query) (Choice, Miss) {
-	var eligible []*member
-	miss := NoServer
-	f.ageOutSetAside(now, q.Service)
-	for _, m := range f.services[q.Service] {
-		switch reason := f.refusal(m, q, now); reason {
-		case Found:
-			eligible = append(eligible, m)
-		case NoServer:
-		default:
-			if miss == NoServer || reason == AllFull {
-				miss = reason
-			}
-		}
+	required := int64(0)
+	if q.Model != "" {
+		required = f.named.Required(q.Model, now)
 	}
-	if len(eligible) == 0 {
+	m, miss := f.draw(q, required, now)
+	if m == nil {
 		return Choice{}, miss
 	}
-	m := f.better(eligible, now)
 	load := f.load(m, now)
 	m.inFlight++
 	m.sentSince++
@@ -303,7 +309,58 @@
 	return choice, Found
 }
 
-func (f *Fleet) refusal(m *member, q Query, now time.Time) Miss {
+// draws is how many servers are drawn to find two eligible ones before all are
+// looked at. While most of a large service has room, a decision looks at two or
+// three of its servers.
+const draws = 8
+
+// draw returns the better of two eligible servers drawn at random, or why there
+// is none.
+func (f *Fleet) draw(q Query, required int64, now time.Time) (*member, Miss) {
+	members := f.services[q.Service]
+	var first *member
+	for range draws {
+		if len(members) <= draws {
+			break
+		}
+		m := members[f.random.IntN(len(members))]
+		if m == first || f.refusal(m, q, required, now) != Found {
+			continue
+		}
+		if first != nil {
+			return f.better(first, m, now), Found
+		}
+		first = m
+	}
+	eligible, miss := f.eligible[:0], NoServer
+	for _, m := range members {
+		switch reason := f.refusal(m, q, required, now); reason {
+		case Found:
+			eligible = append(eligible, m)
+		case NoServer:
+		default:
+			if miss == NoServer || reason == AllFull {
+				miss = reason
+			}
+		}
+	}
+	f.eligible = eligible
+	switch len(eligible) {
+	case 0:
+		return nil, miss
+	case 1:
+		return eligible[0], Found
+	}
+	i, j := f.random.IntN(len(eligible)), f.random.IntN(len(eligible)-1)
+	if j >= i {
+		j++
+	}
+	return f.better(eligible[i], eligible[j], now), Found
+}
+
+// refusal tells why a server may not get a request; required is the version below
+// which it may not begin.
+func (f *Fleet) refusal(m *member, q Query, required int64, now time.Time) Miss {
 	if m.server.Draining || m.misdirected || slices.Contains(q.Avoid, m.server.ID) {
 		return NoServer
 	}
@@ -313,7 +370,7 @@
 	}
 	if q.Model != "" {
 		version := f.version(m)
-		if version == 0 || version < f.named.Required(q.Model, now) || fresh && m.report.Loading {
+		if version == 0 || version < required || fresh && m.report.Loading {
 			return NoWeights
 		}
 		if f.load(m, now) >= f.limit(m, q) {
@@ -360,17 +417,8 @@
 	return max(reported+float64(m.sentSince-m.doneSince), float64(m.inFlight))
 }
 
-// better draws two servers and returns the one with the lower load.
-func (f *Fleet) better(eligible []*member, now time.Time) *member {
-	if len(eligible) == 1 {
-		return eligible[0]
-	}
-	i := f.random.IntN(len(eligible))
-	j := f.random.IntN(len(eligible) - 1)
-	if j >= i {
-		j++
-	}
-	a, b := eligible[i], eligible[j]
+// better returns the one with the lower load.
+func (f *Fleet) better(a, b *member, now time.Time) *member {
 	if f.cost(b, now) < f.cost(a, now) {
 		return b
 	}
@@ -418,17 +466,19 @@
 	m.setAside = min(max(2*m.setAside, f.cfg.SetAside), f.cfg.MaxSetAside)
 	m.asideUntil = later(m.asideUntil, now.Add(m.setAside))
 	m.failures = 0
+	f.ageOutSetAside(now, m.server.Service)
 }
 
 // ageOutSetAside ends the oldest exclusions of a service while too many of
 // its servers are set aside.
 func (f *Fleet) ageOutSetAside(now time.Time, service string) {
-	var aside []*member
+	aside := f.aside[:0]
 	for _, m := range f.services[service] {
 		if now.Before(m.asideUntil) && m.setAside > 0 {
 			aside = append(aside, m)
 		}
 	}
+	f.aside = aside
 	most := int(f.cfg.MaxSetAsideShare * float64(len(f.services[service])))
 	if len(aside) <= most {
 		return
--- a/core/placement/placement_test.go
+++ b/core/placement/placement_test.go
@@ -270,3 +270,52 @@
 	c.Assert(len(n.models["m"]), qt.Equals, maxNamings)
 	c.Assert(n.Required("m", start.Add(time.Minute)), qt.Equals, int64(100))
 }
+
+// Reports come by two ways. One that was overtaken must not bring back what the
+// engine could serve before, and the same one again must not hide own sends.
+func TestOvertakenReportIsIgnored(t *testing.T) {
+	c := qt.New(t)
+	f, _ := engines(1)
+	r := func(sequence uint32, running int, loading bool) Report {
+		out := report(0, running)
+		out.Sequence, out.Loading = sequence, loading
+		return out
+	}
+	f.Report(r(8, slots+1, false), start)
+	_, miss := f.Choose(start, query())
+	c.Assert(miss, qt.Equals, Found)
+	f.Report(r(8, slots+1, false), start.Add(50*time.Millisecond))
+	_, miss = f.Choose(start, query())
+	c.Assert(miss, qt.Equals, AllFull)
+	f.Report(r(9, 0, true), start.Add(150*time.Millisecond))
+	f.Report(r(7, 0, false), start.Add(200*time.Millisecond))
+	_, miss = f.Choose(start.Add(200*time.Millisecond), query())
+	c.Assert(miss, qt.Equals, NoWeights)
+	// An agent that started again counts anew.
+	f.Report(r(1, 0, false), start.Add(150*time.Millisecond+overtakenWithin))
+	_, miss = f.Choose(start.Add(150*time.Millisecond+overtakenWithin), query())
+	c.Assert(miss, qt.Equals, Found)
+}
+
+// BenchmarkChoose is the cost of one decision at 300 engines, with room
+// everywhere and with all full.
+func BenchmarkChoose(b *testing.B) {
+	for _, full := range []bool{false, true} {
+		b.Run(fmt.Sprint("full=", full), func(b *testing.B) {
+			f, _ := engines(300)
+			for i := range 300 {
+				running := slots / 2
+				if full {
+					running = 2 * slots
+				}
+				f.Report(report(i, running), start)
+			}
+			b.ReportAllocs()
+			for range b.N {
+				if choice, miss := f.Choose(start, query()); miss == Found {
+					f.Done(start, choice.Handle, Canceled)
+				}
+			}
+		})
+	}
+}
