--- a/node/registry/registry.go
+++ b/node/registry/registry.go
@@ -2,11 +2,11 @@
 // entries.
 //
 // The list changes with every heartbeat of every server, and each call of the
-// store is priced. One entry, the relay, reads it often and the others ask the
-// relay by long poll for what really changed. The relay is chosen by each
-// entry from the hellos it hears; entries that disagree for a while only read
-// more often. When the relay is late or stale, an entry reads the store
-// itself.
+// store is priced. One entry reads it often; one of each region asks that one by
+// long poll for what really changed, and the others of the region ask theirs
+// (core/relay). Each entry chooses its relay from the hellos it hears; entries
+// that disagree for a while only read more often. When the relays are late or
+// stale, an entry reads the store itself.
 package registry
 
 import (
@@ -16,6 +16,7 @@
 	"time"
 
 	"github.com/laburnumloft/laburnumloft/core/placement"
+	"github.com/laburnumloft/laburnumloft/node/lib/steady"
 )
 
 // Update is what changed after a revision.
@@ -41,8 +42,10 @@
 	servers  map[string]entry
 	gone     map[string]int64
 	changed  chan struct{}
-	read     time.Time
-	back     time.Time
+	// dirty says that there are changes of which no follower was told yet.
+	dirty bool
+	read  time.Time
+	back  time.Time
 }
 
 type entry struct {
@@ -63,10 +66,10 @@
 func (l *List) Read(ago time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.read.IsZero() {
+	if l.read.IsZero() || l.dirty {
 		l.wake()
 	}
-	if at := time.Now().Add(-ago); at.After(l.read) {
+	if at := steady.Now().Add(-ago); at.After(l.read) {
 		l.read = at
 	}
 }
@@ -78,7 +81,7 @@
 	if l.read.IsZero() {
 		return time.Hour
 	}
-	return time.Since(l.read)
+	return steady.Since(l.read)
 }
 
 // settleTime is how long after an outage a list may still hold servers that
@@ -89,17 +92,28 @@
 func (l *List) Back() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.back = time.Now()
+	l.back = steady.Now()
 }
 
 // Settled reports whether other entries may rely on the list.
 func (l *List) Settled() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.back.IsZero() || time.Since(l.back) >= settleTime
+	return l.back.IsZero() || steady.Since(l.back) >= settleTime
 }
 
-// Put adds or changes a server.
+// Publish tells the followers of the changes since the last time. Those of one
+// reading go out together, or each follower would ask once for each.
+func (l *List) Publish() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.dirty {
+		l.wake()
+	}
+}
+
+// Put adds or changes a server. Followers learn of it with the next Publish or
+// Read.
 func (l *List) Put(s placement.Server) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -109,10 +123,10 @@
 	l.revision++
 	l.servers[s.ID] = entry{s, l.revision}
 	delete(l.gone, s.ID)
-	l.wake()
+	l.dirty = true
 }
 
-// Remove drops a server.
+// Remove drops a server. Followers learn of it as of a Put.
 func (l *List) Remove(id string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -126,7 +140,14 @@
 		l.gone, l.epoch = map[string]int64{}, rand.Uint64()
 	}
 	l.gone[id] = l.revision
-	l.wake()
+	l.dirty = true
+}
+
+// Revision grows with each change.
+func (l *List) Revision() int64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.revision
 }
 
 // IDs returns the ids of the listed servers.
@@ -141,6 +162,7 @@
 }
 
 func (l *List) wake() {
+	l.dirty = false
 	close(l.changed)
 	l.changed = make(chan struct{})
 }
@@ -172,9 +194,9 @@
 
 func (l *List) update(epoch uint64, since int64) Update {
 	u := Update{Epoch: l.epoch, Revision: l.revision, Full: epoch != l.epoch || since > l.revision, AgeMS: time.Hour.Milliseconds()}
-	settled := l.back.IsZero() || time.Since(l.back) >= settleTime
+	settled := l.back.IsZero() || steady.Since(l.back) >= settleTime
 	if settled && !l.read.IsZero() {
-		u.AgeMS = time.Since(l.read).Milliseconds()
+		u.AgeMS = steady.Since(l.read).Milliseconds()
 	}
 	for _, e := range l.servers {
 		if u.Full || e.revision > since {
--- a/node/registry/registry_test.go
+++ b/node/registry/registry_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -13,6 +14,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/laburnumloft/laburnumloft/core/placement"
+	"github.com/laburnumloft/laburnumloft/core/relay"
 	"github.com/laburnumloft/laburnumloft/node/decision"
 	"github.com/laburnumloft/laburnumloft/node/feed"
 )
@@ -53,14 +55,18 @@
 	return s.records[from:], int64(len(s.records)), nil
 }
 
-func newSync(store *fakeStore, relay string) (*Sync, *List) {
+func newSync(store *fakeStore, address string) (*Sync, *List) {
 	list := NewList()
+	var sources []relay.Source
+	if address != "" {
+		sources = []relay.Source{{Address: address}}
+	}
 	return NewSync(Config{
 		List: list, Source: store, Log: decision.New(decision.Config{Output: io.Discard}), Client: &http.Client{},
 		Decode: func(r feed.Record) (placement.Server, bool) {
 			return placement.Server{ID: r.Key, Address: string(r.Value)}, string(r.Value) != "junk"
 		},
-		Relays: func() []string { return []string{relay} }, Others: func() []string { return nil }, OthersInTouch: func() bool { return store.othersInTouch },
+		Relays: func() []relay.Source { return sources }, Others: func() []string { return nil }, OthersInTouch: func() bool { return store.othersInTouch },
 		OnPut: func(placement.Server) {}, OnRemove: func(string, string) {},
 	}), list
 }
@@ -189,3 +195,42 @@
 	s.round(t.Context())
 	c.Assert(ids(list), qt.DeepEquals, map[string]bool{"fromstore": true})
 }
+
+// A version change alters the record of every server within one reading. A
+// follower must get them in one answer, or each of many followers asks once for
+// each server.
+func TestChangesOfOneReadingGoOutTogether(t *testing.T) {
+	c := qt.New(t)
+	store := &fakeStore{}
+	store.put("a", "10.0.0.1:1")
+	s, list := newSync(store, "")
+	s.round(t.Context())
+	first := list.Wait(t.Context(), 0, 0, 0)
+	waiting := make(chan Update)
+	go func() { waiting <- list.Wait(t.Context(), first.Epoch, first.Revision, 10*time.Second) }()
+	for i := range 50 {
+		store.put(fmt.Sprint("server", i), "10.0.0.2:1")
+	}
+	// The follower may come at any moment of the reading.
+	for s.cfg.List.Revision() == first.Revision {
+		s.round(t.Context())
+	}
+	c.Assert((<-waiting).Servers, qt.HasLen, 50)
+}
+
+// An entry that others follow must not wait longer for news than it asked for.
+func TestQuestionNamesItsWait(t *testing.T) {
+	c := qt.New(t)
+	store := &fakeStore{}
+	store.put("a", "10.0.0.1:1")
+	s, list := newSync(store, "")
+	s.round(t.Context())
+	u := list.Wait(t.Context(), 0, 0, 0)
+	server := httptest.NewServer(Handler(list))
+	defer server.Close()
+	begun := time.Now()
+	resp, err := http.Get(fmt.Sprintf("%s%s?epoch=%d&revision=%d&wait_ms=1", server.URL, Path, u.Epoch, u.Revision))
+	c.Assert(err, qt.IsNil)
+	c.Assert(resp.Body.Close(), qt.IsNil)
+	c.Assert(time.Since(begun) < followWait, qt.IsTrue)
+}
--- a/node/registry/sync.go
+++ b/node/registry/sync.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"net/http"
 	"strconv"
@@ -14,6 +15,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/laburnumloft/laburnumloft/core/placement"
+	"github.com/laburnumloft/laburnumloft/core/relay"
 	"github.com/laburnumloft/laburnumloft/node/decision"
 	"github.com/laburnumloft/laburnumloft/node/feed"
 )
@@ -24,10 +26,17 @@
 	relayPoll = 350 * time.Millisecond
 	// followWait is how long one question to the relay waits for a change.
 	followWait = 700 * time.Millisecond
+	// farWait is how long a question to a relay of another region waits. The
+	// entries of the own region follow this one, and its list must not grow
+	// old on the way.
+	farWait = 300 * time.Millisecond
 	// followTimeout is when the relay counts as lost.
 	followTimeout = followWait + 300*time.Millisecond
 	// maxAge is the age of the relay's list beyond which it counts as cut off.
 	maxAge = 1200 * time.Millisecond
+	// startRetry is the time between two questions to a relay that has just
+	// started itself.
+	startRetry = 80 * time.Millisecond
 	// relayAvoid is how long a relay that failed is not asked. It is the time
 	// in which the others notice its silence.
 	relayAvoid = 2500 * time.Millisecond
@@ -56,9 +65,12 @@
 	// Decode turns a record into a server. It returns false for records that
 	// name none.
 	Decode func(feed.Record) (placement.Server, bool)
-	// Relays returns the addresses of the entries to ask, best first. An
-	// empty one is this entry, which reads the store.
-	Relays func() []string
+	// Relays returns the entries to ask, best first. When none is left, this
+	// entry reads the store.
+	Relays func() []relay.Source
+	// Patient reports whether this entry, which has just started, leaves it to
+	// others to read the store; nil means never.
+	Patient func() bool
 	// Others returns entries to ask when neither store nor relay answer.
 	Others func() []string
 	// OthersInTouch reports whether another entry has reached the store all
@@ -107,17 +119,23 @@
 
 // round asks the relay or the store once and returns the pause after it.
 func (s *Sync) round(ctx context.Context) time.Duration {
-	if relay := s.relayNow(); relay != "" {
-		err := s.follow(ctx, relay, maxAge)
+	if source, ok := s.relayNow(); ok {
+		err := s.follow(ctx, source, maxAge)
 		s.note(&s.relayLost, "relay", err)
 		if err == nil {
 			return 0
 		}
-		s.avoid[relay] = time.Now().Add(relayAvoid)
-		if s.relayNow() != "" {
+		if s.patient() {
+			return startRetry
+		}
+		s.avoid[source.Address] = time.Now().Add(relayAvoid)
+		if _, ok := s.relayNow(); ok {
 			return 0
 		}
 	}
+	if s.patient() {
+		return startRetry
+	}
 	if time.Now().After(s.storeRetry) {
 		err := s.readStore(ctx)
 		s.note(&s.storeLost, "registry", err)
@@ -132,20 +150,22 @@
 	// Cut off from the store: another entry may know more. During an outage
 	// every list is old; one that is not older than the own one is taken.
 	oldest := max(maxAge, s.cfg.List.Age())
-	if others := s.cfg.Others(); len(others) > 0 && s.follow(ctx, others[rand.N(len(others))], oldest) == nil {
+	if others := s.cfg.Others(); len(others) > 0 && s.follow(ctx, relay.Source{Address: others[rand.N(len(others))]}, oldest) == nil {
 		return 0
 	}
 	return relayPoll/2 + rand.N(relayPoll)
 }
 
+func (s *Sync) patient() bool { return s.cfg.Patient != nil && s.cfg.Patient() }
+
 // relayNow returns the first relay that did not fail a moment ago.
-func (s *Sync) relayNow() string {
-	for _, relay := range s.cfg.Relays() {
-		if until, avoided := s.avoid[relay]; !avoided || time.Now().After(until) {
-			return relay
+func (s *Sync) relayNow() (source relay.Source, ok bool) {
+	for _, source := range s.cfg.Relays() {
+		if until, avoided := s.avoid[source.Address]; !avoided || time.Now().After(until) {
+			return source, true
 		}
 	}
-	return ""
+	return relay.Source{}, false
 }
 
 // note logs a change between contact and loss.
@@ -162,27 +182,28 @@
 }
 
 // follow asks another entry for changes.
-func (s *Sync) follow(ctx context.Context, address string, oldest time.Duration) error {
-	if address != s.relay {
-		s.relay, s.epoch, s.revision = address, 0, -1
+func (s *Sync) follow(ctx context.Context, source relay.Source, oldest time.Duration) error {
+	if source.Address != s.relay {
+		s.relay, s.epoch, s.revision = source.Address, 0, -1
+	}
+	wait := followWait
+	if source.Far {
+		wait = farWait
 	}
 	ctx, cancel := context.WithTimeout(ctx, followTimeout)
 	defer cancel()
 	query := struct {
 		Epoch    uint64 `url:"epoch"`
 		Revision int64  `url:"revision"`
-	}{s.epoch, s.revision}
-	req, err := sling.New().Base("http://" + address).Get(Path).QueryStruct(&query).Request()
+		WaitMS   int64  `url:"wait_ms"`
+	}{s.epoch, s.revision, wait.Milliseconds()}
+	req, err := sling.New().Base("http://" + source.Address).Get(Path).QueryStruct(&query).Request()
 	if err != nil {
 		return eris.Wrap(err, "building a question to the relay")
 	}
-	var u Update
-	resp, err := sling.New().Client(s.cfg.Client).Do(req.WithContext(ctx), &u, nil)
+	u, err := ask(s.cfg.Client, req.WithContext(ctx))
 	if err != nil {
-		return eris.Wrap(err, "asking the relay")
-	}
-	if resp.StatusCode != http.StatusOK {
-		return fmt.Errorf("relay answered %d", resp.StatusCode)
+		return err
 	}
 	if age := time.Duration(u.AgeMS) * time.Millisecond; age > oldest {
 		return ErrStale
@@ -193,6 +214,25 @@
 	return nil
 }
 
+// maxUpdate bounds an answer in bytes: a whole list of 20,000 servers.
+const maxUpdate = 8 << 20
+
+func ask(client *http.Client, req *http.Request) (Update, error) {
+	var u Update
+	resp, err := client.Do(req)
+	if err != nil {
+		return u, eris.Wrap(err, "asking the relay")
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		return u, fmt.Errorf("relay answered %d", resp.StatusCode)
+	}
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxUpdate)).Decode(&u); err != nil {
+		return u, eris.Wrap(err, "reading the relay's list")
+	}
+	return u, nil
+}
+
 func (s *Sync) apply(u Update) {
 	listed := map[string]bool{}
 	for _, server := range u.Servers {
@@ -327,6 +367,7 @@
 	for id := range s.held {
 		s.remove(id, "not_back_after_outage")
 	}
+	s.cfg.List.Publish()
 }
 
 func (s *Sync) remove(id, reason string) {
@@ -340,7 +381,11 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		epoch, _ := strconv.ParseUint(r.URL.Query().Get("epoch"), 10, 64)
 		revision, _ := strconv.ParseInt(r.URL.Query().Get("revision"), 10, 64)
-		u := list.Wait(r.Context(), epoch, revision, followWait)
+		wait := followWait
+		if ms, err := strconv.ParseInt(r.URL.Query().Get("wait_ms"), 10, 64); err == nil {
+			wait = min(wait, time.Duration(ms)*time.Millisecond)
+		}
+		u := list.Wait(r.Context(), epoch, revision, wait)
 		w.Header().Set("Content-Type", "application/json")
 		// The follower that left asks again.
 		_ = json.NewEncoder(w).Encode(u)
--- a/node/share/share.go
+++ b/node/share/share.go
@@ -28,6 +28,9 @@
 	// startPatience is how long an entry that starts takes the listed entries
 	// for live ones, though it has not heard them yet.
 	startPatience = 1500 * time.Millisecond
+	// bootstrapPatience is that time when the whole system starts for the first
+	// time: all publish themselves before they read the list.
+	bootstrapPatience = 3 * time.Second
 	// keepUpEvery is the time between two looks for something newer,
 	// startEvery while no configuration is known.
 	keepUpEvery = 200 * time.Millisecond
@@ -79,16 +82,27 @@
 	s.membersOnce.Do(func() { close(s.members) })
 }
 
-// AwaitMembers returns when the list of members was read, or after
-// startPatience.
+// AwaitMembers returns when the list of members was read, or after the time for
+// a start.
 func (s *Sharer) AwaitMembers(ctx context.Context) {
 	select {
 	case <-s.members:
-	case <-time.After(startPatience):
+	case <-time.After(s.startPatience()):
 	case <-ctx.Done():
 	}
 }
 
+func (s *Sharer) startPatience() time.Duration {
+	if s.cfg.Bootstrap {
+		return bootstrapPatience
+	}
+	return startPatience
+}
+
+// AwaitsReaders reports whether this entry has just started and leaves it to the
+// readers of its region to read the store.
+func (s *Sharer) AwaitsReaders() bool { return s.starting() && !s.ReadsStore() }
+
 // ReadsStore reports whether this entry is to read the operator's records from
 // the store.
 func (s *Sharer) ReadsStore() bool {
@@ -122,13 +136,13 @@
 	return out
 }
 
-func (s *Sharer) starting() bool { return time.Since(s.started) < startPatience }
+func (s *Sharer) starting() bool { return time.Since(s.started) < s.startPatience() }
 
 // readers are the entries that read the store for the own region.
 func (s *Sharer) readers() []string {
 	entries := []relay.Entry{{ID: s.cfg.Self.ID, Region: s.cfg.Self.Region, Cut: s.cfg.Cut()}}
 	heard := map[string]bool{}
-	for _, l := range s.cfg.Mesh.LiveEntries() {
+	for _, l := range s.cfg.Mesh.LiveNear() {
 		heard[l.ID] = true
 		entries = append(entries, relay.Entry{ID: l.ID, Region: l.Region, Cut: l.Hello.Cut})
 	}
