--- a/core/relay/collect.go
+++ b/core/relay/collect.go
@@ -15,7 +15,7 @@
 	// differ.
 	mostCollectors = 3
 	// collectorPatience is the time without a word of a collector after which
-	// it is not relied on: two of its tellings and a half. It is well below
+	// it is not relied on: three of its tellings. It is well below
 	// the age at which a report or a hello counts as lost.
 	collectorPatience = 1200 * time.Millisecond
 )
--- a/core/rollout/swarm_test.go
+++ b/core/rollout/swarm_test.go
@@ -16,11 +16,13 @@
 	dead   map[string]bool
 	// slow machines receive a piece in slowTicks, and what they send comes too
 	// late.
-	slow    map[string]bool
-	ticks   int
-	origin  bool
-	drawn   int
-	crossed int
+	slow   map[string]bool
+	ticks  int
+	origin bool
+	// originPieces is what the origin's link carries in a tick.
+	originPieces int
+	drawn        int
+	crossed      int
 }
 
 const (
@@ -35,7 +37,13 @@
 )
 
 func newSwarmSim(perRegion int) *swarmSim {
-	s := &swarmSim{now: time.Unix(0, 0), dead: map[string]bool{}, slow: map[string]bool{}, origin: true}
+	return newSwarmSimAt(perRegion, simOriginPieces)
+}
+
+// newSwarmSimAt returns a swarm at an origin that sends so many pieces a tick.
+func newSwarmSimAt(perRegion, originPieces int) *swarmSim {
+	s := &swarmSim{now: time.Unix(0, 0), dead: map[string]bool{}, slow: map[string]bool{}, origin: true, originPieces: originPieces}
+	patience := PatienceFor(simPieces * simTick / time.Duration(originPieces))
 	for _, region := range []string{"north", "middle", "south"} {
 		for i := range perRegion {
 			s.peers = append(s.peers, Peer{ID: fmt.Sprint(region, i), Address: "a", Region: region})
@@ -44,7 +52,7 @@
 	for i, p := range s.peers {
 		s.swarms = append(s.swarms, NewSwarm(SwarmConfig{
 			Self: p, Peers: s.peers, OriginRegion: "south", Version: "2", Pieces: simPieces,
-			FirstPatience: 1500 * time.Millisecond, FeederPatience: 2500 * time.Millisecond, OriginPatience: 2500 * time.Millisecond, SetAside: time.Second, Seed: uint64(i),
+			FirstPatience: patience.First, FeederPatience: patience.Feeder, OriginPatience: patience.Origin, SetAside: time.Second, Seed: uint64(i),
 		}, s.now))
 	}
 	return s
@@ -62,7 +70,7 @@
 // tick lets every agent pull: each machine receives and sends two pieces.
 func (s *swarmSim) tick() {
 	sent := map[string]int{}
-	originLeft := simOriginPieces
+	originLeft := s.originPieces
 	for i, p := range s.peers {
 		if s.dead[p.ID] || s.slow[p.ID] && (s.ticks+i)%slowTicks != 0 {
 			continue
@@ -210,6 +218,29 @@
 	c.Check(took <= 4*time.Second, qt.IsTrue, qt.Commentf("took %v", took))
 }
 
+// A thin origin needs 2.4 s for a copy. Nobody may draw what is on its way, also
+// when the origin was down in between: each needless piece keeps the whole fleet
+// waiting.
+func TestSwarmWithAThinOrigin(t *testing.T) {
+	c := qt.New(t)
+	s := newSwarmSimAt(9, 1)
+	took := s.run(time.Minute)
+	c.Assert(s.done(), qt.IsTrue)
+	c.Check(s.drawn, qt.Equals, simPieces)
+	// The copy, and a machine's own two seconds beside it.
+	c.Check(took <= 4*time.Second, qt.IsTrue, qt.Commentf("took %v", took))
+
+	s = newSwarmSimAt(9, 1)
+	s.run(time.Second)
+	s.origin = false
+	s.run(6 * time.Second)
+	s.origin = true
+	took = s.run(time.Minute)
+	c.Assert(s.done(), qt.IsTrue)
+	c.Check(s.drawn <= simPieces*5/4, qt.IsTrue, qt.Commentf("%d pieces drawn", s.drawn))
+	c.Check(took <= 3*time.Second, qt.IsTrue, qt.Commentf("took %v after the return", took))
+}
+
 // A whole region is cut off: the region after it goes to the origin.
 func TestSwarmPassesALostRegion(t *testing.T) {
 	c := qt.New(t)
--- a/core/route/route.go
+++ b/core/route/route.go
@@ -117,6 +117,8 @@
 	Engine *Engine
 	// Origin is the address of the origin of weights; empty elsewhere.
 	Origin, OriginZone string
+	// OriginMbps is its link in Mbit/s; 0 is unknown.
+	OriginMbps float64
 }
 
 // ModelFor returns the model that must be loaded for a request that names one;
--- a/node/feed/feed.go
+++ b/node/feed/feed.go
@@ -73,7 +73,7 @@
 	// store answers in 4 ms, over a squeezed link in ten times that.
 	waitedAtLeast = 50 * time.Millisecond
 	// idlePause is the time between two looks whether this process is to read.
-	idlePause = 100 * time.Millisecond
+	idlePause = 250 * time.Millisecond
 	// callTimeout bounds a call beyond the time that it may wait.
 	callTimeout = 1500 * time.Millisecond
 )
--- a/node/gateway/gateway_test.go
+++ b/node/gateway/gateway_test.go
@@ -319,6 +319,37 @@
 	}
 }
 
+// An attempt that may not begin later, because its engine's weights are out of date
+// then, must end in time even where no other engine may follow (VERSION broken
+// 104 times on pldpr-padam-large scale-1: engines began requests that had waited
+// for 2.6 s).
+func TestAttemptEndsWhenItsWeightsAreOutOfDate(t *testing.T) {
+	c := qt.New(t)
+	ended := make(chan time.Duration, 1)
+	s := newServer(c, func(_ http.ResponseWriter, r *http.Request) {
+		arrived := time.Now()
+		<-r.Context().Done()
+		ended <- time.Since(arrived)
+	})
+	r := newRig(c)
+	cfg := configuration(2)
+	for i := range cfg.Routes {
+		cfg.Routes[i].Timeout = 6 * time.Second
+	}
+	cfg.Services[0].Engine = &route.Engine{Models: []string{"m"}}
+	c.Assert(r.Configure(cfg, "test"), qt.IsTrue)
+	r.PutServer(placement.Server{ID: "e", Address: strings.TrimPrefix(s.URL, "http://"), Service: "svc", Zone: "z", Slots: 4, WeightVersion: 1})
+	const left = minFirstEvent + 500*time.Millisecond
+	r.WeightsTold("m", 2, r.cfg.WeightsWithin-requireMargin+placement.BeginReserve-left)
+	req := r.request(c, http.MethodPost, "/once/1", "x")
+	req.Header.Set("Left", "6000")
+	resp, err := http.DefaultClient.Do(req)
+	c.Assert(err, qt.IsNil)
+	_ = resp.Body.Close()
+	took := <-ended
+	c.Assert(took <= left+200*time.Millisecond, qt.IsTrue, qt.Commentf("%v of %v", took, left))
+}
+
 // Where callers accept long pauses, an engine that keeps them must keep its
 // stream.
 func TestPatienceFollowsTheRoute(t *testing.T) {
--- a/node/gateway/progress.go
+++ b/node/gateway/progress.go
@@ -25,43 +25,63 @@
 // progress ends an attempt at an engine that makes no events, if another engine
 // may go on with it. Where none may, because the stream can't be resumed or the
 // budget is used up, a slow engine is better than none, and only the deadline
-// ends the attempt.
+// ends the attempt; or the moment at which the engine's weights are too old to
+// begin, if it has not begun by then.
 type progress struct {
 	pause time.Duration
-	// outdated says that the engine's weights are too old to begin after the
-	// first wait, so that the attempt ends even if no other engine may follow.
-	outdated bool
-	begun    atomic.Bool
-	stalled  atomic.Bool
-	timer    *time.Timer
+	// beginBy is that moment; zero if there is none.
+	beginBy time.Time
+	mayMove func() bool
+	cancel  context.CancelFunc
+	begun   atomic.Bool
+	// stalled says that the attempt was ended here, outdated that it was for
+	// the engine's old weights.
+	stalled, outdated atomic.Bool
+	timer             *time.Timer
 }
 
 // watchProgress starts to watch an attempt, which cancel ends.
 func (g *Gateway) watchProgress(req *request, choice placement.Choice, cancel context.CancelFunc) *progress {
-	first := max(minFirstEvent, firstEventTargets*req.route.Target)
-	p := &progress{pause: max(minPause, time.Duration(pauseTargets*float64(req.route.PauseTarget)))}
-	if choice.Bounded && choice.BeginWithin < first {
-		first, p.outdated = choice.BeginWithin, true
-	}
 	// This attempt counts as a run by then.
-	repeatable := req.route.Repeatable() && req.runs+1 < max(req.route.MaxAttempts, 1)
-	service := req.service
+	repeatable, service := req.mayRunAgainAfter(1), req.service
+	p := &progress{
+		pause:  max(minPause, time.Duration(pauseTargets*float64(req.route.PauseTarget))),
+		cancel: cancel, mayMove: func() bool { return repeatable && g.hasRepeats(service) },
+	}
+	if choice.Bounded {
+		p.beginBy = time.Now().Add(choice.BeginWithin)
+	}
+	first := p.until(max(minFirstEvent, firstEventTargets*req.route.Target))
 	// The timer's function may run before AfterFunc returns.
 	armed := make(chan struct{})
 	p.timer = time.AfterFunc(first, func() {
 		<-armed
-		tooOld := p.outdated && !p.begun.Load()
-		if !tooOld && !(repeatable && g.hasRepeats(service)) {
-			p.timer.Reset(p.pause)
-			return
-		}
-		p.stalled.Store(true)
-		cancel()
+		p.look()
 	})
 	close(armed)
 	return p
 }
 
+// until returns a wait, or the time until beginBy if that is sooner.
+func (p *progress) until(wait time.Duration) time.Duration {
+	if p.beginBy.IsZero() || p.begun.Load() {
+		return wait
+	}
+	return min(wait, max(0, time.Until(p.beginBy)))
+}
+
+// look ends the attempt, or looks again later.
+func (p *progress) look() {
+	tooOld := !p.beginBy.IsZero() && !p.begun.Load() && !time.Now().Before(p.beginBy)
+	if !tooOld && !p.mayMove() {
+		p.timer.Reset(p.until(p.pause))
+		return
+	}
+	p.outdated.Store(tooOld)
+	p.stalled.Store(true)
+	p.cancel()
+}
+
 // event notes that the engine made an event.
 func (p *progress) event() {
 	p.begun.Store(true)
--- a/node/gateway/stream.go
+++ b/node/gateway/stream.go
@@ -83,7 +83,7 @@
 		req.runs++
 	}
 	outcome := e.outcome()
-	if e.err != nil && (errors.Is(req.in.Context().Err(), context.Canceled) || watch.outdated && errors.Is(e.err, errNoProgress)) {
+	if e.err != nil && (errors.Is(req.in.Context().Err(), context.Canceled) || watch.outdated.Load() && errors.Is(e.err, errNoProgress)) {
 		outcome = placement.Canceled
 	}
 	g.release(choice, outcome)
--- a/node/lib/steady/steady.go
+++ b/node/lib/steady/steady.go
@@ -17,7 +17,7 @@
 const (
 	// lookEvery is the time between two looks for a suspension, and so the time
 	// in which an old permission may be used after one.
-	lookEvery = 250 * time.Millisecond
+	lookEvery = 500 * time.Millisecond
 	// leastSuspension is above the time between the readings of two clocks.
 	leastSuspension = 50 * time.Millisecond
 )
--- a/node/mesh/collect.go
+++ b/node/mesh/collect.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"net/netip"
 	"slices"
@@ -15,12 +16,15 @@
 const (
 	// bundleEvery is the time between two bundles of reports for the own
 	// region. Two collectors tell at different moments, so that a report waits
-	// some 40 ms at one of them in the mean, a third of the time between two
+	// some 70 ms at one of them in the mean, a third of the time between two
 	// reports.
-	bundleEvery = 150 * time.Millisecond
+	bundleEvery = 200 * time.Millisecond
 	// tellEvery is how many of them pass between two bundles with hellos, and
-	// between two for other regions.
-	tellEvery = 3
+	// between two for other regions, farHellosEvery between two for other
+	// regions with hellos: both collectors of a region tell them within the
+	// time after which an entry counts as dead.
+	tellEvery      = 2
+	farHellosEvery = 2 * tellEvery
 	// changePause lets changes of several engines collect.
 	changePause = 30 * time.Millisecond
 	// startPatience is how long an entry that starts listens before it
@@ -93,6 +97,8 @@
 func (m *Mesh) collect(ctx context.Context) {
 	tick := time.NewTimer(startPatience)
 	defer tick.Stop()
+	// far are the hellos that other regions were not told yet.
+	var far []Hello
 	for round := 0; ; round++ {
 		select {
 		case <-tick.C:
@@ -101,7 +107,7 @@
 				return
 			}
 			m.tellRegion(false)
-			m.tellOthers(false)
+			m.tellOthers(nil)
 			continue
 		case <-ctx.Done():
 			return
@@ -109,13 +115,21 @@
 		all := !m.collects() || round%tellEvery == 0
 		if all && !m.becomes() {
 			tick.Reset(tellEvery * bundleEvery)
+			far = nil
 			continue
 		}
 		tick.Reset(bundleEvery)
-		m.tellRegion(all)
-		if all {
-			m.tellOthers(true)
-			m.cleanHellos()
+		hellos := m.tellRegion(all)
+		if !all {
+			continue
+		}
+		m.cleanHellos()
+		far = append(far, hellos...)
+		if round%farHellosEvery == 0 {
+			m.tellOthers(far)
+			far = nil
+		} else {
+			m.tellOthers(nil)
 		}
 	}
 }
@@ -191,8 +205,9 @@
 }
 
 // tellRegion sends what came since the last bundle to the region's entries,
-// and with all set also the hellos. Agents learn from it who collects.
-func (m *Mesh) tellRegion(all bool) {
+// and with all set also the hellos, which it returns. Agents learn from it who
+// collects.
+func (m *Mesh) tellRegion(all bool) []Hello {
 	bundle := Bundle{Collector: MemberHash(m.cfg.Self.ID)}
 	m.mu.Lock()
 	for _, r := range m.collector.near {
@@ -208,6 +223,7 @@
 	if len(bundle.Reports)+len(bundle.Hellos) > 0 {
 		m.sendBundle(bundle, m.targets(m.nearEntry))
 	}
+	return bundle.Hellos
 }
 
 // gatheredHellos returns the hellos that came since the last ones were sent on,
@@ -228,24 +244,30 @@
 	clear(m.collector.hellos)
 }
 
-// tellOthers sends what came since the last such bundle to one collector of
-// each other region, which sends it on there.
-func (m *Mesh) tellOthers(all bool) {
-	bundle := Bundle{Collector: MemberHash(m.cfg.Self.ID), Relay: true}
+// tellOthers sends hellos, and the reports that came since the last such bundle,
+// to one collector of each other region, which sends them on there.
+func (m *Mesh) tellOthers(hellos []Hello) {
+	bundle := Bundle{Collector: MemberHash(m.cfg.Self.ID), Relay: true, Hellos: newest(hellos)}
 	m.mu.Lock()
 	for _, r := range m.collector.far {
 		bundle.Reports = append(bundle.Reports, r)
 	}
 	clear(m.collector.far)
 	m.mu.Unlock()
-	if all {
-		bundle.Hellos = m.gatheredHellos()
-	}
 	if len(bundle.Reports)+len(bundle.Hellos) > 0 {
 		m.sendBundle(bundle, m.farCollectors())
 	}
 }
 
+// newest returns the last hello of each member.
+func newest(hellos []Hello) []Hello {
+	last := map[uint64]Hello{}
+	for _, h := range hellos {
+		last[h.Member] = h
+	}
+	return slices.Collect(maps.Values(last))
+}
+
 // farCollectors returns one collector of each other region. The collectors of
 // one region use different ones. Of a region of which nobody was heard yet, some
 // entries are told, so that they hear of this one.
--- a/node/mesh/collect_test.go
+++ b/node/mesh/collect_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -31,6 +32,8 @@
 		got.Reports, got.Hellos = append(got.Reports, b.Reports...), append(got.Hellos, b.Hellos...)
 	}
 	c.Assert(got, qt.DeepEquals, bundle)
+	// The reports of a region of 53 engines, that of the largest site, fit one.
+	c.Assert(EncodeBundle(Bundle{Reports: bundle.Reports[:53]}), qt.HasLen, 1)
 	// One without content tells who collects.
 	c.Assert(EncodeBundle(Bundle{Collector: 9}), qt.HasLen, 1)
 }
@@ -172,3 +175,35 @@
 	c.Assert(agent.Report(placement.Report{Address: "10.0.0.1:80", Running: 5, Sequence: 1, Changed: true}), qt.IsNil)
 	f.await("report", func() bool { return f.everywhere("10.0.0.1:80", 5) })
 }
+
+// While a version is on its way, agents tell of every new piece. In a large region
+// each word must go to a few, or what an agent handles grows with the region.
+func TestHeldGoesToAFew(t *testing.T) {
+	c := qt.New(t)
+	var heard atomic.Int64
+	var wait sync.WaitGroup
+	ctx, cancel := context.WithCancel(c.Context())
+	defer wait.Wait()
+	defer cancel()
+	from, member := openIn(c, "agent-0", "r", Agent, Config{})
+	defer func() { _ = from.conn.Close() }()
+	for i := range 6 {
+		to, other := openIn(c, fmt.Sprint("agent-", i+1), "r", Agent, Config{OnHeld: func(Member, Held) { heard.Add(1) }})
+		to.Put(member)
+		from.Put(other)
+		wait.Go(func() { to.Run(ctx) })
+	}
+	all := func(Member) bool { return true }
+	c.Assert(from.Held(2, []bool{true}, 2, all), qt.IsNil)
+	c.Assert(from.Held(2, []bool{true}, 0, all), qt.IsNil)
+	deadline := time.After(5 * time.Second)
+	for heard.Load() < 8 {
+		select {
+		case <-time.After(5 * time.Millisecond):
+		case <-deadline:
+			c.Fatalf("%d of 8 came", heard.Load())
+		}
+	}
+	<-time.After(50 * time.Millisecond)
+	c.Assert(heard.Load(), qt.Equals, int64(8))
+}
--- a/node/mesh/datagram.go
+++ b/node/mesh/datagram.go
@@ -27,7 +27,7 @@
 )
 
 // paceScale turns the pace into a whole number on the wire.
-const paceScale = 1000
+const paceScale = 16
 
 // Flags of a datagram.
 const (
@@ -150,7 +150,8 @@
 	return h, nil
 }
 
-// wireHello and wireReport have fixed sizes; the byte order is big-endian.
+// wireHello and wireReport have fixed sizes; the byte order is big-endian. The
+// reports of a region of 53 engines fit a bundle of one packet.
 type wireHello struct {
 	Kind, Flags   uint8
 	Member        uint64
@@ -159,14 +160,13 @@
 }
 
 type wireReport struct {
-	Kind, Flags     uint8
-	IP              [4]byte
-	Port            uint16
-	Running, Queued uint16
-	Pace            uint16
-	WeightVersion   uint32
-	Sequence        uint32
-	Born            int64
+	Flags                 uint8
+	IP                    [4]byte
+	Port                  uint16
+	Running, Queued, Pace uint8
+	WeightVersion         uint32
+	Sequence              uint32
+	Born                  int64
 }
 
 // wireBundle precedes the reports and the hellos.
@@ -217,7 +217,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return encode(w), nil
+	return append([]byte{kindReport}, encode(w)...), nil
 }
 
 func toWireReport(r placement.Report) (wireReport, error) {
@@ -226,8 +226,8 @@
 		return wireReport{}, ErrDatagram
 	}
 	return wireReport{
-		Kind: kindReport, Flags: flag(r.Loading, flagLoading) | flag(r.Down, flagDown) | flag(r.Changed, flagChanged),
-		IP: addr.Addr().As4(), Port: addr.Port(),
+		Flags: flag(r.Loading, flagLoading) | flag(r.Down, flagDown) | flag(r.Changed, flagChanged),
+		IP:    addr.Addr().As4(), Port: addr.Port(),
 		Running: clamp(r.Running), Queued: clamp(r.Queued), Pace: clamp(int(r.Pace * paceScale)),
 		WeightVersion: uint32(r.WeightVersion), Sequence: r.Sequence, Born: r.Born,
 	}, nil
@@ -314,7 +314,7 @@
 		return &h, nil
 	case kindReport:
 		var w wireReport
-		if err := decode(b, &w); err != nil {
+		if err := decode(b[1:], &w); err != nil {
 			return nil, err
 		}
 		r := w.report()
@@ -353,6 +353,6 @@
 	return 0
 }
 
-func clamp(n int) uint16 {
-	return uint16(min(max(n, 0), 1<<16-1))
+func clamp(n int) uint8 {
+	return uint8(min(max(n, 0), 1<<8-1))
 }
--- a/node/mesh/mesh.go
+++ b/node/mesh/mesh.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
 	"net/netip"
 	"slices"
@@ -317,13 +318,19 @@
 	return o.Role == Entry && o.Region == m.cfg.Self.Region
 }
 
-// Held tells the agents that fit which pieces this one holds.
-func (m *Mesh) Held(version int64, pieces []bool, fits func(Member) bool) error {
+// Held tells the agents that fit, or a few of them drawn at random, which pieces
+// this one holds; few is 0 for all.
+func (m *Mesh) Held(version int64, pieces []bool, few int, fits func(Member) bool) error {
 	b, err := EncodeHeld(Held{Member: MemberHash(m.cfg.Self.ID), Version: version, Pieces: pieces})
 	if err != nil {
 		return err
 	}
-	m.send(b, func(o Member) bool { return o.Role == Agent && fits(o) })
+	targets := m.targets(func(o Member) bool { return o.Role == Agent && fits(o) })
+	if few > 0 && few < len(targets) {
+		rand.Shuffle(len(targets), func(i, j int) { targets[i], targets[j] = targets[j], targets[i] })
+		targets = targets[:few]
+	}
+	m.sendTo(b, targets)
 	return nil
 }
 
--- a/node/mesh/mesh_test.go
+++ b/node/mesh/mesh_test.go
@@ -49,7 +49,7 @@
 	f.Add([]byte{kindHeld, 0, 0})
 	f.Add(EncodeBundle(Bundle{Reports: []placement.Report{{Address: "10.0.0.1:1"}}, Hellos: []Hello{{Member: 2}}})[0])
 	f.Add([]byte{kindBundle, 0, 0, 0, 0, 0, 0, 0, 0, 1, 255, 255, 255, 255})
-	f.Add(bytes.Repeat([]byte{kindReport}, 34))
+	f.Add(bytes.Repeat([]byte{kindReport}, 27))
 	f.Fuzz(func(_ *testing.T, b []byte) {
 		// It must neither panic nor take memory beyond the datagram's.
 		_, _ = Decode(b)
--- a/node/stager/announce.go
+++ b/node/stager/announce.go
@@ -16,6 +16,10 @@
 	announceFar        = 250 * time.Millisecond
 	announceNearAgents = 100
 	announceFarAgents  = 30
+	// nearFanout is how many agents of the region are told each time, drawn
+	// anew; all are told each peersEvery. In a region of 53 everybody knows a
+	// few holders of each piece all the same.
+	nearFanout = 24
 	// answerEvery bounds how often it tells one agent because that one lacks
 	// pieces: a datagram of the announcer may have been lost.
 	answerEvery = 500 * time.Millisecond
@@ -27,6 +31,8 @@
 	Peer string
 	// Everywhere means the agents of all regions, not of the own one only.
 	Everywhere bool
+	// Few bounds how many agents, drawn at random, are told; 0 is all.
+	Few int
 }
 
 // told remembers when other agents were last told what is here, so that one
@@ -160,7 +166,7 @@
 	for {
 		select {
 		case <-s.news:
-			s.announce(Audience{})
+			s.announce(s.nearAudience(time.Now()))
 			pending = true
 			if sleep(ctx, s.announcePause(announceEvery, announceNearAgents)) != nil {
 				return
@@ -177,6 +183,15 @@
 	}
 }
 
+// nearAudience is whom in the region the next announcement is for.
+func (s *Stager) nearAudience(now time.Time) Audience {
+	if now.Sub(s.toldAll) >= peersEvery {
+		s.toldAll = now
+		return Audience{}
+	}
+	return Audience{Few: nearFanout}
+}
+
 // announcePause stretches a pause in a fleet of more than some agents.
 func (s *Stager) announcePause(pause time.Duration, agents int) time.Duration {
 	return pause * time.Duration(max(s.agents(), agents)) / time.Duration(agents)
--- a/node/stager/fetch.go
+++ b/node/stager/fetch.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/laburnumloft/laburnumloft/core/rollout"
+	"github.com/laburnumloft/laburnumloft/node/lib/steady"
 )
 
 const (
@@ -17,17 +18,13 @@
 	// outside the region and from inside it at once.
 	feedPulls     = 2
 	exchangePulls = 4
-	// firstPatience and feederPatience are how long the next agent in line
-	// waits for a feeder: a copy leaves the origin in 1.3 s, and pieces reach
-	// the last region in about 2.5 s.
-	firstPatience  = 1500 * time.Millisecond
-	feederPatience = 2500 * time.Millisecond
-	// originPatience is how long a feeder waits for the region before it. A
-	// copy enters a region within it at a third of the regions' links.
-	originPatience = 2500 * time.Millisecond
 	// begunShare: a fetch of which less than the fourth part is here gives way
 	// to that of a newer version; two at once take twice as long.
 	begunShare = 4
+	// leastUse is the time that a version must still be allowed to be worth
+	// its pieces: half of it is for the load. A version that is not shares the
+	// origin's link with the one that all engines wait for.
+	leastUse = time.Second
 	// peersEvery is the time between two looks for agents that appeared.
 	peersEvery = 500 * time.Millisecond
 	// pullPause is the time after which a fetch looks again for a piece.
@@ -119,9 +116,13 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	newer := 0
-	for v := range s.target.Learnt {
-		if v > version {
-			newer++
+	for v, learnt := range s.target.Learnt {
+		if v <= version {
+			continue
+		}
+		newer++
+		if steady.Now().Add(leastUse).After(learnt.Add(s.cfg.Within - drainReserve)) {
+			return true
 		}
 	}
 	if newer == 0 {
@@ -155,9 +156,10 @@
 		return err
 	}
 	f.store.begin(f.manifest)
+	patience := rollout.PatienceFor(f.target.copyTime(f.manifest))
 	f.swarm = rollout.NewSwarm(rollout.SwarmConfig{
 		Self: f.cfg.Self, Peers: f.cfg.Peers(), OriginRegion: f.target.OriginRegion, Version: strconv.FormatInt(f.manifest.Version, 10),
-		Pieces: len(f.manifest.Digests), FirstPatience: firstPatience, FeederPatience: feederPatience, OriginPatience: originPatience, SetAside: peerSetAside,
+		Pieces: len(f.manifest.Digests), FirstPatience: patience.First, FeederPatience: patience.Feeder, OriginPatience: patience.Origin, SetAside: peerSetAside,
 		Seed: rand.Uint64(),
 	}, time.Now())
 	ctx, cancel := context.WithCancel(ctx)
--- a/node/stager/stager.go
+++ b/node/stager/stager.go
@@ -36,6 +36,8 @@
 type Manifest struct {
 	Model   string `json:"model"`
 	Version int64  `json:"version"`
+	// PieceBytes is the size of a piece; 0 is unknown.
+	PieceBytes int64 `json:"piece_bytes,omitempty"`
 	// Digests are the SHA-256 of the pieces in hexadecimal.
 	Digests []string `json:"digests"`
 }
@@ -77,6 +79,18 @@
 	// Origin and OriginRegion are empty until the configuration is known.
 	Origin       string
 	OriginRegion string
+	// OriginMbps is the origin's link in Mbit/s; 0 is unknown.
+	OriginMbps float64
+}
+
+// copyTime returns how long the origin's link takes for a copy of a version, or
+// 0 if that is unknown.
+func (t Target) copyTime(m *Manifest) time.Duration {
+	if t.OriginMbps <= 0 {
+		return 0
+	}
+	bits := float64(m.PieceBytes) * float64(len(m.Digests)) * 8
+	return time.Duration(bits / (t.OriginMbps * 1e6) * float64(time.Second))
 }
 
 // Config sets up a Stager.
@@ -106,9 +120,10 @@
 }
 
 const (
-	// reportEvery is the time between two reports of the load. A full engine
-	// ends a request every 100 ms.
-	reportEvery = 150 * time.Millisecond
+	// reportEvery is the time between two reports of the load. An engine of a
+	// large fleet gets one or two requests in it, so that the choice between two
+	// engines is hardly older than the load.
+	reportEvery = 200 * time.Millisecond
 	// engineTimeout bounds a call to the engine on the same machine.
 	engineTimeout = time.Second
 	// stateTimeout bounds a question for the engine's state; it answers in
@@ -153,6 +168,8 @@
 	heldBy     map[string]heldPieces
 	heldNumber uint64
 	told       told
+	// toldAll is when the whole region was told last; the announcer's only.
+	toldAll time.Time
 	// counted is how many other agents there were at countedAt.
 	counted   int
 	countedAt time.Time
--- a/node/stager/stager_test.go
+++ b/node/stager/stager_test.go
@@ -17,6 +17,7 @@
 	"github.com/laburnumloft/laburnumloft/core/placement"
 	"github.com/laburnumloft/laburnumloft/core/rollout"
 	"github.com/laburnumloft/laburnumloft/node/decision"
+	"github.com/laburnumloft/laburnumloft/node/lib/steady"
 )
 
 const testPieces = 12
@@ -467,6 +468,44 @@
 	c.Assert(sent[4:], qt.DeepEquals, []Audience{{Peer: "a"}})
 }
 
+// The origin was down when two versions were named one after the other. When it
+// returns, the pieces of the first one must not hold up the second, which is the
+// only one that may be used a moment later (sahil-tint scale-1: ten seconds
+// without service).
+func TestVersionThatMayNotBeUsedIsObsolete(t *testing.T) {
+	c := qt.New(t)
+	s := New(Config{Within: 8 * time.Second})
+	s.store.begin(&Manifest{Model: "m", Version: 2, Digests: []string{"a", "b"}})
+	s.store.put(&Manifest{Model: "m", Version: 2, Digests: []string{"a", "b"}}, 0, []byte("x"))
+	learnt := func(ago time.Duration) {
+		now := steady.Now()
+		s.target = Target{Model: "m", Version: 3, Learnt: map[int64]time.Time{2: now.Add(-ago - 2*time.Second), 3: now.Add(-ago)}}
+	}
+	learnt(2 * time.Second)
+	c.Assert(s.obsolete(2), qt.IsFalse)
+	learnt(7 * time.Second)
+	c.Assert(s.obsolete(2), qt.IsTrue)
+	c.Assert(s.obsolete(3), qt.IsFalse)
+}
+
+// An origin that is thin takes longer for a copy.
+func TestCopyTime(t *testing.T) {
+	c := qt.New(t)
+	m := &Manifest{PieceBytes: 24576, Digests: make([]string, 96)}
+	c.Assert(Target{OriginMbps: 7.3}.copyTime(m).Round(10*time.Millisecond), qt.Equals, 2590*time.Millisecond)
+	c.Assert(Target{}.copyTime(m), qt.Equals, time.Duration(0))
+}
+
+// Between two words to the whole region, a few agents are told.
+func TestNearAudience(t *testing.T) {
+	c := qt.New(t)
+	s := New(Config{})
+	now := time.Now()
+	c.Assert(s.nearAudience(now), qt.Equals, Audience{})
+	c.Assert(s.nearAudience(now.Add(peersEvery/2)), qt.Equals, Audience{Few: nearFanout})
+	c.Assert(s.nearAudience(now.Add(peersEvery)), qt.Equals, Audience{})
+}
+
 // Two slow receivers in a row mean that the own link is narrow, one slow
 // receiver does not; a fast piece ends the suspicion.
 func TestNarrowLink(t *testing.T) {
