--- a/node/stager/announce.go
+++ b/node/stager/announce.go
@@ -8,18 +8,16 @@
 
 const (
 	// announceEvery bounds how often an agent tells its region what it holds,
-	// announceFar how often it tells all regions. They grow with the agents
-	// beyond announceNearAgents and announceFarAgents: a region of 33 agents
-	// receives 800 datagrams a second each while a version is on its way, and
-	// bytes between regions are dear.
-	announceEvery      = 40 * time.Millisecond
-	announceFar        = 250 * time.Millisecond
-	announceNearAgents = 100
-	announceFarAgents  = 30
+	// announceFar how often it tells all regions; that grows with the agents
+	// beyond announceFarAgents, since bytes between regions are dear.
+	announceEvery     = 40 * time.Millisecond
+	announceFar       = 250 * time.Millisecond
+	announceFarAgents = 30
 	// nearFanout is how many agents of the region are told each time, drawn
-	// anew; all are told each peersEvery. In a region of 53 everybody knows a
-	// few holders of each piece all the same.
-	nearFanout = 24
+	// anew; all are told each peersEvery. A piece must soon be known to some,
+	// or its way through a region takes longer than the links need; telling all
+	// 52 each time would take 1,300 datagrams a second.
+	nearFanout = 20
 	// answerEvery bounds how often it tells one agent because that one lacks
 	// pieces: a datagram of the announcer may have been lost.
 	answerEvery = 500 * time.Millisecond
@@ -168,11 +166,11 @@
 		case <-s.news:
 			s.announce(s.nearAudience(time.Now()))
 			pending = true
-			if sleep(ctx, s.announcePause(announceEvery, announceNearAgents)) != nil {
+			if sleep(ctx, announceEvery) != nil {
 				return
 			}
 		case <-far.C:
-			far.Reset(s.announcePause(announceFar, announceFarAgents))
+			far.Reset(s.farPause())
 			if pending {
 				pending = false
 				s.announce(Audience{Everywhere: true})
@@ -192,9 +190,9 @@
 	return Audience{Few: nearFanout}
 }
 
-// announcePause stretches a pause in a fleet of more than some agents.
-func (s *Stager) announcePause(pause time.Duration, agents int) time.Duration {
-	return pause * time.Duration(max(s.agents(), agents)) / time.Duration(agents)
+// farPause stretches announceFar in a large fleet.
+func (s *Stager) farPause() time.Duration {
+	return announceFar * time.Duration(max(s.agents(), announceFarAgents)) / announceFarAgents
 }
 
 // agents returns how many other agents there are, as of the last look.
