--- a/core/rollout/swarm.go
+++ b/core/rollout/swarm.go
@@ -25,6 +25,8 @@
 	// brings a piece into its region. OriginPatience is how long a feeder
 	// waits for the region before it until it asks the origin.
 	FirstPatience, FeederPatience, OriginPatience time.Duration
+	// CopyTime is how long the origin's link takes for a copy; 0 is unknown.
+	CopyTime time.Duration
 	// SetAside is how long a peer that failed is not asked.
 	SetAside time.Duration
 	Seed     uint64
@@ -66,6 +68,8 @@
 	// originUntil is when it is asked again.
 	originFaults int
 	originUntil  time.Time
+	// faulted says that the origin failed since the swarm began.
+	faulted bool
 	// endgame is when the last pieces stayed away from the region. Missing is
 	// how many had no holder there when that was looked at last, and progress
 	// when it became less.
@@ -225,7 +229,7 @@
 		if s.have[piece] || s.asked[piece] || now.Before(due) || now.Before(s.denied[piece]) {
 			continue
 		}
-		if place > 0 && s.anyUsable(s.near[piece], now) {
+		if s.anyUsable(s.near[piece], now) {
 			continue
 		}
 		if source, ok := s.outside(piece, now.Sub(due), now); ok {
@@ -242,7 +246,7 @@
 func (s *Swarm) due(piece, place int) time.Time {
 	n, due, patience := len(s.region), s.began, s.cfg.FeederPatience
 	if s.chains[piece][0] == s.cfg.Self.Region {
-		patience = s.cfg.FirstPatience
+		due, patience = due.Add(s.turn(piece)), s.cfg.FirstPatience
 	}
 	for before := range place {
 		feeder := s.line[(piece+before)%n]
@@ -258,6 +262,22 @@
 	return due
 }
 
+// turnShare is the part of a copy's time over which pieces leave the origin in
+// turns; the rest covers that its link must never be idle.
+const turnShare = 0.8
+
+// turn is when a piece leaves the origin, after the begin. If all feeders asked at
+// once, they would share its link and all pieces would come at its end (1.3 s for
+// 48 pieces at 15 Mbit/s), when they could have been on their way through the
+// regions; and a large region has more feeders than the origin takes
+// connections. After a fault only some pieces are missing, and nobody waits.
+func (s *Swarm) turn(piece int) time.Duration {
+	if s.faulted {
+		return 0
+	}
+	return time.Duration(turnShare * float64(s.cfg.CopyTime) * float64(piece) / float64(s.cfg.Pieces))
+}
+
 // lookForEndgame notes when the last pieces stay away from the region. Feeders
 // on narrow links are alive and were heard, but bring their pieces much later
 // than the others; the whole region would wait for them.
@@ -393,6 +413,7 @@
 		return
 	}
 	s.originFaults++
+	s.faulted = true
 	pause := min(originRetry<<min(s.originFaults-1, 4), maxOriginRetry)
 	s.originUntil = now.Add(pause/2 + time.Duration(s.random.Int64N(int64(pause))))
 	s.began = now
--- a/core/rollout/swarm_test.go
+++ b/core/rollout/swarm_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -241,6 +242,53 @@
 	c.Check(took <= 3*time.Second, qt.IsTrue, qt.Commentf("took %v after the return", took))
 }
 
+// Pieces must leave the origin one after the other, so that the regions pass on
+// the first ones while the last ones are still there. Agents that hold a version
+// already must be asked before the origin is, also by the first in line (new
+// engines that load the old version).
+func TestFeedersTakeTurnsAtTheOrigin(t *testing.T) {
+	c := qt.New(t)
+	const copyTime = 1260 * time.Millisecond
+	swarms := func() []*Swarm {
+		s := newSwarmSim(20)
+		for _, swarm := range s.swarms {
+			swarm.cfg.CopyTime = copyTime
+		}
+		return s.swarms
+	}
+	asked := func(all []*Swarm, at time.Duration) (n int) {
+		for _, swarm := range all {
+			for {
+				if _, ok := swarm.Feed(time.Unix(0, 0).Add(at)); !ok {
+					break
+				}
+				n++
+			}
+		}
+		return n
+	}
+	all := swarms()
+	c.Assert(asked(all, 0) <= 2, qt.IsTrue)
+	half := asked(all, copyTime/2)
+	c.Assert(half >= simPieces/2 && half <= simPieces*3/4, qt.IsTrue, qt.Commentf("%d", half))
+	c.Assert(half+asked(all, copyTime) >= simPieces-2, qt.IsTrue)
+	// The origin was down: what is missing is asked for at once.
+	all = swarms()
+	for _, swarm := range all {
+		swarm.Done(Pull{Source: Source{Origin: true}}, Refused, time.Unix(0, 0))
+	}
+	c.Assert(asked(all, maxOriginRetry*3/2), qt.Equals, simPieces)
+	// The region holds the version.
+	all = swarms()
+	for _, swarm := range all {
+		for region := range swarm.byRegion {
+			swarm.Told(swarm.byRegion[region][0].peer.ID, slices.Repeat([]bool{true}, simPieces))
+			swarm.Told(swarm.byRegion[region][1].peer.ID, slices.Repeat([]bool{true}, simPieces))
+		}
+	}
+	c.Assert(asked(all, copyTime), qt.Equals, 0)
+}
+
 // A whole region is cut off: the region after it goes to the origin.
 func TestSwarmPassesALostRegion(t *testing.T) {
 	c := qt.New(t)
--- a/node/stager/fetch.go
+++ b/node/stager/fetch.go
@@ -156,10 +156,11 @@
 		return err
 	}
 	f.store.begin(f.manifest)
-	patience := rollout.PatienceFor(f.target.copyTime(f.manifest))
+	copyTime := f.target.copyTime(f.manifest)
+	patience := rollout.PatienceFor(copyTime)
 	f.swarm = rollout.NewSwarm(rollout.SwarmConfig{
 		Self: f.cfg.Self, Peers: f.cfg.Peers(), OriginRegion: f.target.OriginRegion, Version: strconv.FormatInt(f.manifest.Version, 10),
-		Pieces: len(f.manifest.Digests), FirstPatience: patience.First, FeederPatience: patience.Feeder, OriginPatience: patience.Origin, SetAside: peerSetAside,
+		Pieces: len(f.manifest.Digests), FirstPatience: patience.First, FeederPatience: patience.Feeder, OriginPatience: patience.Origin, SetAside: peerSetAside, CopyTime: copyTime,
 		Seed: rand.Uint64(),
 	}, time.Now())
 	ctx, cancel := context.WithCancel(ctx)
--- a/node/stager/stager_test.go
+++ b/node/stager/stager_test.go
@@ -429,7 +429,12 @@
 	var got []bool
 	last := uint32(0)
 	for _, r := range []placement.Report{
-		{WeightVersion: 1}, {WeightVersion: 1, Running: 2}, {WeightVersion: 1, Running: 9}, loading, loading, {WeightVersion: 2}, {WeightVersion: 2, Down: true},
+		{WeightVersion: 1},
+		{WeightVersion: 1, Running: 2},
+		{WeightVersion: 1, Running: 9},
+		loading, loading,
+		{WeightVersion: 2},
+		{WeightVersion: 2, Down: true},
 		{WeightVersion: 2, Down: true, Born: 7},
 	} {
 		numbered := s.numbered(r)
