--- a/core/rollout/swarm.go
+++ b/core/rollout/swarm.go
@@ -240,6 +240,21 @@
 	return Pull{}, false
 }
 
+// OtherFeeders returns the ids of the agents that are first in line to bring a
+// piece into each other region. Who fed it into this one tells them at once:
+// regions are told seldom, in a large fleet each 2 s, and a version passes
+// through them one after the other.
+func (s *Swarm) OtherFeeders(piece int) []string {
+	var ids []string
+	for region, nodes := range s.byRegion {
+		if region != s.cfg.Self.Region {
+			ids = append(ids, nodes[piece%len(nodes)].peer.ID)
+		}
+	}
+	slices.Sort(ids)
+	return ids
+}
+
 // due is when the agent at a place in line brings a piece into the region.
 // Agents that said nothing of this version, perhaps because they are dead,
 // hold the line up for a moment only.
--- a/core/rollout/swarm_test.go
+++ b/core/rollout/swarm_test.go
@@ -289,6 +289,25 @@
 	c.Assert(asked(all, copyTime), qt.Equals, 0)
 }
 
+// Who fed a piece into a region must find those that are first in line for it in
+// the others.
+func TestOtherFeeders(t *testing.T) {
+	c := qt.New(t)
+	s := newSwarmSim(5)
+	for piece := range simPieces {
+		for i, swarm := range s.swarms {
+			first := map[string]bool{}
+			for _, id := range swarm.OtherFeeders(piece) {
+				other := s.swarms[s.index(id)]
+				c.Assert((other.rank-piece%5+5)%5, qt.Equals, 0)
+				first[other.cfg.Self.Region] = true
+			}
+			c.Assert(first, qt.HasLen, 2)
+			c.Assert(first[s.peers[i].Region], qt.IsFalse)
+		}
+	}
+}
+
 // A whole region is cut off: the region after it goes to the origin.
 func TestSwarmPassesALostRegion(t *testing.T) {
 	c := qt.New(t)
--- a/node/stager/announce.go
+++ b/node/stager/announce.go
@@ -25,8 +25,8 @@
 
 // Audience is whom an announcement is for.
 type Audience struct {
-	// Peer is the id of the only agent; empty for several.
-	Peer string
+	// Peers are the ids of the only agents; nil for others.
+	Peers []string
 	// Everywhere means the agents of all regions, not of the own one only.
 	Everywhere bool
 	// Few bounds how many agents, drawn at random, are told; 0 is all.
@@ -57,11 +57,13 @@
 // note remembers an announcement.
 func (t *told) note(to Audience, now time.Time) {
 	switch {
-	case to.Peer != "":
+	case len(to.Peers) > 0:
 		if t.peers == nil {
 			t.peers = map[string]time.Time{}
 		}
-		t.peers[to.Peer] = now
+		for _, id := range to.Peers {
+			t.peers[id] = now
+		}
 	case to.Everywhere:
 		t.everywhere = now
 	default:
@@ -137,7 +139,7 @@
 	if !slices.Contains(held, true) {
 		held = slices.Repeat([]bool{true}, pieces)
 	}
-	s.tell(version, held, Audience{Peer: id})
+	s.tell(version, held, Audience{Peers: []string{id}})
 }
 
 func (s *Stager) tell(version int64, pieces []bool, to Audience) {
--- a/node/stager/fetch.go
+++ b/node/stager/fetch.go
@@ -242,6 +242,9 @@
 				exchanging--
 			}
 			f.swarm.Done(p.pull, p.outcome, time.Now())
+			if p.fed && p.outcome == rollout.Delivered {
+				f.tellFeeders(p.pull.Piece)
+			}
 		case <-time.After(pullPause):
 		case <-ctx.Done():
 			return ctx.Err()
@@ -250,6 +253,15 @@
 	return nil
 }
 
+// tellFeeders tells those that bring a piece into the other regions that it is
+// here.
+func (f *fetch) tellFeeders(piece int) {
+	feeders := f.swarm.OtherFeeders(piece)
+	if of, held := f.store.held(f.manifest.Version); len(feeders) > 0 && of == f.manifest.Version {
+		f.tell(of, held, Audience{Peers: feeders})
+	}
+}
+
 // pull asks one source for a piece and checks what it sends.
 func (f *fetch) pull(ctx context.Context, p rollout.Pull, fed bool) {
 	data, err := f.receive(ctx, p)
--- a/node/stager/stager_test.go
+++ b/node/stager/stager_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -221,7 +222,7 @@
 
 func (g *group) announce(from int, version int64, pieces []bool, to Audience) {
 	for i, s := range g.stagers {
-		if i != from && (to.Peer == "" || to.Peer == g.peers[i].ID) {
+		if i != from && (len(to.Peers) == 0 || slices.Contains(to.Peers, g.peers[i].ID)) {
 			go s.Told(g.peers[from].ID, true, version, pieces)
 		}
 	}
@@ -458,7 +459,7 @@
 		s.Told("a", true, 2, lacking)
 		s.Told("b", false, 2, lacking)
 	}
-	c.Assert(sent, qt.DeepEquals, []Audience{{Peer: "a"}, {Peer: "b"}})
+	c.Assert(sent, qt.DeepEquals, []Audience{{Peers: []string{"a"}}, {Peers: []string{"b"}}})
 	// Who heard it with the others needs no answer, but the region's ones do
 	// not reach other regions.
 	s.tell(2, lacking, Audience{})
@@ -466,11 +467,11 @@
 	c.Assert(sent, qt.HasLen, 3)
 	s.Told("d", false, 2, lacking)
 	s.Told("e", false, 2, []bool{true, true})
-	c.Assert(sent[3:], qt.DeepEquals, []Audience{{Peer: "d"}})
+	c.Assert(sent[3:], qt.DeepEquals, []Audience{{Peers: []string{"d"}}})
 	// A datagram may have been lost.
 	s.told = told{}
 	s.Told("a", true, 2, lacking)
-	c.Assert(sent[4:], qt.DeepEquals, []Audience{{Peer: "a"}})
+	c.Assert(sent[4:], qt.DeepEquals, []Audience{{Peers: []string{"a"}}})
 }
 
 // The origin was down when two versions were named one after the other. When it
@@ -506,9 +507,9 @@
 	c := qt.New(t)
 	s := New(Config{})
 	now := time.Now()
-	c.Assert(s.nearAudience(now), qt.Equals, Audience{})
-	c.Assert(s.nearAudience(now.Add(peersEvery/2)), qt.Equals, Audience{Few: nearFanout})
-	c.Assert(s.nearAudience(now.Add(peersEvery)), qt.Equals, Audience{})
+	c.Assert(s.nearAudience(now), qt.DeepEquals, Audience{})
+	c.Assert(s.nearAudience(now.Add(peersEvery/2)), qt.DeepEquals, Audience{Few: nearFanout})
+	c.Assert(s.nearAudience(now.Add(peersEvery)), qt.DeepEquals, Audience{})
 }
 
 // Two slow receivers in a row mean that the own link is narrow, one slow
