--- a/node/mesh/collect.go
+++ b/node/mesh/collect.go
@@ -99,7 +99,8 @@
 	defer tick.Stop()
 	// far are the hellos that other regions were not told yet.
 	var far []Hello
-	for round := 0; ; round++ {
+	var rounds schedule
+	for {
 		select {
 		case <-tick.C:
 		case <-m.kick:
@@ -112,7 +113,7 @@
 		case <-ctx.Done():
 			return
 		}
-		all := !m.collects() || round%tellEvery == 0
+		all, farHellos := rounds.next(m.collects())
 		if all && !m.becomes() {
 			tick.Reset(tellEvery * bundleEvery)
 			far = nil
@@ -125,7 +126,7 @@
 		}
 		m.cleanHellos()
 		far = append(far, hellos...)
-		if round%farHellosEvery == 0 {
+		if farHellos {
 			m.tellOthers(far)
 			far = nil
 		} else {
@@ -134,6 +135,19 @@
 	}
 }
 
+// schedule tells what is due at a tick. Changes that are told in between do not
+// count: while many engines load at once, they would hold up hellos, and entries
+// would seem dead.
+type schedule struct{ ticks int }
+
+// next reports whether hellos, and bundles for other regions, are due at this
+// tick, and whether those for other regions contain hellos. An entry that does
+// not collect looks each time whether it is to.
+func (s *schedule) next(collects bool) (all, farHellos bool) {
+	s.ticks++
+	return !collects || s.ticks%tellEvery == 0, s.ticks%farHellosEvery == 0
+}
+
 func pause(ctx context.Context, d time.Duration) error {
 	select {
 	case <-time.After(d):
--- a/node/mesh/collect_test.go
+++ b/node/mesh/collect_test.go
@@ -207,3 +207,27 @@
 	<-time.After(50 * time.Millisecond)
 	c.Assert(heard.Load(), qt.Equals, int64(8))
 }
+
+// Hellos must go out at fixed ticks, or entries seem dead while many engines load
+// and each change is told in between.
+func TestScheduleOfBundles(t *testing.T) {
+	c := qt.New(t)
+	var s schedule
+	hellos, far := 0, 0
+	for range 2 * farHellosEvery {
+		all, farHellos := s.next(true)
+		c.Assert(all || !farHellos, qt.IsTrue)
+		if all {
+			hellos++
+		}
+		if farHellos {
+			far++
+		}
+	}
+	c.Assert(hellos, qt.Equals, 2*farHellosEvery/tellEvery)
+	c.Assert(far, qt.Equals, 2)
+	// Both collectors tell within the time after which an entry counts as dead.
+	c.Assert(farHellosEvery*bundleEvery < LiveWithin, qt.IsTrue)
+	all, _ := s.next(false)
+	c.Assert(all, qt.IsTrue)
+}
