gateway: name prompt parts and progress of failed attempts in the log

Cause: the log could not tell retries, missing knowledge of the common part and overload apart as causes of a series of engine crashes.

--- /dev/null
+++ b/core/prompt/prompt.go
@@ -0,0 +1,39 @@
+// Package prompt names the parts of prompts that requests share.
+package prompt
+
+import (
+	"hash/fnv"
+	"strconv"
+	"strings"
+)
+
+// MaxParts limits the shared parts of one request that are considered, so that a
+// caller can't make a request expensive. Prompts have a few.
+const MaxParts = 16
+
+// Part identifies a part of a prompt that several requests may share.
+type Part uint64
+
+// ParsePart returns the part with a hexadecimal id. An id that doesn't fit in 64
+// bits, or isn't hexadecimal, is hashed.
+func ParsePart(id string) Part {
+	if n, err := strconv.ParseUint(id, 16, 64); err == nil {
+		return Part(n)
+	}
+	h := fnv.New64a()
+	// Writing to a hash never fails.
+	_, _ = h.Write([]byte(id))
+	return Part(h.Sum64())
+}
+
+// String returns the id in hexadecimal.
+func (p Part) String() string { return strconv.FormatUint(uint64(p), 16) }
+
+// Format returns the ids of parts, separated by commas, as log lines show them.
+func Format(parts []Part) string {
+	ids := make([]string, len(parts))
+	for i, p := range parts {
+		ids[i] = p.String()
+	}
+	return strings.Join(ids, ",")
+}
--- a/node/gateway/exchange.go
+++ b/node/gateway/exchange.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/laburnumloft/laburnumloft/core/placement"
+	"github.com/laburnumloft/laburnumloft/core/prompt"
 )
 
 // hopByHopHeaders apply to a single connection and are not forwarded.
@@ -27,6 +28,10 @@
 	sent     bool
 	err      error
 	duration time.Duration
+	// events is the number of stream events received; firstEventAt is when the
+	// first one arrived, zero if there was none.
+	events       int64
+	firstEventAt time.Time
 }
 
 // mayHaveRun reports whether the server may have run the request.
@@ -114,7 +119,24 @@
 	}
 	g.cfg.Log.Event("attempt_failed", "request", req.call.RequestID, "server", e.choice.Server.ID, "result", result,
 		"status", status, "cause", cause, "load", e.choice.Load, "report_age_ms", e.choice.ReportAge.Milliseconds(),
-		"weights", e.choice.Version, "ms", e.duration.Milliseconds())
+		"weights", e.choice.Version, "ms", e.duration.Milliseconds(),
+		"events", e.events, "writing_ms", e.writingTime().Milliseconds(), "parts", prompt.Format(req.call.PromptParts))
+}
+
+// recordEvent records an event of the server's stream.
+func (e *exchange) recordEvent() {
+	if e.events == 0 {
+		e.firstEventAt = time.Now()
+	}
+	e.events++
+}
+
+// writingTime is how long the server has been sending events; 0 if it sent none.
+func (e *exchange) writingTime() time.Duration {
+	if e.firstEventAt.IsZero() {
+		return 0
+	}
+	return time.Since(e.firstEventAt)
 }
 
 // copyHeader copies a server's header without its hop-by-hop fields.
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -15,6 +15,7 @@
 
 	"github.com/laburnumloft/laburnumloft/core/limits"
 	"github.com/laburnumloft/laburnumloft/core/placement"
+	"github.com/laburnumloft/laburnumloft/core/prompt"
 	"github.com/laburnumloft/laburnumloft/core/route"
 	"github.com/laburnumloft/laburnumloft/node/decision"
 	"github.com/laburnumloft/laburnumloft/node/lib/bootclock"
@@ -33,6 +34,8 @@
 	Model string
 	// PromptTokens and OutputTokens are the request's size; 0 if unknown.
 	PromptTokens, OutputTokens int
+	// PromptParts lists the parts of the prompt that other requests may share.
+	PromptParts []prompt.Part
 }
 
 // AttemptInfo holds the header fields that the gateway sets on a request to a server.
--- a/node/gateway/handler.go
+++ b/node/gateway/handler.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"time"
 
+	"github.com/laburnumloft/laburnumloft/core/prompt"
 	"github.com/laburnumloft/laburnumloft/core/route"
 )
 
@@ -183,7 +184,7 @@
 	args := []any{
 		"request", req.call.RequestID, "reason", string(reason), "status", status, "configuration", req.configVersion,
 		"service", req.service, "workspace", req.workspace, "offers", len(req.tried), "runs", req.runs,
-		"ms", time.Since(req.start).Milliseconds(), "late", req.pastTarget,
+		"ms", time.Since(req.start).Milliseconds(), "late", req.pastTarget, "parts", prompt.Format(req.call.PromptParts),
 	}
 	if status == http.StatusServiceUnavailable {
 		after := g.retryAfter(req, reason)
--- a/node/gateway/stream.go
+++ b/node/gateway/stream.go
@@ -74,7 +74,7 @@
 	info.LastEvent, info.Resumes = s.sequence.Last()
 	e := g.send(ctx, req, choice, info)
 	if e.err == nil && e.resp.StatusCode == http.StatusOK {
-		e.err = s.forward(e.resp, watch)
+		e.err = s.forward(e, watch)
 	}
 	if e.err != nil && watch.cancelled.Load() {
 		e.err = errNoProgress
@@ -91,7 +91,8 @@
 }
 
 // forward copies complete events to the caller until the engine ends the stream.
-func (s *stream) forward(resp *http.Response, watch *progressWatch) error {
+func (s *stream) forward(e *exchange, watch *progressWatch) error {
+	resp := e.resp
 	defer func() { _ = resp.Body.Close() }()
 	var split eventstream.Splitter
 	buffer := make([]byte, readBuffer)
@@ -99,7 +100,7 @@
 		n, readErr := resp.Body.Read(buffer)
 		if n > 0 {
 			split.Write(buffer[:n])
-			forwarded, err := s.forwardEvents(resp, &split)
+			forwarded, err := s.forwardEvents(e, &split)
 			if err != nil {
 				return err
 			}
@@ -120,7 +121,7 @@
 	}
 }
 
-func (s *stream) forwardEvents(resp *http.Response, split *eventstream.Splitter) (forwarded bool, err error) {
+func (s *stream) forwardEvents(e *exchange, split *eventstream.Splitter) (forwarded bool, err error) {
 	for {
 		event, ok, err := split.Next()
 		if err != nil {
@@ -129,6 +130,7 @@
 		if !ok {
 			break
 		}
+		e.recordEvent()
 		forward, err := s.sequence.Accept(event.ID)
 		if err != nil {
 			return forwarded, err
@@ -136,7 +138,7 @@
 		if !forward {
 			continue
 		}
-		s.sendHeader(resp)
+		s.sendHeader(e.resp)
 		if _, err := s.w.Write(event.Raw); err != nil {
 			return forwarded, err
 		}
