--- /dev/null
+++ b/core/quarantine/quarantine.go
@@ -0,0 +1,434 @@
+// Package quarantine finds prompt parts that crash engines, and decides which
+// requests are kept away from the engines because of them.
+//
+// Each entry has a Tracker. It is told of sound answers and of the requests that
+// engines had just begun to answer when they crashed, at this entry and at others.
+// Entries see the same crashes, so that they reach the same verdicts; verdicts are
+// also exchanged for entries that missed a crash. The package does no I/O, reads
+// no clock and starts no goroutine. A Tracker is not safe for concurrent use.
+package quarantine
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/laburnumloft/laburnumloft/core/prompt"
+)
+
+const (
+	// newPartCrashes is the number of crashes after which a part without a sound
+	// answer is quarantined. One crash may have another cause.
+	newPartCrashes = 2
+	// knownPartCrashes is the number of crashes, all seen by this entry, after
+	// which a part that had sound answers before is quarantined.
+	knownPartCrashes = 3
+	// soundMemory is how long a part counts as known after a sound answer.
+	soundMemory = 10 * time.Minute
+	// crashMemory is how long a crash counts against a part.
+	crashMemory = 10 * time.Minute
+	// warmUp is the time after the first sound answer in which an entry can't
+	// say that a part is new, because it has seen few requests.
+	warmUp = 2 * time.Second
+	// firstDuration is the duration of a quarantine after newPartCrashes. Each
+	// further crash multiplies it by durationFactor, up to maxDuration.
+	firstDuration  = 20 * time.Second
+	durationFactor = 6
+	maxDuration    = time.Hour
+	// releaseJitter is the share of the duration by which entries differ, so that
+	// after a release one of them meets the part first.
+	releaseJitter = 0.5
+
+	// maxSoundParts, maxCrashes, maxRequestsPerCrash and maxVerdicts bound the
+	// memory, to about 1 MB.
+	maxSoundParts       = 8192
+	maxCrashes          = 128
+	maxRequestsPerCrash = 16
+	maxVerdicts         = 128
+)
+
+// Suspect is a request that an engine had begun to answer when it crashed.
+type Suspect struct {
+	// Engine is the id of the engine's instance.
+	Engine string `json:"engine"`
+	// New lists the parts of the request's prompt without a recent sound answer
+	// at the entry that sent the request, Known the others.
+	New   []prompt.Part `json:"new,omitempty"`
+	Known []prompt.Part `json:"known,omitempty"`
+}
+
+// Verdict is the decision to keep requests that contain all of the parts away
+// from the engines.
+type Verdict struct {
+	// Parts is sorted. It has several parts if all suspects had these in common.
+	Parts []prompt.Part `json:"parts"`
+	// Crashes is the number of engine crashes attributed to the parts.
+	Crashes int `json:"crashes"`
+	// Remaining is the time until requests with the parts are admitted again.
+	Remaining time.Duration `json:"remaining_ns"`
+}
+
+// ID identifies the verdict in log lines.
+func (v Verdict) ID() string { return prompt.Format(v.Parts) }
+
+// crash is what all entries saw of one engine's crash.
+type crash struct {
+	engine   string
+	at       time.Time
+	suspects []Suspect
+	// local lists the known parts of this entry's own suspects.
+	local []prompt.Part
+	// attributed lists the verdicts that the crash counts for.
+	attributed []*verdict
+}
+
+// contains reports whether a suspect of the crash has all of the parts.
+func (c *crash) contains(parts []prompt.Part) bool {
+	return slices.ContainsFunc(c.suspects, func(s Suspect) bool {
+		return containsAll(s.New, s.Known, parts)
+	})
+}
+
+func containsAll(first, second, parts []prompt.Part) bool {
+	for _, p := range parts {
+		if !slices.Contains(first, p) && !slices.Contains(second, p) {
+			return false
+		}
+	}
+	return true
+}
+
+type verdict struct {
+	parts     []prompt.Part
+	crashes   int
+	lastCrash time.Time
+	until     time.Time
+}
+
+func (v *verdict) export(now time.Time) Verdict {
+	return Verdict{Parts: v.parts, Crashes: v.crashes, Remaining: v.until.Sub(now)}
+}
+
+// Tracker holds one entry's evidence and verdicts.
+type Tracker struct {
+	rng *rand.Rand
+	// sound is when the newest sound answer to a prompt with the part began.
+	sound map[prompt.Part]time.Time
+	// firstSound and lastSound are the times of any sound answers; zero before
+	// the first one.
+	firstSound, lastSound time.Time
+	crashes               []*crash
+	verdicts              []*verdict
+}
+
+// NewTracker returns a tracker without evidence. Entries use different seeds.
+func NewTracker(seed uint64) *Tracker {
+	return &Tracker{rng: rand.New(rand.NewPCG(seed, ^seed)), sound: map[prompt.Part]time.Time{}}
+}
+
+// RecordSound records that an engine began to answer a prompt with these parts at
+// the given time and did not crash. It ends the quarantines that the answer
+// refutes and returns them.
+func (t *Tracker) RecordSound(parts []prompt.Part, began, now time.Time) (released []Verdict) {
+	if t.firstSound.IsZero() {
+		t.firstSound = now
+	}
+	if began.After(t.lastSound) {
+		t.lastSound = began
+	}
+	for _, p := range parts {
+		if began.After(t.sound[p]) {
+			t.setSound(p, began)
+		}
+	}
+	t.verdicts = slices.DeleteFunc(t.verdicts, func(v *verdict) bool {
+		refuted := containsAll(parts, nil, v.parts) && began.After(v.lastCrash)
+		if refuted && now.Before(v.until) {
+			released = append(released, v.export(now))
+		}
+		return refuted
+	})
+	return released
+}
+
+// setSound evicts the oldest of a few parts when the memory is full, which is
+// cheaper than an exact order and keeps parts in frequent use.
+func (t *Tracker) setSound(p prompt.Part, at time.Time) {
+	const candidates = 8
+	if _, known := t.sound[p]; !known && len(t.sound) >= maxSoundParts {
+		var oldest prompt.Part
+		checked := 0
+		for q, soundAt := range t.sound {
+			if checked == 0 || soundAt.Before(t.sound[oldest]) {
+				oldest = q
+			}
+			if checked++; checked == candidates {
+				break
+			}
+		}
+		delete(t.sound, oldest)
+	}
+	t.sound[p] = at
+}
+
+// Suspect describes a request that this entry had at an engine when it crashed.
+func (t *Tracker) Suspect(engine string, parts []prompt.Part, now time.Time) Suspect {
+	s := Suspect{Engine: engine}
+	warm := !t.firstSound.IsZero() && now.Sub(t.firstSound) >= warmUp
+	for _, p := range parts {
+		if warm && !t.isKnown(p, now) {
+			s.New = append(s.New, p)
+		} else {
+			s.Known = append(s.Known, p)
+		}
+	}
+	return s
+}
+
+func (t *Tracker) isKnown(p prompt.Part, now time.Time) bool {
+	at, ok := t.sound[p]
+	return ok && now.Sub(at) < soundMemory
+}
+
+// Observer says which entry saw a crash.
+type Observer int
+
+// Observers of a crash.
+const (
+	ThisEntry Observer = iota
+	OtherEntry
+)
+
+// RecordCrash records a suspect of a crash and returns the verdicts that it
+// changes.
+func (t *Tracker) RecordCrash(s Suspect, by Observer, now time.Time) []Verdict {
+	c := t.crashOf(s.Engine, now)
+	if len(c.suspects) >= maxRequestsPerCrash {
+		return nil
+	}
+	c.suspects = append(c.suspects, s)
+	if by == ThisEntry {
+		c.local = append(c.local, s.Known...)
+	}
+	changed := t.attribute(c, now)
+	changed = append(changed, t.judge(now)...)
+	out := make([]Verdict, len(changed))
+	for i, v := range changed {
+		out[i] = v.export(now)
+	}
+	return out
+}
+
+func (t *Tracker) crashOf(engine string, now time.Time) *crash {
+	t.crashes = slices.DeleteFunc(t.crashes, func(c *crash) bool { return now.Sub(c.at) >= crashMemory })
+	for _, c := range t.crashes {
+		if c.engine == engine {
+			return c
+		}
+	}
+	if len(t.crashes) >= maxCrashes {
+		t.crashes = slices.Delete(t.crashes, 0, 1)
+	}
+	c := &crash{engine: engine, at: now}
+	t.crashes = append(t.crashes, c)
+	return c
+}
+
+// attribute counts a crash for the existing verdicts that explain it, once each,
+// and renews them. It returns the verdicts changed.
+func (t *Tracker) attribute(c *crash, now time.Time) (changed []*verdict) {
+	for _, v := range t.verdicts {
+		if slices.Contains(c.attributed, v) || !c.contains(v.parts) {
+			continue
+		}
+		c.attributed = append(c.attributed, v)
+		t.raise(v, v.crashes+1, now)
+		changed = append(changed, v)
+	}
+	return changed
+}
+
+func (t *Tracker) raise(v *verdict, crashes int, now time.Time) {
+	v.crashes, v.lastCrash = crashes, now
+	duration := quarantineDuration(crashes)
+	duration += time.Duration(releaseJitter * t.rng.Float64() * float64(duration))
+	if until := now.Add(duration); until.After(v.until) {
+		v.until = until
+	}
+}
+
+func quarantineDuration(crashes int) time.Duration {
+	duration := firstDuration
+	for range crashes - newPartCrashes {
+		duration = min(durationFactor*duration, maxDuration)
+	}
+	return duration
+}
+
+// judge looks for parts that explain several crashes that no verdict explains yet.
+// It takes those that explain most crashes first, so that a sound part is not
+// blamed for crashes at which another part was present each time.
+func (t *Tracker) judge(now time.Time) (added []*verdict) {
+	for {
+		unexplained := t.unexplained()
+		part, found := t.worstPart(unexplained, now)
+		if !found {
+			return added
+		}
+		v := t.addVerdict(commonParts(part, unexplained), now)
+		for _, c := range unexplained {
+			if c.contains(v.parts) {
+				c.attributed = append(c.attributed, v)
+				v.crashes++
+			}
+		}
+		t.raise(v, v.crashes, now)
+		added = append(added, v)
+	}
+}
+
+func (t *Tracker) unexplained() (out []*crash) {
+	for _, c := range t.crashes {
+		if len(c.attributed) == 0 {
+			out = append(out, c)
+		}
+	}
+	return out
+}
+
+// worstPart returns the part with most crashes among those that have enough.
+func (t *Tracker) worstPart(crashes []*crash, now time.Time) (worst prompt.Part, found bool) {
+	newParts, localParts := map[prompt.Part]int{}, map[prompt.Part]int{}
+	for _, c := range crashes {
+		for _, p := range t.candidates(c, now) {
+			newParts[p]++
+		}
+		for _, p := range dedupe(c.local) {
+			// Answers that began after the crash show that engines work, so
+			// that the lack of one for this part means something.
+			if t.sound[p].Before(c.at) && t.lastSound.After(c.at) {
+				localParts[p]++
+			}
+		}
+	}
+	most := 0
+	consider := func(counts map[prompt.Part]int, atLeast int) {
+		for p, n := range counts {
+			if n >= atLeast && (n > most || n == most && p < worst) {
+				worst, most, found = p, n, true
+			}
+		}
+	}
+	consider(newParts, newPartCrashes)
+	if !found {
+		consider(localParts, knownPartCrashes)
+	}
+	return worst, found
+}
+
+// candidates returns the new parts of a crash's suspects, without those that had
+// a sound answer since.
+func (t *Tracker) candidates(c *crash, now time.Time) []prompt.Part {
+	var out []prompt.Part
+	for _, s := range c.suspects {
+		for _, p := range s.New {
+			if !t.isKnown(p, now) {
+				out = append(out, p)
+			}
+		}
+	}
+	return dedupe(out)
+}
+
+func dedupe(parts []prompt.Part) []prompt.Part {
+	slices.Sort(parts)
+	return slices.Compact(parts)
+}
+
+// commonParts returns the parts that all suspects with the given part have in
+// common. Known parts of a suspect are left out unless the part itself is known.
+func commonParts(part prompt.Part, crashes []*crash) []prompt.Part {
+	var common []prompt.Part
+	for _, c := range crashes {
+		for _, s := range c.suspects {
+			if !slices.Contains(s.New, part) {
+				continue
+			}
+			if common == nil {
+				common = slices.Clone(s.New)
+				continue
+			}
+			common = slices.DeleteFunc(common, func(p prompt.Part) bool { return !slices.Contains(s.New, p) })
+		}
+	}
+	if common == nil {
+		common = []prompt.Part{part}
+	}
+	return dedupe(common)
+}
+
+func (t *Tracker) addVerdict(parts []prompt.Part, now time.Time) *verdict {
+	if len(t.verdicts) >= maxVerdicts {
+		first := slices.MinFunc(t.verdicts, func(a, b *verdict) int { return a.until.Compare(b.until) })
+		t.verdicts = slices.DeleteFunc(t.verdicts, func(v *verdict) bool { return v == first })
+	}
+	v := &verdict{parts: parts, until: now}
+	t.verdicts = append(t.verdicts, v)
+	return v
+}
+
+// Adopt takes over another entry's verdict unless this entry knows a newer one of
+// the same parts, or knows that all of the parts are sound. It reports whether the
+// verdict changed anything.
+func (t *Tracker) Adopt(v Verdict, now time.Time) bool {
+	if len(v.Parts) == 0 || v.Crashes < newPartCrashes || v.Remaining <= 0 {
+		return false
+	}
+	parts := dedupe(slices.Clone(v.Parts))
+	if !slices.ContainsFunc(parts, func(p prompt.Part) bool { return !t.isKnown(p, now) }) {
+		return false
+	}
+	until := now.Add(min(v.Remaining, maxDuration+time.Duration(releaseJitter*float64(maxDuration))))
+	for _, own := range t.verdicts {
+		if !slices.Equal(own.parts, parts) {
+			continue
+		}
+		if v.Crashes <= own.crashes {
+			return false
+		}
+		own.crashes, own.lastCrash, own.until = v.Crashes, now, until
+		return true
+	}
+	own := t.addVerdict(parts, now)
+	own.crashes, own.lastCrash, own.until = v.Crashes, now, until
+	for _, c := range t.crashes {
+		if c.contains(parts) {
+			c.attributed = append(c.attributed, own)
+		}
+	}
+	return true
+}
+
+// Match returns the verdict, if any, that keeps a request with these parts away
+// from the engines.
+func (t *Tracker) Match(parts []prompt.Part, now time.Time) (Verdict, bool) {
+	for _, v := range t.verdicts {
+		if now.Before(v.until) && containsAll(parts, nil, v.parts) {
+			return v.export(now), true
+		}
+	}
+	return Verdict{}, false
+}
+
+// Active returns the verdicts in force, those with most crashes first.
+func (t *Tracker) Active(now time.Time) []Verdict {
+	var out []Verdict
+	for _, v := range t.verdicts {
+		if now.Before(v.until) {
+			out = append(out, v.export(now))
+		}
+	}
+	slices.SortFunc(out, func(a, b Verdict) int { return cmp.Compare(b.Crashes, a.Crashes) })
+	return out
+}
--- /dev/null
+++ b/node/gateway/containment_test.go
@@ -0,0 +1,111 @@
+package gateway
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/laburnumloft/laburnumloft/core/placement"
+)
+
+// deadlyPart crashes each engine that begins to answer a prompt with it.
+const deadlyPart = "dead"
+
+// crashingEngine answers prompts, but crashes when it begins to answer one with
+// the deadly part: it has sent a header, its connections end and its port closes.
+type crashingEngine struct {
+	server  *httptest.Server
+	address string
+	crashed atomic.Bool
+}
+
+func newCrashingEngine(c *qt.C) *crashingEngine {
+	e := &crashingEngine{}
+	e.server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if !strings.Contains(r.Header.Get("Parts"), deadlyPart) {
+			events(3, false)(w, r)
+			return
+		}
+		w.Header().Set("Id", r.Header.Get("Id"))
+		w.Header().Set("Signature", "s")
+		_ = http.NewResponseController(w).Flush()
+		e.crash()
+		panic(http.ErrAbortHandler)
+	}))
+	e.address = strings.TrimPrefix(e.server.URL, "http://")
+	c.Cleanup(e.server.Close)
+	return e
+}
+
+func (e *crashingEngine) crash() {
+	e.crashed.Store(true)
+	_ = e.server.Listener.Close()
+	e.server.CloseClientConnections()
+}
+
+func addEngines(c *qt.C, r *testGateway, n int) []*crashingEngine {
+	var engines []*crashingEngine
+	for i := range n {
+		e := newCrashingEngine(c)
+		engines = append(engines, e)
+		r.PutServer(placement.Server{ID: fmt.Sprint("e", i), Address: e.address, Service: "svc", Zone: "z", Slots: 4})
+	}
+	return engines
+}
+
+func countCrashed(engines []*crashingEngine) (n int) {
+	for _, e := range engines {
+		if e.crashed.Load() {
+			n++
+		}
+	}
+	return n
+}
+
+// ask sends a streaming request whose prompt has the given shared parts.
+func (r *testGateway) ask(c *qt.C, id, parts string) int {
+	req := r.request(c, http.MethodPost, "/stream/1", "x")
+	req.Header.Set("Id", id)
+	req.Header.Set("Parts", parts)
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if _, err := io.ReadAll(resp.Body); err != nil {
+		return 0
+	}
+	return resp.StatusCode
+}
+
+// A prompt part that crashes engines must cost at most five of them. Requests that
+// share the caller and the other parts must be served.
+func TestCrashingPromptPartIsContained(t *testing.T) {
+	c := qt.New(t)
+	r := newTestGateway(c)
+	engines := addEngines(c, r, 12)
+	for n := range 10 {
+		c.Assert(r.ask(c, fmt.Sprint("before-", n), "a1"), qt.Equals, http.StatusOK)
+	}
+	<-time.After(warmUpForTests)
+	for n := range 12 {
+		c.Check(r.ask(c, fmt.Sprint("deadly-", n), "a1,"+deadlyPart), qt.Not(qt.Equals), http.StatusOK)
+		c.Check(r.ask(c, fmt.Sprint("sound-", n), "a1"), qt.Equals, http.StatusOK, qt.Commentf("after %d deadly requests", n+1))
+	}
+	c.Assert(countCrashed(engines) <= maxEnginesLost, qt.IsTrue, qt.Commentf("%d engines crashed, want at most %d", countCrashed(engines), maxEnginesLost))
+}
+
+const (
+	// maxEnginesLost is the users' bound on engines lost to one part.
+	maxEnginesLost = 5
+	// warmUpForTests is longer than an entry needs to tell new parts from others.
+	warmUpForTests = 2500 * time.Millisecond
+)
+
--- a/node/gateway/gateway_test.go
+++ b/node/gateway/gateway_test.go
@@ -20,6 +20,7 @@
 
 	"github.com/laburnumloft/laburnumloft/core/limits"
 	"github.com/laburnumloft/laburnumloft/core/placement"
+	"github.com/laburnumloft/laburnumloft/core/prompt"
 	"github.com/laburnumloft/laburnumloft/core/route"
 	"github.com/laburnumloft/laburnumloft/node/decision"
 	"github.com/laburnumloft/laburnumloft/node/lib/bootclock"
@@ -30,6 +31,11 @@
 
 func (testCodec) Call(h http.Header) Call {
 	c := Call{RequestID: h.Get("Id"), Key: h.Get("Key")}
+	for id := range strings.SplitSeq(h.Get("Parts"), ",") {
+		if id != "" {
+			c.PromptParts = append(c.PromptParts, prompt.ParsePart(id))
+		}
+	}
 	if ms, err := strconv.Atoi(h.Get("Left")); err == nil {
 		c.Deadline = time.Duration(ms) * time.Millisecond
 	}
