gateway, core/quarantine: keep prompts that crash engines away from them

What callers saw: one request in a hundred crashed the engine that began to answer it; all streams there broke, engine after engine went down, and most sound requests were refused. Cause: an entry judged an engine by its own broken attempts and forgot what the broken requests had in common; it offered the crashing request to the next engine itself. A poison message without a quarantine: the class of faults in which retries and new copies of one bad input take down replica after replica. Change: an entry that sees an engine refuse connections after such a break tells all entries of the request's parts; two crashes under a part without any sound answer quarantine it (core/quarantine). Attempts that wait for their first event are cancelled, later requests get 503 at once.

--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -33,7 +33,7 @@
 	warmUp = 2 * time.Second
 	// firstDuration is the duration of a quarantine after newPartCrashes. Each
 	// further crash multiplies it by durationFactor, up to maxDuration.
-	firstDuration  = 20 * time.Second
+	firstDuration  = time.Minute
 	durationFactor = 6
 	maxDuration    = time.Hour
 	// releaseJitter is the share of the duration by which entries differ, so that
@@ -67,11 +67,18 @@
 	Crashes int `json:"crashes"`
 	// Remaining is the time until requests with the parts are admitted again.
 	Remaining time.Duration `json:"remaining_ns"`
+	// SinceFirst is the time since the first of the crashes.
+	SinceFirst time.Duration `json:"since_first_ns"`
+	// HadSound means that the parts had sound answers before the first crash.
+	HadSound bool `json:"had_sound,omitempty"`
 }
 
 // ID identifies the verdict in log lines.
 func (v Verdict) ID() string { return prompt.Format(v.Parts) }
 
+// Matches reports whether the verdict keeps a request with these parts away.
+func (v Verdict) Matches(parts []prompt.Part) bool { return containsAll(parts, nil, v.Parts) }
+
 // crash is what all entries saw of one engine's crash.
 type crash struct {
 	engine   string
@@ -100,14 +107,22 @@
 }
 
 type verdict struct {
-	parts     []prompt.Part
-	crashes   int
-	lastCrash time.Time
-	until     time.Time
+	parts                 []prompt.Part
+	crashes               int
+	firstCrash, lastCrash time.Time
+	until                 time.Time
+	hadSound              bool
 }
 
 func (v *verdict) export(now time.Time) Verdict {
-	return Verdict{Parts: v.parts, Crashes: v.crashes, Remaining: v.until.Sub(now)}
+	return Verdict{Parts: v.parts, Crashes: v.crashes, Remaining: v.until.Sub(now), SinceFirst: now.Sub(v.firstCrash), HadSound: v.hadSound}
+}
+
+// adopt copies another entry's verdict, which that entry sent just before now.
+func (v *verdict) adopt(from Verdict, now time.Time) {
+	v.crashes, v.hadSound = from.Crashes, from.HadSound
+	v.firstCrash, v.lastCrash = now.Add(-from.SinceFirst), now
+	v.until = now.Add(min(from.Remaining, maxDuration+time.Duration(releaseJitter*float64(maxDuration))))
 }
 
 // Tracker holds one entry's evidence and verdicts.
@@ -272,15 +287,19 @@
 func (t *Tracker) judge(now time.Time) (added []*verdict) {
 	for {
 		unexplained := t.unexplained()
-		part, found := t.worstPart(unexplained, now)
+		part, hadSound, found := t.worstPart(unexplained, now)
 		if !found {
 			return added
 		}
-		v := t.addVerdict(commonParts(part, unexplained), now)
+		v := t.addVerdict(commonParts(part, unexplained))
+		v.hadSound, v.firstCrash = hadSound, now
 		for _, c := range unexplained {
 			if c.contains(v.parts) {
 				c.attributed = append(c.attributed, v)
 				v.crashes++
+				if c.at.Before(v.firstCrash) {
+					v.firstCrash = c.at
+				}
 			}
 		}
 		t.raise(v, v.crashes, now)
@@ -297,8 +316,9 @@
 	return out
 }
 
-// worstPart returns the part with most crashes among those that have enough.
-func (t *Tracker) worstPart(crashes []*crash, now time.Time) (worst prompt.Part, found bool) {
+// worstPart returns the part with most crashes among those that have enough, and
+// whether it had sound answers before.
+func (t *Tracker) worstPart(crashes []*crash, now time.Time) (worst prompt.Part, hadSound, found bool) {
 	newParts, localParts := map[prompt.Part]int{}, map[prompt.Part]int{}
 	for _, c := range crashes {
 		for _, p := range t.candidates(c, now) {
@@ -323,8 +343,9 @@
 	consider(newParts, newPartCrashes)
 	if !found {
 		consider(localParts, knownPartCrashes)
+		hadSound = found
 	}
-	return worst, found
+	return worst, hadSound, found
 }
 
 // candidates returns the new parts of a crash's suspects, without those that had
@@ -368,48 +389,61 @@
 	return dedupe(common)
 }
 
-func (t *Tracker) addVerdict(parts []prompt.Part, now time.Time) *verdict {
+func (t *Tracker) addVerdict(parts []prompt.Part) *verdict {
 	if len(t.verdicts) >= maxVerdicts {
 		first := slices.MinFunc(t.verdicts, func(a, b *verdict) int { return a.until.Compare(b.until) })
 		t.verdicts = slices.DeleteFunc(t.verdicts, func(v *verdict) bool { return v == first })
 	}
-	v := &verdict{parts: parts, until: now}
+	v := &verdict{parts: parts}
 	t.verdicts = append(t.verdicts, v)
 	return v
 }
 
 // Adopt takes over another entry's verdict unless this entry knows a newer one of
-// the same parts, or knows that all of the parts are sound. It reports whether the
+// the same parts, or had sound answers that refute it. It reports whether the
 // verdict changed anything.
 func (t *Tracker) Adopt(v Verdict, now time.Time) bool {
-	if len(v.Parts) == 0 || v.Crashes < newPartCrashes || v.Remaining <= 0 {
+	if len(v.Parts) == 0 || len(v.Parts) > prompt.MaxParts || v.Crashes < newPartCrashes || v.Remaining <= 0 {
 		return false
 	}
-	parts := dedupe(slices.Clone(v.Parts))
-	if !slices.ContainsFunc(parts, func(p prompt.Part) bool { return !t.isKnown(p, now) }) {
+	v.Parts = dedupe(slices.Clone(v.Parts))
+	if t.refutes(v, now) {
 		return false
 	}
-	until := now.Add(min(v.Remaining, maxDuration+time.Duration(releaseJitter*float64(maxDuration))))
 	for _, own := range t.verdicts {
-		if !slices.Equal(own.parts, parts) {
+		if !slices.Equal(own.parts, v.Parts) {
 			continue
 		}
 		if v.Crashes <= own.crashes {
 			return false
 		}
-		own.crashes, own.lastCrash, own.until = v.Crashes, now, until
+		own.adopt(v, now)
 		return true
 	}
-	own := t.addVerdict(parts, now)
-	own.crashes, own.lastCrash, own.until = v.Crashes, now, until
+	own := t.addVerdict(v.Parts)
+	own.adopt(v, now)
 	for _, c := range t.crashes {
-		if c.contains(parts) {
+		if c.contains(v.Parts) {
 			c.attributed = append(c.attributed, own)
 		}
 	}
 	return true
 }
 
+// refutes reports whether all parts of a verdict had sound answers at this entry
+// that speak against it: after the first crash, or, if the parts are said to be
+// new, at any time remembered.
+func (t *Tracker) refutes(v Verdict, now time.Time) bool {
+	since := soundMemory
+	if v.HadSound {
+		since = v.SinceFirst
+	}
+	return !slices.ContainsFunc(v.Parts, func(p prompt.Part) bool {
+		at, ok := t.sound[p]
+		return !ok || now.Sub(at) >= since
+	})
+}
+
 // Match returns the verdict, if any, that keeps a request with these parts away
 // from the engines.
 func (t *Tracker) Match(parts []prompt.Part, now time.Time) (Verdict, bool) {
--- a/node/gateway/buffered.go
+++ b/node/gateway/buffered.go
@@ -56,6 +56,12 @@
 	if e.err == nil {
 		body, release, e.err = g.readAnswer(e.resp)
 	}
+	switch {
+	case e.err == nil && e.outcome() == placement.Succeeded:
+		g.recordSound(req, time.Now().Add(-e.duration))
+	case e.err != nil && e.sent && ctx.Err() == nil:
+		g.checkCrash(req, e)
+	}
 	if e.mayHaveRun() {
 		req.runs++
 	}
@@ -92,11 +98,18 @@
 	case ctx.Err() != nil && e.err != nil:
 		g.logAttempt(req, e, "ended")
 		return g.reasonForDone(ctx, req), false, true
+	case errors.Is(e.err, errQuarantined):
+		g.logAttempt(req, e, "quarantined")
+		return ReasonQuarantined, false, true
 	case !e.sent:
 		g.logAttempt(req, e, "unreachable")
 		reason, retry = g.allowRetry(req, ReasonNoServer)
 	case e.err != nil:
 		g.logAttempt(req, e, "broken")
+		if verdict, found := g.quarantined(req.call.PromptParts); found {
+			req.verdict = verdict
+			return ReasonQuarantined, false, true
+		}
 		reason, retry = g.allowRerun(req, ReasonBroken)
 	case e.answer.NotRun || e.answer.Misdirected:
 		g.logAttempt(req, e, "not_run")
--- /dev/null
+++ b/node/gateway/containment.go
@@ -0,0 +1,188 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"expvar"
+	"net"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/laburnumloft/laburnumloft/core/prompt"
+	"github.com/laburnumloft/laburnumloft/core/quarantine"
+	"github.com/laburnumloft/laburnumloft/node/lib/bootclock"
+)
+
+const (
+	// soundAfter is how long an engine must go on after the first event of an
+	// answer until the answer counts as sound. Engines crash when they begin.
+	soundAfter = 500 * time.Millisecond
+	// crashProbeTimeout limits the connection attempt that tells a crashed engine,
+	// whose machine refuses it, from a broken connection. A round trip takes
+	// under 10 ms.
+	crashProbeTimeout = 150 * time.Millisecond
+)
+
+var containmentTotal = expvar.NewMap("gateway_containment_total")
+
+// containment keeps prompts that crash engines away from them.
+type containment struct {
+	mu      sync.Mutex
+	tracker *quarantine.Tracker
+	// waiting holds the attempts whose engine has sent no event yet.
+	waiting map[*waitingAttempt]struct{}
+}
+
+// waitingAttempt is an attempt that has no event yet.
+type waitingAttempt struct {
+	parts  []prompt.Part
+	cancel context.CancelFunc
+	// verdict is the reason why the attempt was cancelled; nil if it wasn't.
+	verdict atomic.Pointer[quarantine.Verdict]
+}
+
+func newContainment(seed uint64) *containment {
+	return &containment{tracker: quarantine.NewTracker(seed), waiting: map[*waitingAttempt]struct{}{}}
+}
+
+// quarantined returns the verdict that keeps a request away from the engines.
+func (g *Gateway) quarantined(parts []prompt.Part) (quarantine.Verdict, bool) {
+	if len(parts) == 0 {
+		return quarantine.Verdict{}, false
+	}
+	g.containment.mu.Lock()
+	defer g.containment.mu.Unlock()
+	return g.containment.tracker.Match(parts, bootclock.Now())
+}
+
+// addWaiting registers an attempt, which a verdict cancels until removeWaiting.
+func (g *Gateway) addWaiting(parts []prompt.Part, cancel context.CancelFunc) *waitingAttempt {
+	a := &waitingAttempt{parts: parts, cancel: cancel}
+	if len(parts) == 0 {
+		return a
+	}
+	g.containment.mu.Lock()
+	defer g.containment.mu.Unlock()
+	g.containment.waiting[a] = struct{}{}
+	return a
+}
+
+func (g *Gateway) removeWaiting(a *waitingAttempt) {
+	if len(a.parts) == 0 {
+		return
+	}
+	g.containment.mu.Lock()
+	defer g.containment.mu.Unlock()
+	delete(g.containment.waiting, a)
+}
+
+// recordSound records that an engine wrote an answer, or a good part of one, that
+// it began at the given time.
+func (g *Gateway) recordSound(req *request, began time.Time) {
+	if len(req.call.PromptParts) == 0 {
+		return
+	}
+	now := bootclock.Now()
+	// began is a time of the runtime's clock, which stands still while the VM is
+	// suspended.
+	began = now.Add(-time.Since(began))
+	g.containment.mu.Lock()
+	released := g.containment.tracker.RecordSound(req.call.PromptParts, began, now)
+	g.containment.mu.Unlock()
+	for _, v := range released {
+		containmentTotal.Add("released", 1)
+		g.cfg.Log.Event("prompt_released", "quarantine", v.ID(), "request", req.call.RequestID, "crashes", v.Crashes)
+	}
+}
+
+// checkCrash finds out whether an engine crashed under a request that it had begun
+// to answer, and records the request as a suspect if so.
+func (g *Gateway) checkCrash(req *request, e *exchange) {
+	if len(req.call.PromptParts) == 0 || !engineCrashed(req.in.Context(), e.choice.Server.Address) {
+		return
+	}
+	now := bootclock.Now()
+	g.containment.mu.Lock()
+	suspect := g.containment.tracker.Suspect(e.choice.Server.ID, req.call.PromptParts, now)
+	g.containment.mu.Unlock()
+	containmentTotal.Add("suspects", 1)
+	g.cfg.Log.Event("crash_suspect", "request", req.call.RequestID, "server", suspect.Engine,
+		"new_parts", prompt.Format(suspect.New), "known_parts", prompt.Format(suspect.Known))
+	verdicts := g.recordCrash(suspect, quarantine.ThisEntry, now)
+	if g.cfg.OnSuspect != nil {
+		g.cfg.OnSuspect(suspect, verdicts)
+	}
+}
+
+// engineCrashed reports whether the machine at an address refuses connections.
+func engineCrashed(ctx context.Context, address string) bool {
+	ctx, cancel := context.WithTimeout(ctx, crashProbeTimeout)
+	defer cancel()
+	conn, err := (&net.Dialer{KeepAlive: -1}).DialContext(ctx, "tcp4", address)
+	if err == nil {
+		_ = conn.Close()
+	}
+	return errors.Is(err, syscall.ECONNREFUSED)
+}
+
+// RecordCrash records a suspect that another entry saw.
+func (g *Gateway) RecordCrash(suspect quarantine.Suspect) {
+	containmentTotal.Add("suspects_of_others", 1)
+	g.recordCrash(suspect, quarantine.OtherEntry, bootclock.Now())
+}
+
+func (g *Gateway) recordCrash(suspect quarantine.Suspect, by quarantine.Observer, now time.Time) []quarantine.Verdict {
+	g.containment.mu.Lock()
+	verdicts := g.containment.tracker.RecordCrash(suspect, by, now)
+	g.containment.cancelMatching(verdicts)
+	g.containment.mu.Unlock()
+	for _, v := range verdicts {
+		g.logVerdict(v, "evidence", suspect.Engine)
+	}
+	return verdicts
+}
+
+// AdoptVerdicts takes over verdicts of other entries, or of the store.
+func (g *Gateway) AdoptVerdicts(verdicts []quarantine.Verdict, source string) {
+	now := bootclock.Now()
+	g.containment.mu.Lock()
+	var adopted []quarantine.Verdict
+	for _, v := range verdicts {
+		if g.containment.tracker.Adopt(v, now) {
+			adopted = append(adopted, v)
+		}
+	}
+	g.containment.cancelMatching(adopted)
+	g.containment.mu.Unlock()
+	for _, v := range adopted {
+		g.logVerdict(v, source, "")
+	}
+}
+
+// ActiveVerdicts returns the verdicts in force, those with most crashes first.
+func (g *Gateway) ActiveVerdicts() []quarantine.Verdict {
+	g.containment.mu.Lock()
+	defer g.containment.mu.Unlock()
+	return g.containment.tracker.Active(bootclock.Now())
+}
+
+// cancelMatching ends the attempts that wait for their first event and that the
+// verdicts exclude, before their engines begin with them.
+func (c *containment) cancelMatching(verdicts []quarantine.Verdict) {
+	for a := range c.waiting {
+		for _, v := range verdicts {
+			if v.Matches(a.parts) {
+				a.verdict.Store(&v)
+				a.cancel()
+			}
+		}
+	}
+}
+
+func (g *Gateway) logVerdict(v quarantine.Verdict, source, server string) {
+	containmentTotal.Add("verdicts", 1)
+	g.cfg.Log.Event("prompt_quarantined", "quarantine", v.ID(), "crashes", v.Crashes, "remaining_ms", v.Remaining.Milliseconds(),
+		"had_sound", v.HadSound, "source", source, "server", server)
+}
--- a/node/gateway/containment_test.go
+++ b/node/gateway/containment_test.go
@@ -108,4 +108,3 @@
 	// warmUpForTests is longer than an entry needs to tell new parts from others.
 	warmUpForTests = 2500 * time.Millisecond
 )
-
--- a/node/gateway/exchange.go
+++ b/node/gateway/exchange.go
@@ -32,6 +32,8 @@
 	// first one arrived, zero if there was none.
 	events       int64
 	firstEventAt time.Time
+	// onSound is called once when the answer counts as sound; nil afterwards.
+	onSound func()
 }
 
 // mayHaveRun reports whether the server may have run the request.
@@ -129,6 +131,17 @@
 		e.firstEventAt = time.Now()
 	}
 	e.events++
+	if e.writingTime() >= soundAfter {
+		e.recordSound()
+	}
+}
+
+// recordSound calls onSound, the first time.
+func (e *exchange) recordSound() {
+	if e.onSound != nil {
+		e.onSound()
+		e.onSound = nil
+	}
 }
 
 // writingTime is how long the server has been sending events; 0 if it sent none.
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -16,6 +16,7 @@
 	"github.com/laburnumloft/laburnumloft/core/limits"
 	"github.com/laburnumloft/laburnumloft/core/placement"
 	"github.com/laburnumloft/laburnumloft/core/prompt"
+	"github.com/laburnumloft/laburnumloft/core/quarantine"
 	"github.com/laburnumloft/laburnumloft/core/route"
 	"github.com/laburnumloft/laburnumloft/node/decision"
 	"github.com/laburnumloft/laburnumloft/node/lib/bootclock"
@@ -88,7 +89,10 @@
 	MaxTotalAnswerBytes int64
 	// WeightsDeadline is the time within which published weights must be in use.
 	WeightsDeadline time.Duration
-	Seed            uint64
+	// OnSuspect tells the other entries of a request under which an engine
+	// crashed, and of the verdicts that it led to; may be nil.
+	OnSuspect func(quarantine.Suspect, []quarantine.Verdict)
+	Seed      uint64
 }
 
 // entriesRetryShare is the share of the common retry budget that the entries use.
@@ -107,6 +111,7 @@
 	// gateway starts to refuse new requests.
 	closing, draining atomic.Bool
 	answers           answerMemory
+	containment       *containment
 
 	mu         sync.Mutex
 	fleet      *placement.Fleet
@@ -119,7 +124,7 @@
 // New returns a gateway without a configuration.
 func New(cfg Config) *Gateway {
 	g := &Gateway{
-		cfg: cfg, client: newTransport(),
+		cfg: cfg, client: newTransport(), containment: newContainment(cfg.Seed),
 		changed: make(chan struct{}), published: placement.NewPublishedVersions(max(0, cfg.WeightsDeadline-enforceMargin), cfg.WeightsDeadline-enforceMargin-startGracePeriod),
 	}
 	g.answers.limit = cmp.Or(cfg.MaxTotalAnswerBytes, defaultAnswerBytes)
--- a/node/gateway/handler.go
+++ b/node/gateway/handler.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/laburnumloft/laburnumloft/core/prompt"
+	"github.com/laburnumloft/laburnumloft/core/quarantine"
 	"github.com/laburnumloft/laburnumloft/core/route"
 )
 
@@ -35,6 +36,8 @@
 	ReasonStopping        Reason = "stopping"
 	ReasonClientLeft      Reason = "client_left"
 	ReasonNoID            Reason = "no_request_id"
+	// ReasonQuarantined means that a part of the prompt crashes engines.
+	ReasonQuarantined Reason = "prompt_quarantined"
 )
 
 // defaultDeadline applies if neither the caller nor the route sets a deadline.
@@ -67,6 +70,8 @@
 	tried         []string
 	runs          int
 	configVersion int64
+	// verdict is the quarantine that ended the request.
+	verdict quarantine.Verdict
 }
 
 // ServeHTTP implements http.Handler for callers' requests.
@@ -186,6 +191,9 @@
 		"service", req.service, "workspace", req.workspace, "offers", len(req.tried), "runs", req.runs,
 		"ms", time.Since(req.start).Milliseconds(), "late", req.pastTarget, "parts", prompt.Format(req.call.PromptParts),
 	}
+	if reason == ReasonQuarantined {
+		args = append(args, "quarantine", req.verdict.ID(), "crashes", req.verdict.Crashes)
+	}
 	if status == http.StatusServiceUnavailable {
 		after := g.retryAfter(req, reason)
 		args = append(args, "retry_after_ms", after.Milliseconds())
--- a/node/gateway/place.go
+++ b/node/gateway/place.go
@@ -19,6 +19,10 @@
 	started := time.Now()
 	remaining := req.deadline.Sub(started)
 	for {
+		if verdict, found := g.quarantined(req.call.PromptParts); found {
+			req.verdict = verdict
+			return placement.Choice{}, ReasonQuarantined
+		}
 		g.mu.Lock()
 		choice, miss := g.fleet.Choose(bootclock.Now(), placement.Query{
 			Service: req.service, Model: req.model, Tried: req.tried, SpareCapacityOnly: req.pastTarget,
--- a/node/gateway/retryafter.go
+++ b/node/gateway/retryafter.go
@@ -26,6 +26,8 @@
 	switch reason {
 	case ReasonAllFull, ReasonRefusedByAll:
 		mean = fullRetryAfter
+	case ReasonQuarantined:
+		return req.verdict.Remaining
 	case ReasonNoWeights:
 		return loadingRetryAfter - loadingRetryAfter/6 + rand.N(loadingRetryAfter/3)
 	}
--- a/node/gateway/stream.go
+++ b/node/gateway/stream.go
@@ -72,18 +72,28 @@
 	defer watch.stop()
 	info := AttemptInfo{}
 	info.LastEvent, info.Resumes = s.sequence.Last()
+	waiting := g.addWaiting(req.call.PromptParts, cancel)
+	defer g.removeWaiting(waiting)
 	e := g.send(ctx, req, choice, info)
+	e.onSound = func() { g.recordSound(req, e.firstEventAt) }
 	if e.err == nil && e.resp.StatusCode == http.StatusOK {
-		e.err = s.forward(e, watch)
+		e.err = s.forward(e, watch, func() { g.removeWaiting(waiting) })
 	}
-	if e.err != nil && watch.cancelled.Load() {
+	switch {
+	case e.err == nil && e.events > 0:
+		e.recordSound()
+	case e.err != nil && waiting.verdict.Load() != nil:
+		e.err, req.verdict = errQuarantined, *waiting.verdict.Load()
+	case e.err != nil && watch.cancelled.Load():
 		e.err = errNoProgress
+	case e.err != nil && ctx.Err() == nil && e.resp != nil && e.resp.StatusCode == http.StatusOK && e.events == 0:
+		g.checkCrash(req, e)
 	}
 	if e.mayHaveRun() {
 		req.runs++
 	}
 	outcome := e.outcome()
-	if e.err != nil && (errors.Is(req.in.Context().Err(), context.Canceled) || watch.outdated.Load() && errors.Is(e.err, errNoProgress)) {
+	if e.err != nil && (errors.Is(req.in.Context().Err(), context.Canceled) || watch.outdated.Load() && errors.Is(e.err, errNoProgress) || errors.Is(e.err, errQuarantined)) {
 		outcome = placement.Canceled
 	}
 	g.releaseServer(choice, outcome)
@@ -91,7 +101,8 @@
 }
 
 // forward copies complete events to the caller until the engine ends the stream.
-func (s *stream) forward(e *exchange, watch *progressWatch) error {
+// It calls onFirst at the first event.
+func (s *stream) forward(e *exchange, watch *progressWatch, onFirst func()) error {
 	resp := e.resp
 	defer func() { _ = resp.Body.Close() }()
 	var split eventstream.Splitter
@@ -100,7 +111,11 @@
 		n, readErr := resp.Body.Read(buffer)
 		if n > 0 {
 			split.Write(buffer[:n])
+			before := e.events
 			forwarded, err := s.forwardEvents(e, &split)
+			if before == 0 && e.events > 0 {
+				onFirst()
+			}
 			if err != nil {
 				return err
 			}
--- a/node/mesh/datagram.go
+++ b/node/mesh/datagram.go
@@ -14,6 +14,7 @@
 	"slices"
 
 	"github.com/laburnumloft/laburnumloft/core/placement"
+	"github.com/laburnumloft/laburnumloft/core/quarantine"
 )
 
 // Datagram kinds.
@@ -24,6 +25,7 @@
 	kindJoin             = 4
 	kindPublishedVersion = 5
 	kindBundle           = 6
+	kindCrashNotice      = 7
 )
 
 // paceScale is the factor that turns the pace into an integer on the wire.
@@ -94,6 +96,30 @@
 	return &n, nil
 }
 
+// CrashNotice tells other entries of a request under which an engine crashed, of
+// verdicts on prompt parts, or of both.
+type CrashNotice struct {
+	Suspect  *quarantine.Suspect  `json:"suspect,omitempty"`
+	Verdicts []quarantine.Verdict `json:"verdicts,omitempty"`
+}
+
+// EncodeCrashNotice returns the datagram of a notice.
+func EncodeCrashNotice(n CrashNotice) ([]byte, error) {
+	b, err := json.Marshal(n)
+	if err != nil || len(b) >= maxDatagramBytes {
+		return nil, ErrMalformedDatagram
+	}
+	return append([]byte{kindCrashNotice}, b...), nil
+}
+
+func decodeCrashNotice(b []byte) (*CrashNotice, error) {
+	var n CrashNotice
+	if json.Unmarshal(b[1:], &n) != nil || n.Suspect != nil && n.Suspect.Engine == "" {
+		return nil, ErrMalformedDatagram
+	}
+	return &n, nil
+}
+
 // EncodeJoin returns the datagram with the record of a new process.
 func EncodeJoin(m Member) ([]byte, error) {
 	b, err := json.Marshal(m)
@@ -300,7 +326,7 @@
 }
 
 // Decode decodes a datagram to a *Hello, a *placement.Report, a *HeldPieces, a
-// *Member, a *PublishedVersion or a *Bundle.
+// *Member, a *PublishedVersion, a *Bundle or a *CrashNotice.
 func Decode(b []byte) (any, error) {
 	if len(b) == 0 {
 		return nil, ErrMalformedDatagram
@@ -328,6 +354,8 @@
 		return decodePublishedVersion(b)
 	case kindBundle:
 		return decodeBundle(b)
+	case kindCrashNotice:
+		return decodeCrashNotice(b)
 	default:
 		return nil, ErrMalformedDatagram
 	}
--- a/node/mesh/mesh.go
+++ b/node/mesh/mesh.go
@@ -67,6 +67,8 @@
 	// OnHeldPieces handles an announcement of the pieces that another agent holds;
 	// agents only.
 	OnHeldPieces func(from Member, held HeldPieces)
+	// OnCrashNotice handles a notice of another entry; entries only.
+	OnCrashNotice func(CrashNotice)
 	// Status returns the content of the next hello; entries only.
 	Status func() Hello
 }
@@ -232,6 +234,10 @@
 		if m.cfg.OnPublishedVersion != nil {
 			m.cfg.OnPublishedVersion(*d)
 		}
+	case *CrashNotice:
+		if m.cfg.OnCrashNotice != nil {
+			m.cfg.OnCrashNotice(*d)
+		}
 	case *Member:
 		m.Put(*d)
 	case *placement.Report:
@@ -332,12 +338,29 @@
 	if err != nil {
 		return err
 	}
-	targets := m.targets(func(o Member) bool { return o.Role == Agent && match(o) })
+	m.sendToSome(b, limit, func(o Member) bool { return o.Role == Agent && match(o) })
+	return nil
+}
+
+// sendToSome sends a datagram to the members that match, or to limit of them chosen
+// at random; limit 0 means all.
+func (m *Mesh) sendToSome(b []byte, limit int, match func(Member) bool) {
+	targets := m.targets(match)
 	if limit > 0 && limit < len(targets) {
 		rand.Shuffle(len(targets), func(i, j int) { targets[i], targets[j] = targets[j], targets[i] })
 		targets = targets[:limit]
 	}
 	m.sendTo(b, targets)
+}
+
+// SendCrashNotice sends a notice to all other entries, or to limit of them chosen
+// at random; limit 0 means all.
+func (m *Mesh) SendCrashNotice(n CrashNotice, limit int) error {
+	b, err := EncodeCrashNotice(n)
+	if err != nil {
+		return err
+	}
+	m.sendToSome(b, limit, func(o Member) bool { return o.Role == Entry })
 	return nil
 }
 
