gateway: a stream that ends with its connection before the first event is broken

What callers saw: 200 with an empty body for a stream whose engine had crashed between its header and its first event, if the answer had neither a length nor chunks. Cause: a closed connection is the regular end of such an answer; only the rest of an event in the buffer counted as broken off. Change: without any event, here or at the caller, such an end is a break: the request is resumed elsewhere or answered 502, and a crash becomes visible to the quarantine.

--- a/node/gateway/stream.go
+++ b/node/gateway/stream.go
@@ -127,6 +127,9 @@
 			if split.Buffered() > 0 {
 				return io.ErrUnexpectedEOF
 			}
+			if _, any := s.sequence.Last(); !any && endsWithConnection(resp) {
+				return errEmptyStream
+			}
 			s.sendHeader(resp)
 			return nil
 		}
@@ -136,6 +139,12 @@
 	}
 }
 
+// endsWithConnection reports whether only the end of the connection ends an answer,
+// because it has neither a length nor chunks.
+func endsWithConnection(resp *http.Response) bool {
+	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
+}
+
 func (s *stream) forwardEvents(e *exchange, split *eventstream.Splitter) (forwarded bool, err error) {
 	for {
 		event, ok, err := split.Next()
--- /dev/null
+++ b/node/gateway/unframed_test.go
@@ -0,0 +1,131 @@
+package gateway
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/laburnumloft/laburnumloft/core/placement"
+)
+
+// ending is how a server ends a connection.
+type ending int
+
+const (
+	closed ending = iota
+	reset
+)
+
+// unframedAnswer is an answer with neither a length nor chunks.
+type unframedAnswer struct {
+	status, header, body string
+	ending               ending
+}
+
+// newUnframedServer returns the address of a server with one answer per request;
+// the last one repeats. Its streams go on after the caller's last event.
+func newUnframedServer(c *qt.C, arrivals *atomic.Int32, answers ...func(last int) unframedAnswer) string {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(func() { _ = listener.Close() })
+	serve := func(conn *net.TCPConn) {
+		defer func() { _ = conn.Close() }()
+		req, err := http.ReadRequest(bufio.NewReader(conn))
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, req.Body)
+		last, _ := strconv.Atoi(req.Header.Get("Last"))
+		n := int(arrivals.Add(1)) - 1
+		a := answers[min(n, len(answers)-1)](last)
+		_, _ = fmt.Fprintf(conn, "HTTP/1.1 %s\r\nId: %s\r\nSignature: s\r\n%s\r\n%s", a.status, req.Header.Get("Id"), a.header, a.body)
+		if a.ending == reset {
+			_ = conn.SetLinger(0)
+		}
+	}
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go serve(conn.(*net.TCPConn))
+		}
+	}()
+	return listener.Addr().String()
+}
+
+func plain(body string, end ending) func(int) unframedAnswer {
+	return func(int) unframedAnswer { return unframedAnswer{"200 OK", "", body, end} }
+}
+
+// unframedEvents sends the events after the caller's last one up to end, and then
+// the rest as it is.
+func unframedEvents(end int, rest string, how ending) func(int) unframedAnswer {
+	return func(last int) unframedAnswer {
+		body := ""
+		for i := last + 1; i <= end; i++ {
+			body += fmt.Sprintf("id: %d\ndata: t%d\n\n", i, i)
+		}
+		return unframedAnswer{"200 OK", "Content-Type: text/event-stream\r\n", body + rest, how}
+	}
+}
+
+// An answer may have neither a length nor chunks and end with its connection. A
+// caller must get it whole, and never a part of one that looks whole.
+func TestAnswersThatEndWithTheirConnection(t *testing.T) {
+	type answers = []func(int) unframedAnswer
+	whole := "id: 1\ndata: t1\n\nid: 2\ndata: t2\n\nid: 3\ndata: t3\n\n"
+	refusal := func(int) unframedAnswer { return unframedAnswer{"503 Full", "Not-Run: 1\r\n", "full", closed} }
+	for _, test := range []struct {
+		name, path string
+		answers    answers
+		status     int
+		body       string
+		arrivals   int32
+	}{
+		{"order", "/order/1", answers{plain("body", closed)}, 200, "body", 1},
+		{"order, reset", "/order/1", answers{plain("bo", reset), plain("body", closed)}, 502, "", 1},
+		{"order, not run", "/order/1", answers{refusal, plain("body", closed)}, 200, "body", 2},
+		{"read", "/read/1", answers{plain("body", closed)}, 200, "body", 1},
+		{"read, reset", "/read/1", answers{plain("bo", reset), plain("body", closed)}, 200, "body", 2},
+		{"stream", "/stream/1", answers{unframedEvents(3, "", closed)}, 200, whole, 1},
+		{"stream, ended inside an event", "/stream/1", answers{unframedEvents(2, "id: 3\nda", closed), unframedEvents(3, "", closed)}, 200, whole, 2},
+		{"stream, ended inside the blank line", "/stream/1", answers{unframedEvents(2, "id: 3\ndata: t3\n", closed), unframedEvents(3, "", closed)}, 200, whole, 2},
+		{"stream, reset at the edge of an event", "/stream/1", answers{unframedEvents(2, "", reset), unframedEvents(3, "", closed)}, 200, whole, 2},
+		{"stream, ended before the first event", "/stream/1", answers{unframedEvents(0, "", closed), unframedEvents(3, "", closed)}, 200, whole, 2},
+		{"stream, resumed after its last event", "/stream/1", answers{unframedEvents(3, "id: 4", closed), unframedEvents(3, "", closed)}, 200, whole, 2},
+		{"non-resumable stream", "/once/1", answers{unframedEvents(3, "", closed)}, 200, whole, 1},
+		{"non-resumable stream, ended inside its first event", "/once/1", answers{unframedEvents(0, "id: 1", closed), unframedEvents(3, "", closed)}, 502, "", 1},
+		{"non-resumable stream, ended before the first event", "/once/1", answers{unframedEvents(0, "", closed), unframedEvents(3, "", closed)}, 502, "", 1},
+		{"non-resumable stream, ended inside an event", "/once/1", answers{unframedEvents(2, "id: 3\n", closed), unframedEvents(3, "", closed)}, 0, "", 1},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			var arrivals atomic.Int32
+			address := newUnframedServer(c, &arrivals, test.answers...)
+			r := newTestGateway(c)
+			for _, id := range []string{"a", "b"} {
+				r.PutServer(placement.Server{ID: id, Address: address, Service: "svc", Zone: "z"})
+			}
+			resp, body, err := r.do(c, http.MethodPost, test.path, "payload")
+			c.Check(arrivals.Load(), qt.Equals, test.arrivals)
+			if test.status == 0 {
+				c.Assert(err, qt.Not(qt.IsNil), qt.Commentf("an incomplete stream looks complete"))
+				return
+			}
+			c.Assert(err, qt.IsNil)
+			c.Check(resp.StatusCode, qt.Equals, test.status)
+			if test.body != "" {
+				c.Check(body, qt.Equals, test.body)
+			}
+		})
+	}
+}
