gateway: count crashes per start of an engine; explain shows a quarantine's crashes

Cause: an engine may start again under its id; a second crash of it would have counted as the first. explain did not lead from a refused request to the crashes behind its quarantine. Change: suspects name the server's id with its start time; explain lists the verdict and the suspects that it rests on. Test: TestExplainQuarantine.

--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -50,7 +50,7 @@
 
 // Suspect is a request that an engine had begun to answer when it crashed.
 type Suspect struct {
-	// Engine is the id of the engine's instance.
+	// Engine identifies one start of an engine.
 	Engine string `json:"engine"`
 	// New lists the parts of the request's prompt without a recent sound answer
 	// at the entry that sent the request, Known the others.
--- a/node/containment/containment.go
+++ b/node/containment/containment.go
@@ -70,7 +70,7 @@
 	select {
 	case s.notices <- mesh.CrashNotice{Suspect: &suspect, Verdicts: verdicts}:
 	default:
-		s.cfg.Log.Event("crash_notice_dropped", "server", suspect.Engine)
+		s.cfg.Log.Event("crash_notice_dropped", "incarnation", suspect.Engine)
 	}
 	if len(verdicts) == 0 {
 		return
--- a/node/decision/explain.go
+++ b/node/decision/explain.go
@@ -29,14 +29,17 @@
 // made a decision.
 var stateEvents = []string{"server_taken", "server_gone", "engine_state", "engine_down", "load_ordered", "load_done"}
 
+// maxSuspects bounds the log lines on engine crashes that are kept.
+const maxSuspects = 256
+
 // Explain reads the log lines of any number of processes and explains one
-// request. It writes the last state events of the servers and the configuration
-// involved in the request, then the lines of the request in order. It reports
-// whether the request was found.
+// request. It writes the last state events of the servers, the configuration and
+// the quarantine involved in the request, with the crashes that led to the
+// quarantine, then the lines of the request in order. It reports whether the
+// request was found.
 func Explain(in io.Reader, out io.Writer, requestID string) (found bool, err error) {
 	var requestLines []logLine
-	latestStates := map[string]logLine{}
-	configurations := map[float64]logLine{}
+	known := knowledge{states: map[string]logLine{}, configurations: map[float64]logLine{}, verdicts: map[string]logLine{}}
 	scanner := bufio.NewScanner(in)
 	scanner.Buffer(nil, maxLineBytes)
 	for scanner.Scan() {
@@ -48,14 +51,13 @@
 		switch {
 		case line.stringField("request") == requestID:
 			requestLines = append(requestLines, line)
+			known.recordLate(event, line)
 		case len(requestLines) > 0:
 			// Ignore state events after the first line of the request: only the
 			// known state before it is reported.
-		case event == "configuration_taken":
-			version, _ := line.fields["version"].(float64)
-			configurations[version] = line
-		case slices.Contains(stateEvents, event):
-			latestStates[line.stringField("server")+" "+event] = line
+			known.recordLate(event, line)
+		default:
+			known.record(event, line)
 		}
 	}
 	if err := scanner.Err(); err != nil {
@@ -64,7 +66,59 @@
 	if len(requestLines) == 0 {
 		return false, nil
 	}
-	return true, writeExplanation(out, requestLines, latestStates, configurations)
+	return true, writeExplanation(out, requestLines, known)
+}
+
+// knowledge holds the log lines on what the processes knew.
+type knowledge struct {
+	// states are the last state events by server and event.
+	states         map[string]logLine
+	configurations map[float64]logLine
+	// verdicts are the last quarantines by id; suspects are the requests under
+	// which engines crashed.
+	verdicts map[string]logLine
+	suspects []logLine
+}
+
+func (k *knowledge) record(event string, line logLine) {
+	switch {
+	case event == "configuration_taken":
+		version, _ := line.fields["version"].(float64)
+		k.configurations[version] = line
+	case slices.Contains(stateEvents, event):
+		k.states[line.stringField("server")+" "+event] = line
+	default:
+		k.recordLate(event, line)
+	}
+}
+
+// recordLate records what may follow the first line of the request: a quarantine
+// can end a request that is at an engine already.
+func (k *knowledge) recordLate(event string, line logLine) {
+	switch event {
+	case "prompt_quarantined":
+		k.verdicts[line.stringField("quarantine")] = line
+	case "crash_suspect":
+		if len(k.suspects) < maxSuspects {
+			k.suspects = append(k.suspects, line)
+		}
+	}
+}
+
+// quarantine returns the lines on a quarantine: the crashes and the last verdict.
+func (k *knowledge) quarantine(id string) (out []string) {
+	verdict, found := k.verdicts[id]
+	if !found {
+		return nil
+	}
+	parts := strings.Split(id, ",")
+	for _, s := range k.suspects {
+		all := strings.Split(s.stringField("new_parts")+","+s.stringField("known_parts"), ",")
+		if !slices.ContainsFunc(parts, func(p string) bool { return !slices.Contains(all, p) }) {
+			out = append(out, render(s)+" request="+s.stringField("request"))
+		}
+	}
+	return append(out, render(verdict))
 }
 
 func parse(text string) (logLine, bool) {
@@ -76,23 +130,27 @@
 	return line, json.Unmarshal([]byte(text[start:]), &line.fields) == nil && line.stringField("@message") != ""
 }
 
-func writeExplanation(out io.Writer, requestLines []logLine, latestStates map[string]logLine, configurations map[float64]logLine) error {
+func writeExplanation(out io.Writer, requestLines []logLine, known knowledge) error {
 	var stateLines []string
 	included := map[string]bool{}
 	for _, line := range requestLines {
 		if version, ok := line.fields["configuration"].(float64); ok {
-			if configuration, ok := configurations[version]; ok && !included[fmt.Sprint(version)] {
+			if configuration, ok := known.configurations[version]; ok && !included[fmt.Sprint(version)] {
 				included[fmt.Sprint(version)] = true
 				stateLines = append(stateLines, render(configuration))
 			}
 		}
+		if id := line.stringField("quarantine"); id != "" && !included["quarantine "+id] {
+			included["quarantine "+id] = true
+			stateLines = append(stateLines, known.quarantine(id)...)
+		}
 		server := line.stringField("server")
 		if server == "" || included[server] {
 			continue
 		}
 		included[server] = true
 		for _, event := range stateEvents {
-			if state, ok := latestStates[server+" "+event]; ok {
+			if state, ok := known.states[server+" "+event]; ok {
 				stateLines = append(stateLines, render(state))
 			}
 		}
--- a/node/decision/explain_test.go
+++ b/node/decision/explain_test.go
@@ -37,3 +37,29 @@
 	c.Assert(err, qt.IsNil)
 	c.Assert(found, qt.IsFalse)
 }
+
+// For a request that a quarantine ended, Explain must show the crashes behind the
+// quarantine, also those that other entries saw and that came after the request.
+func TestExplainQuarantine(t *testing.T) {
+	c := qt.New(t)
+	lines := strings.Join([]string{
+		`edge-1 {"@message":"crash_suspect","at":"10:00:00.000","request":"r1","server":"i-1","new_parts":"a,d","known_parts":"c"}`,
+		`edge-1 {"@message":"crash_suspect","at":"10:00:00.100","request":"r2","server":"i-2","new_parts":"e","known_parts":"c"}`,
+		`edge-2 {"@message":"attempt_failed","at":"10:00:00.200","request":"r3","server":"i-3","result":"quarantined"}`,
+		`edge-2 {"@message":"crash_suspect","at":"10:00:00.300","request":"r4","server":"i-4","new_parts":"d","known_parts":"c"}`,
+		`edge-2 {"@message":"prompt_quarantined","at":"10:00:00.300","quarantine":"d","crashes":2}`,
+		`edge-2 {"@message":"request_ended","at":"10:00:00.310","request":"r3","reason":"prompt_quarantined","quarantine":"d"}`,
+	}, "\n")
+	var out bytes.Buffer
+	found, err := Explain(strings.NewReader(lines), &out, "r3")
+	c.Assert(err, qt.IsNil)
+	c.Assert(found, qt.IsTrue)
+	c.Assert(out.String(), qt.Equals, `believed before:
+  10:00:00.000 edge-1 crash_suspect known_parts=c new_parts=a,d server=i-1 request=r1
+  10:00:00.300 edge-2 crash_suspect known_parts=c new_parts=d server=i-4 request=r4
+  10:00:00.300 edge-2 prompt_quarantined crashes=2 quarantine=d
+decided:
+  10:00:00.200 edge-2 attempt_failed result=quarantined server=i-3
+  10:00:00.310 edge-2 request_ended quarantine=d reason=prompt_quarantined
+`)
+}
--- a/node/gateway/containment.go
+++ b/node/gateway/containment.go
@@ -5,11 +5,13 @@
 	"errors"
 	"expvar"
 	"net"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
 
+	"github.com/laburnumloft/laburnumloft/core/placement"
 	"github.com/laburnumloft/laburnumloft/core/prompt"
 	"github.com/laburnumloft/laburnumloft/core/quarantine"
 	"github.com/laburnumloft/laburnumloft/node/lib/bootclock"
@@ -105,17 +107,22 @@
 	}
 	now := bootclock.Now()
 	g.containment.mu.Lock()
-	suspect := g.containment.tracker.Suspect(e.choice.Server.ID, req.call.PromptParts, now)
+	suspect := g.containment.tracker.Suspect(incarnation(e.choice.Server), req.call.PromptParts, now)
 	g.containment.mu.Unlock()
 	containmentTotal.Add("suspects", 1)
-	g.cfg.Log.Event("crash_suspect", "request", req.call.RequestID, "server", suspect.Engine,
-		"new_parts", prompt.Format(suspect.New), "known_parts", prompt.Format(suspect.Known))
+	g.cfg.Log.Event("crash_suspect", "request", req.call.RequestID, "server", e.choice.Server.ID,
+		"incarnation", suspect.Engine, "new_parts", prompt.Format(suspect.New), "known_parts", prompt.Format(suspect.Known))
 	verdicts := g.recordCrash(suspect, quarantine.ThisEntry, now)
 	if g.cfg.OnSuspect != nil {
 		g.cfg.OnSuspect(suspect, verdicts)
 	}
 }
 
+// incarnation identifies one start of a server, which may keep its id.
+func incarnation(s placement.Server) string {
+	return s.ID + "@" + strconv.FormatInt(s.Born, 10)
+}
+
 // engineCrashed reports whether the machine at an address refuses connections.
 func engineCrashed(ctx context.Context, address string) bool {
 	ctx, cancel := context.WithTimeout(ctx, crashProbeTimeout)
@@ -181,8 +188,8 @@
 	}
 }
 
-func (g *Gateway) logVerdict(v quarantine.Verdict, source, server string) {
+func (g *Gateway) logVerdict(v quarantine.Verdict, source, engine string) {
 	containmentTotal.Add("verdicts", 1)
 	g.cfg.Log.Event("prompt_quarantined", "quarantine", v.ID(), "crashes", v.Crashes, "remaining_ms", v.Remaining.Milliseconds(),
-		"had_sound", v.HadSound, "source", source, "server", server)
+		"had_sound", v.HadSound, "source", source, "incarnation", engine)
 }
