--- a/bench/fleet/fleet_test.go
+++ b/bench/fleet/fleet_test.go
@@ -15,6 +15,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -60,6 +61,8 @@
 	engines []*platform.Server
 	plains  []*platform.Server
 	logs    lockedBuffer
+	// crashes counts the engines that crashed under a deadly part.
+	crashes atomic.Int32
 
 	mu      sync.Mutex
 	entries []*exec.Cmd
@@ -105,7 +108,7 @@
 	f.listen(originAddress, f.origin)
 	for i := range engines {
 		f.engines = append(f.engines, platform.NewServer(fmt.Sprint("engine-", i), model))
-		f.listen(engineIP(i)+":8001", f.engines[i])
+		f.listenEngine(i)
 	}
 	for i := range plains {
 		f.plains = append(f.plains, platform.NewServer(fmt.Sprint("plain-", i), ""))
@@ -129,12 +132,31 @@
 	return f
 }
 
-func (f *fleet) listen(address string, handler http.Handler) {
+func (f *fleet) listen(address string, handler http.Handler) *http.Server {
 	listener, err := net.Listen("tcp4", address)
 	f.c.Assert(err, qt.IsNil)
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: time.Minute}
 	go func() { _ = server.Serve(listener) }()
 	f.c.Cleanup(func() { _ = server.Close() })
+	return server
+}
+
+// engineRestart is how long a crashed engine is gone.
+const engineRestart = 400 * time.Millisecond
+
+// listenEngine opens an engine's port, which a deadly part of a prompt closes for
+// engineRestart.
+func (f *fleet) listenEngine(i int) {
+	server := f.listen(engineIP(i)+":8001", f.engines[i])
+	var once sync.Once
+	f.engines[i].OnDeadlyPart(func() {
+		once.Do(func() {
+			_ = server.Close()
+			f.engines[i].Crash()
+			f.crashes.Add(1)
+			time.AfterFunc(engineRestart, func() { f.listenEngine(i) })
+		})
+	})
 }
 
 // settings writes the platform's settings file of a process.
@@ -174,6 +196,10 @@
 			settings = path
 		}
 	}
+	// Only the first start of the whole system is a bootstrap.
+	text, err := os.ReadFile(settings)
+	f.c.Check(err, qt.IsNil)
+	f.c.Check(os.WriteFile(settings, bytes.Replace(text, []byte("bootstrap: true"), []byte("bootstrap: false"), 1), 0o600), qt.IsNil)
 	again := f.spawn(filepath.Base(old.Path), settings)
 	f.mu.Lock()
 	set[i] = again
@@ -271,12 +297,20 @@
 // call sends one request to an entry and checks what comes back. It returns the
 // status; 0 is a broken connection.
 func (f *fleet) call(entry int, path, id string) int {
+	return f.prompt(entry, path, id, "")
+}
+
+// prompt is like call, for a request whose prompt has the given shared parts.
+func (f *fleet) prompt(entry int, path, id, parts string) int {
 	req, err := http.NewRequest(http.MethodPost, "http://"+entryIP(entry)+":8005"+path+id, strings.NewReader("body of "+id))
 	f.c.Assert(err, qt.IsNil)
 	req.Host = "h.example"
 	for name, value := range map[string]string{"X-Request-Id": id, "X-Deadline-Ms": "3000", "X-Credential": "key"} {
 		req.Header.Set(name, value)
 	}
+	if parts != "" {
+		req.Header.Set("X-Prompt-Prefix", parts+",f00d:10")
+	}
 	resp, err := f.client.Do(req)
 	if err != nil {
 		return 0
--- a/standin/platform/server.go
+++ b/standin/platform/server.go
@@ -35,6 +35,20 @@
 	served                         int
 	runs                           map[string]int
 	broken                         []string
+	// onDeadlyPart crashes the engine's machine; nil means that it can't.
+	onDeadlyPart func()
+}
+
+// DeadlyPart is the part of a prompt under which engines crash as soon as they
+// have begun to answer it.
+const DeadlyPart = "dead"
+
+// OnDeadlyPart sets what crashes the engine. The function must end its connections
+// and close its port.
+func (s *Server) OnDeadlyPart(crash func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.onDeadlyPart = crash
 }
 
 // NewServer returns a server. Engines hold version 1, loaded and staged.
@@ -237,6 +251,14 @@
 		first = last + 1
 	}
 	flush := http.NewResponseController(w)
+	s.mu.Lock()
+	crash := s.onDeadlyPart
+	s.mu.Unlock()
+	if crash != nil && strings.Contains(r.Header.Get("X-Prompt-Prefix"), DeadlyPart+":") {
+		_ = flush.Flush()
+		crash()
+		panic(http.ErrAbortHandler)
+	}
 	for n := first; n <= Events; n++ {
 		if cut && n == Events-1 {
 			_, _ = fmt.Fprintf(w, "id: %d\nda", n)
