stager: verify staged pieces again after the engine refused an order as busy

What callers saw: none yet; an engine could load a wrong piece. Cause: the pieces were read back once, then the order was repeated for up to two seconds while the engine was busy. Change: each order follows a read back of its own. Test: TestPieceSpoilsWhileTheEngineIsBusy failed before ('version 2 loaded with a wrong piece 3').

--- a/node/stager/loader.go
+++ b/node/stager/loader.go
@@ -205,20 +205,17 @@
 	if err := s.drain(ctx); err != nil {
 		return err
 	}
-	if err := s.verifyStaged(ctx, m); err != nil {
-		return err
-	}
-	ordered := time.Now()
+	drained := time.Now()
 	if err := s.orderLoad(ctx, m); err != nil {
 		return err
 	}
 	_, _, stateAtOrder, _ := s.snapshot()
-	for time.Since(ordered) < loadTimeout {
+	for time.Since(drained) < loadTimeout {
 		_, _, state, up := s.snapshot()
 		if up && state.Version == m.Version {
 			s.store.evictBefore(m.Version)
 			s.cfg.Log.Event("load_done", "version", state.Version, "ms", time.Since(start).Milliseconds(),
-				"drain_ms", ordered.Sub(start).Milliseconds())
+				"drain_ms", drained.Sub(start).Milliseconds())
 			return nil
 		}
 		if !up || state.StartTime != stateAtOrder.StartTime {
@@ -231,10 +228,14 @@
 	return ErrLoadFailed
 }
 
-// orderLoad orders the engine to load the staged pieces. It retries while the
-// engine is busy; the staged pieces need no new verification in that time.
+// orderLoad verifies the staged pieces and orders the engine to load them. While
+// the engine is busy it repeats both, because staged data can become corrupt at
+// any time.
 func (s *Stager) orderLoad(ctx context.Context, m *Manifest) error {
 	for range maxLoadAttempts {
+		if err := s.verifyStaged(ctx, m); err != nil {
+			return err
+		}
 		callCtx, cancel := context.WithTimeout(ctx, engineTimeout)
 		err := s.cfg.Engine.Load(callCtx, m.Model, m.Version)
 		cancel()
@@ -253,7 +254,7 @@
 }
 
 // maxLoadAttempts is the number of load orders sent to a busy engine, within two
-// seconds, before its staged pieces are verified again.
+// seconds, before the load counts as failed.
 const maxLoadAttempts = 20
 
 // sleep waits for d. It returns the error of ctx if ctx ends first.
--- a/node/stager/stager_test.go
+++ b/node/stager/stager_test.go
@@ -45,6 +45,8 @@
 	down   bool
 	// busyOrders is the number of load orders to refuse first.
 	busyOrders int
+	// corruptWhileBusy makes a staged piece corrupt at each refused order.
+	corruptWhileBusy bool
 	// corruptPuts is the number of pieces to corrupt when they are staged.
 	corruptPuts int
 	loads       []int64
@@ -112,6 +114,9 @@
 	defer e.mu.Unlock()
 	if e.busyOrders > 0 {
 		e.busyOrders--
+		if e.corruptWhileBusy {
+			e.staged[3] = []byte("corrupt")
+		}
 		return ErrEngineBusy
 	}
 	for n := range testPieces {
@@ -336,6 +341,17 @@
 	g.awaitVersion(2)
 }
 
+// A staged piece may become corrupt while the engine refuses the load order. The
+// engine must not load it: in the soak an engine was ordered to load a wrong piece.
+func TestPieceSpoilsWhileTheEngineIsBusy(t *testing.T) {
+	c := qt.New(t)
+	e := newFakeEngine(1)
+	e.busyOrders, e.corruptWhileBusy = 3, true
+	g := newGroup(c, &fakeOrigin{newest: 1}, e)
+	g.setTarget(2)
+	g.awaitVersion(2)
+}
+
 // When versions are published in quick succession, engines must end at the newest,
 // never mix pieces of two versions and never return to an older version.
 func TestVersionsInQuickSuccession(t *testing.T) {
