core/quarantine: entries that have just started need three crashes, not none

Change: its suspects are marked cold; three crashes under a part that no entry knows quarantine it for 4 s, and the next crash for long. Test: TestColdEntryNeedsMoreCrashes, TestColdEntrySparesSoundParts; the former test that cold entries blame nothing is replaced by the second.

--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -21,6 +21,9 @@
 	// newPartCrashes is the number of crashes after which a part without a sound
 	// answer is quarantined. One crash may have another cause.
 	newPartCrashes = 2
+	// coldPartCrashes replaces newPartCrashes while only entries that have just
+	// started saw the crashes: to them every part is new.
+	coldPartCrashes = 3
 	// knownPartCrashes is the number of crashes, all seen by this entry, after
 	// which a part that had sound answers before is quarantined.
 	knownPartCrashes = 3
@@ -28,9 +31,12 @@
 	soundMemory = 10 * time.Minute
 	// crashMemory is how long a crash counts against a part.
 	crashMemory = 10 * time.Minute
-	// warmUp is the time after the first sound answer in which an entry can't
-	// say that a part is new, because it has seen few requests.
+	// warmUp is the time after the first sound answer in which an entry is cold:
+	// it has seen too few requests to know most sound parts.
 	warmUp = 2 * time.Second
+	// coldDuration is the duration of a quarantine after coldPartCrashes. The
+	// entries have warmed up when it ends, and a sound part proves itself.
+	coldDuration = 4 * time.Second
 	// firstDuration is the duration of a quarantine after newPartCrashes. Each
 	// further crash multiplies it by durationFactor, up to maxDuration.
 	firstDuration  = time.Minute
@@ -56,6 +62,8 @@
 	// at the entry that sent the request, Known the others.
 	New   []prompt.Part `json:"new,omitempty"`
 	Known []prompt.Part `json:"known,omitempty"`
+	// Cold means that the entry had just started.
+	Cold bool `json:"cold,omitempty"`
 }
 
 // Verdict is the decision to keep requests that contain all of the parts away
@@ -189,13 +197,12 @@
 
 // Suspect describes a request that this entry had at an engine when it crashed.
 func (t *Tracker) Suspect(engine string, parts []prompt.Part, now time.Time) Suspect {
-	s := Suspect{Engine: engine}
-	warm := !t.firstSound.IsZero() && now.Sub(t.firstSound) >= warmUp
+	s := Suspect{Engine: engine, Cold: t.firstSound.IsZero() || now.Sub(t.firstSound) < warmUp}
 	for _, p := range parts {
-		if warm && !t.isKnown(p, now) {
-			s.New = append(s.New, p)
-		} else {
+		if t.isKnown(p, now) {
 			s.Known = append(s.Known, p)
+		} else {
+			s.New = append(s.New, p)
 		}
 	}
 	return s
@@ -264,9 +271,14 @@
 	return changed
 }
 
+// raise records a further crash of a verdict and prolongs it.
 func (t *Tracker) raise(v *verdict, crashes int, now time.Time) {
-	v.crashes, v.lastCrash = crashes, now
-	duration := quarantineDuration(crashes)
+	v.crashes = crashes
+	t.renew(v, quarantineDuration(crashes), now)
+}
+
+func (t *Tracker) renew(v *verdict, duration time.Duration, now time.Time) {
+	v.lastCrash = now
 	duration += time.Duration(releaseJitter * t.rng.Float64() * float64(duration))
 	if until := now.Add(duration); until.After(v.until) {
 		v.until = until
@@ -287,12 +299,12 @@
 func (t *Tracker) judge(now time.Time) (added []*verdict) {
 	for {
 		unexplained := t.unexplained()
-		part, hadSound, found := t.worstPart(unexplained, now)
-		if !found {
+		part, basis := t.worstPart(unexplained, now)
+		if basis == noBasis {
 			return added
 		}
 		v := t.addVerdict(commonParts(part, unexplained))
-		v.hadSound, v.firstCrash = hadSound, now
+		v.hadSound, v.firstCrash = basis == localCrashes, now
 		for _, c := range unexplained {
 			if c.contains(v.parts) {
 				c.attributed = append(c.attributed, v)
@@ -302,7 +314,11 @@
 				}
 			}
 		}
-		t.raise(v, v.crashes, now)
+		duration := quarantineDuration(v.crashes)
+		if basis == coldCrashes {
+			duration = coldDuration
+		}
+		t.renew(v, duration, now)
 		added = append(added, v)
 	}
 }
@@ -316,43 +332,72 @@
 	return out
 }
 
+// basis is the kind of evidence for a verdict.
+type basis int
+
+const (
+	noBasis basis = iota
+	// newCrashes means that warmed-up entries saw the crashes of a new part.
+	newCrashes
+	// coldCrashes means that cold entries saw some of them.
+	coldCrashes
+	// localCrashes means that this entry saw the crashes of a known part.
+	localCrashes
+)
+
 // worstPart returns the part with most crashes among those that have enough, and
-// whether it had sound answers before.
-func (t *Tracker) worstPart(crashes []*crash, now time.Time) (worst prompt.Part, hadSound, found bool) {
-	newParts, localParts := map[prompt.Part]int{}, map[prompt.Part]int{}
+// the evidence for it.
+func (t *Tracker) worstPart(crashes []*crash, now time.Time) (prompt.Part, basis) {
+	seenWarm, seen, local := map[prompt.Part]int{}, map[prompt.Part]int{}, map[prompt.Part]int{}
 	for _, c := range crashes {
-		for _, p := range t.candidates(c, now) {
-			newParts[p]++
-		}
+		count(seenWarm, t.candidates(c, now, func(s Suspect) bool { return !s.Cold }))
+		count(seen, t.candidates(c, now, func(Suspect) bool { return true }))
 		for _, p := range dedupe(c.local) {
 			// Answers that began after the crash show that engines work, so
 			// that the lack of one for this part means something.
 			if t.sound[p].Before(c.at) && t.lastSound.After(c.at) {
-				localParts[p]++
+				local[p]++
 			}
 		}
 	}
-	most := 0
-	consider := func(counts map[prompt.Part]int, atLeast int) {
-		for p, n := range counts {
-			if n >= atLeast && (n > most || n == most && p < worst) {
-				worst, most, found = p, n, true
-			}
-		}
+	if part, found := most(seenWarm, newPartCrashes); found {
+		return part, newCrashes
+	}
+	if part, found := most(seen, coldPartCrashes); found {
+		return part, coldCrashes
+	}
+	if part, found := most(local, knownPartCrashes); found {
+		return part, localCrashes
+	}
+	return 0, noBasis
+}
+
+func count(counts map[prompt.Part]int, parts []prompt.Part) {
+	for _, p := range parts {
+		counts[p]++
 	}
-	consider(newParts, newPartCrashes)
-	if !found {
-		consider(localParts, knownPartCrashes)
-		hadSound = found
+}
+
+// most returns the part with the highest count if that is at least atLeast; of
+// equal ones it returns the lowest id, so that entries agree.
+func most(counts map[prompt.Part]int, atLeast int) (part prompt.Part, found bool) {
+	highest := atLeast
+	for p, n := range counts {
+		if n > highest || n == highest && (!found || p < part) {
+			part, highest, found = p, n, true
+		}
 	}
-	return worst, hadSound, found
+	return part, found
 }
 
-// candidates returns the new parts of a crash's suspects, without those that had
-// a sound answer since.
-func (t *Tracker) candidates(c *crash, now time.Time) []prompt.Part {
+// candidates returns the new parts of those suspects of a crash that match, without
+// parts that this entry knows as sound.
+func (t *Tracker) candidates(c *crash, now time.Time, match func(Suspect) bool) []prompt.Part {
 	var out []prompt.Part
 	for _, s := range c.suspects {
+		if !match(s) {
+			continue
+		}
 		for _, p := range s.New {
 			if !t.isKnown(p, now) {
 				out = append(out, p)
--- a/core/quarantine/quarantine_test.go
+++ b/core/quarantine/quarantine_test.go
@@ -186,15 +186,40 @@
 	}
 }
 
-// An entry that has just started knows no sound parts and must not take all parts
-// for new.
-func TestColdEntryBlamesNoPart(t *testing.T) {
+// Entries that have just started know no sound parts. Two crashes must not take a
+// part away there; three must, but for a short time only, because the part may be
+// one that most prompts have.
+func TestColdEntryNeedsMoreCrashes(t *testing.T) {
 	c := qt.New(t)
 	tr := NewTracker(1)
+	tr.crash("e1", at(0), common, deadly)
+	tr.crash("e2", at(100), common, deadly)
+	c.Assert(tr.blocks(at(100), common, deadly), qt.IsFalse)
+	verdicts := tr.crash("e3", at(200), common, deadly)
+	c.Assert(verdicts, qt.HasLen, 1)
+	c.Assert(verdicts[0].Remaining <= 2*coldDuration, qt.IsTrue)
+	c.Assert(tr.blocks(at(200), common, deadly), qt.IsTrue)
+	c.Assert(tr.blocks(at(200), common), qt.IsFalse)
+	// The next crash, when the entry has warmed up, keeps the part away for long.
+	tr.RecordSound([]prompt.Part{common}, at(300), at(300))
+	later := at(200).Add(verdicts[0].Remaining)
+	c.Assert(tr.blocks(later, common, deadly), qt.IsFalse)
+	verdicts = tr.crash("e4", later, common, deadly)
+	c.Assert(verdicts, qt.HasLen, 1)
+	c.Assert(verdicts[0].Remaining >= quarantineDuration(4), qt.IsTrue)
+}
+
+// A cold entry must not blame a part for two crashes, nor another entry that knows
+// the part as sound.
+func TestColdEntrySparesSoundParts(t *testing.T) {
+	c := qt.New(t)
+	cold, warm := NewTracker(1), warmTracker()
 	for i := range 4 {
-		tr.crash(fmt.Sprint("e", i), at(i), common)
+		s := cold.Suspect(fmt.Sprint("e", i), []prompt.Part{common}, at(i))
+		cold.RecordCrash(s, ThisEntry, at(i))
+		warm.RecordCrash(s, OtherEntry, at(i))
 	}
-	c.Assert(tr.blocks(at(4), common), qt.IsFalse)
+	c.Assert(warm.blocks(at(4), common), qt.IsFalse)
 }
 
 // Requests with ever new parts must not fill the memory.
