bench: a stopped process stands still, and the proxy closes after the processes

Traced with the ticket's state and the time of each step: after the failures the state was 'done completed', because the backend server still served the call in the moment after SIGSTOP was sent; the 20 s passed after the test's end, in the log proxy's Close, which waited for a long poll that an entry began while the proxy closed its connections. Change: harness.Process.Stop waits until all threads are stopped; the fixture's processes end before its proxy. Conclusion: faults of the test, not of the code; the check is unchanged.

--- a/bench/harness/process.go
+++ b/bench/harness/process.go
@@ -1,6 +1,11 @@
 package harness
 
 import (
+	"bytes"
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
 	"syscall"
 
 	"github.com/rotisserie/eris"
@@ -15,9 +20,36 @@
 	return nil
 }
 
-// Stop pauses the process.
+// Stop pauses the process and waits until all its threads stand still. A thread that
+// runs when the signal is sent goes on for a moment, long enough to serve a request.
 func (p *Process) Stop() error {
-	return eris.Wrapf(p.Cmd.Process.Signal(syscall.SIGSTOP), "stopping %s", p.Name)
+	if err := p.Cmd.Process.Signal(syscall.SIGSTOP); err != nil {
+		return eris.Wrapf(err, "stopping %s", p.Name)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), listenTimeout)
+	defer cancel()
+	return eris.Wrapf(Until(ctx, p.stopped), "waiting for %s to stop", p.Name)
+}
+
+// stopped reports whether all threads of the process are stopped.
+func (p *Process) stopped() bool {
+	threads, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/stat", p.Cmd.Process.Pid))
+	if err != nil || len(threads) == 0 {
+		return false
+	}
+	for _, thread := range threads {
+		stat, err := os.ReadFile(thread)
+		if err != nil {
+			// The thread has ended.
+			continue
+		}
+		// The state follows the name, which is in parentheses.
+		_, rest, _ := bytes.Cut(stat, []byte(") "))
+		if !bytes.HasPrefix(rest, []byte("T")) {
+			return false
+		}
+	}
+	return true
 }
 
 // Continue resumes a paused process.
--- a/bench/operations/cluster_test.go
+++ b/bench/operations/cluster_test.go
@@ -66,12 +66,14 @@
 	c := qt.New(tb)
 	cluster, err := harness.Start("../../bin", io.Discard)
 	c.Assert(err, qt.IsNil)
-	tb.Cleanup(cluster.Close)
 	f := &fixture{
 		TB: tb, cluster: cluster, workspacePath: "/v1/workspaces/field/services/saklar",
 		client: &http.Client{Timeout: waitLimit, Transport: &http.Transport{MaxIdleConnsPerHost: 64}},
 	}
 	f.proxy = newLogProxy(tb, cluster.LogURL)
+	// The processes end before the proxy, which otherwise waits for the end of a
+	// long poll that an entry begins as the proxy closes.
+	tb.Cleanup(cluster.Close)
 	for id, logURL := range []string{f.proxy.url, cluster.LogURL} {
 		entry, err := cluster.Entry(fmt.Sprintf("entry-%d", id), "priangan", "priangan-a", "--log-url", logURL)
 		c.Assert(err, qt.IsNil)
