--- a/node/mesh/mesh_test.go
+++ b/node/mesh/mesh_test.go
@@ -12,6 +12,8 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/laburnumloft/laburnumloft/core/placement"
+	"github.com/laburnumloft/laburnumloft/core/prompt"
+	"github.com/laburnumloft/laburnumloft/core/quarantine"
 	"github.com/laburnumloft/laburnumloft/node/decision"
 )
 
@@ -44,12 +46,34 @@
 	c.Assert(err, qt.Equals, ErrMalformedDatagram)
 }
 
+// A notice must arrive as it was sent, and one that is malformed or larger than a
+// datagram must be refused.
+func TestCrashNoticeRoundTrip(t *testing.T) {
+	c := qt.New(t)
+	notice := CrashNotice{
+		Suspect:  &quarantine.Suspect{Engine: "e@1", New: []prompt.Part{1<<64 - 1}, Known: []prompt.Part{2}, Cold: true},
+		Verdicts: []quarantine.Verdict{{Parts: []prompt.Part{3}, Crashes: 2, Remaining: time.Minute, SinceFirst: time.Second, HadSound: true}},
+	}
+	b, err := EncodeCrashNotice(notice)
+	c.Assert(err, qt.IsNil)
+	got, err := Decode(b)
+	c.Assert(err, qt.IsNil)
+	c.Assert(got, qt.DeepEquals, &notice)
+	_, err = EncodeCrashNotice(CrashNotice{Verdicts: make([]quarantine.Verdict, 100)})
+	c.Assert(err, qt.Equals, ErrMalformedDatagram)
+	for _, malformed := range []string{"\x07", "\x07{", "\x07{\"suspect\":{}}"} {
+		_, err := Decode([]byte(malformed))
+		c.Assert(err, qt.Equals, ErrMalformedDatagram)
+	}
+}
+
 func FuzzDecode(f *testing.F) {
 	f.Add(EncodeHello(Hello{Member: 1}))
 	f.Add([]byte{kindHeld, 0, 0})
 	f.Add(EncodeBundle(Bundle{Reports: []placement.Report{{Address: "10.0.0.1:1"}}, Hellos: []Hello{{Member: 2}}})[0])
 	f.Add([]byte{kindBundle, 0, 0, 0, 0, 0, 0, 0, 0, 1, 255, 255, 255, 255})
 	f.Add(bytes.Repeat([]byte{kindReport}, 27))
+	f.Add([]byte("\x07{\"suspect\":{\"engine\":\"e@1\",\"new\":[1]},\"verdicts\":[{\"parts\":[2],\"crashes\":2}]}"))
 	f.Fuzz(func(_ *testing.T, b []byte) {
 		// Decode must neither panic nor allocate more than the datagram's size.
 		_, _ = Decode(b)
