bench/fleet: tests of servers that name a limit, leave or ask for quiet (fail)

Requests reach a leaving server later than 2 s after it said so, and 64 to 132 a server in its quiet time of 5 s (allowed 6); up to 21 of 360 callers are refused though the other server has room.

The rate at the limited server is that of its neighbours, however the traffic is spread over the entries.

--- a/bench/fleet/fleet_test.go
+++ b/bench/fleet/fleet_test.go
@@ -26,7 +26,9 @@
 )
 
 const (
-	entries, engines, plains = 3, 4, 2
+	entries, engines = 3, 4
+	// usualPlains is how many plain servers most tests have.
+	usualPlains = 2
 	// beatEvery is the time between two records of a server.
 	beatEvery = 500 * time.Millisecond
 	// readers is how many entries of a region read the store.
@@ -99,7 +101,10 @@
 	originAddress = "127.77.2.2:8006"
 )
 
-func start(c *qt.C) *fleet {
+func start(c *qt.C) *fleet { return startWith(c, usualPlains) }
+
+// startWith starts a fleet with a number of plain servers.
+func startWith(c *qt.C, plains int) *fleet {
 	f := &fleet{
 		c: c, dir: c.TempDir(), store: platform.NewStore(), origin: platform.NewOrigin(), version: 1, config: 1,
 		client: &http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}},
--- a/bench/fleet/soak_test.go
+++ b/bench/fleet/soak_test.go
@@ -80,7 +80,7 @@
 
 // fault draws one fault; it lasts for the given time.
 func (f *fleet) fault(random *rand.Rand) func(time.Duration) {
-	entry, engine, plain, piece := random.IntN(entries), random.IntN(engines), random.IntN(plains), random.IntN(4)
+	entry, engine, plain, piece := random.IntN(entries), random.IntN(engines), random.IntN(usualPlains), random.IntN(4)
 	toggle := func(set func(bool)) func(time.Duration) {
 		return func(d time.Duration) {
 			set(true)
--- a/standin/platform/server.go
+++ b/standin/platform/server.go
@@ -39,6 +39,8 @@
 	broken                         []string
 	// onDeadlyPart crashes the engine's machine; nil means that it can't.
 	onDeadlyPart func()
+	distress     Distress
+	arrivals     []Arrival
 }
 
 // DeadlyPart is the part of a prompt under which engines crash as soon as they
@@ -65,6 +67,48 @@
 	return s
 }
 
+// Distress is what a server in need says in its answers. Empty fields are not sent.
+type Distress struct {
+	// Limit and Leaving are the values of the headers in all answers.
+	Limit, Leaving []string
+	// Refuse makes the server refuse all requests, with RetryAfter if it is set.
+	Refuse     bool
+	RetryAfter string
+}
+
+// Arrival is a request that reached a server for its own instance.
+type Arrival struct {
+	ID string
+	At time.Time
+	// RetryAfter is set if the request was refused with this time to return.
+	RetryAfter string
+}
+
+// SetDistress sets what the server says from now on.
+func (s *Server) SetDistress(d Distress) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.distress = d
+}
+
+// Arrivals returns the requests that reached the server, in order. Load reports,
+// orders and misdirected requests don't count.
+func (s *Server) Arrivals() []Arrival {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]Arrival(nil), s.arrivals...)
+}
+
+// writeDistress adds the headers of a server in need to an answer.
+func (s *Server) writeDistress(h http.Header) {
+	for _, value := range s.distress.Limit {
+		h.Add("Server-Limit", value)
+	}
+	for _, value := range s.distress.Leaving {
+		h.Add("Server-Leaving", value)
+	}
+}
+
 // SetFaults sets the faults: every so many-th request loses its answer, is cut
 // or is refused.
 func (s *Server) SetFaults(loseEvery, cutEvery, shedEvery int) {
@@ -135,6 +179,9 @@
 
 // ServeHTTP implements http.Handler.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	s.writeDistress(w.Header())
+	s.mu.Unlock()
 	switch {
 	case r.URL.Path == "/v1/report" && s.model != "":
 		s.mu.Lock()
@@ -226,7 +273,13 @@
 	s.mu.Lock()
 	s.served++
 	every := func(n int) bool { return n > 0 && s.served%n == 0 }
-	lose, cut, shed := every(s.loseEvery), every(s.cutEvery), every(s.shedEvery)
+	lose, cut, shed := every(s.loseEvery), every(s.cutEvery), every(s.shedEvery) || s.distress.Refuse
+	arrival := Arrival{ID: id, At: time.Now()}
+	if s.distress.Refuse && s.distress.RetryAfter != "" {
+		arrival.RetryAfter = s.distress.RetryAfter
+		w.Header().Set("Retry-After", arrival.RetryAfter)
+	}
+	s.arrivals = append(s.arrivals, arrival)
 	if shed || s.model != "" && (s.version == 0 || s.busy) {
 		s.mu.Unlock()
 		w.Header().Set("X-Not-Executed", "1")
