gateway, platform: log what an answer says about its server

The logs could not tell whether an entry sees a server's limit, that it is leaving, or a time to return.

--- a/node/gateway/exchange.go
+++ b/node/gateway/exchange.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/laburnumloft/laburnumloft/core/backpressure"
 	"github.com/laburnumloft/laburnumloft/core/placement"
 	"github.com/laburnumloft/laburnumloft/core/prompt"
 )
@@ -105,6 +106,9 @@
 	} else if e.resp.StatusCode/100 == 2 && (!e.answer.Signed || e.answer.RequestID == "" || e.resp.Header.Get("Content-Encoding") != "") {
 		_ = e.resp.Body.Close()
 		e.err = errInvalidHeader
+	} else if signals := e.answer.Signals; !signals.Empty() {
+		g.cfg.Log.Event("server_signals", "request", req.call.RequestID, "server", choice.Server.ID, "limited", signals.Limit == backpressure.LimitNamed,
+			"limit", signals.Rate, "leaving", signals.Leaving, "quiet_ms", signals.QuietFor.Milliseconds(), "unreadable", signals.Unreadable)
 	}
 	return e
 }
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -13,6 +13,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/laburnumloft/laburnumloft/core/backpressure"
 	"github.com/laburnumloft/laburnumloft/core/limits"
 	"github.com/laburnumloft/laburnumloft/core/placement"
 	"github.com/laburnumloft/laburnumloft/core/prompt"
@@ -66,6 +67,8 @@
 	NotRun bool
 	// Misdirected means that the request reached another server instance.
 	Misdirected bool
+	// Signals is what the server says about itself.
+	Signals backpressure.Signals
 }
 
 // Codec translates between headers and the types above.
