gateway: a resumed stream that gets no event and no visible end is broken

Cause: such an answer counted as broken only if the stream had no event from any server yet. Change: what counts is whether this attempt got an event; the stream then goes on elsewhere or is aborted.

The case 'resumed after its last event' of TestAnswersThatEndWithTheirConnection expected 200 and was wrong: the first server had begun event 4, which the caller never got. It is replaced by three cases: the same with an abort expected, a break after the first event, and an answer whose end can be seen, which stays complete. The first two fail without the change.

--- a/node/gateway/errors.go
+++ b/node/gateway/errors.go
@@ -8,6 +8,6 @@
 	errInvalidHeader  = eris.New("a 2xx answer of the server lacks a signature or a request id, or has a content encoding")
 	errAnswerTooLarge = eris.New("the answer exceeds the limit of one answer or of all buffered answers")
 	errQuarantined    = eris.New("the attempt was cancelled before its first event, because its prompt crashes engines")
-	errEmptyStream    = eris.New("the server's stream ended with its connection before the first event")
+	errEmptyStream    = eris.New("the server's stream ended with its connection before the attempt's first event")
 	errNoProgress     = eris.New("the server made no progress on the stream within its timeout")
 )
--- a/node/gateway/stream.go
+++ b/node/gateway/stream.go
@@ -127,7 +127,7 @@
 			if split.Buffered() > 0 {
 				return io.ErrUnexpectedEOF
 			}
-			if _, begun := s.sequence.Last(); !begun && endsWithConnection(resp) {
+			if e.events == 0 && endsWithConnection(resp) {
 				return errEmptyStream
 			}
 			s.sendHeader(resp)
--- a/node/gateway/unframed_test.go
+++ b/node/gateway/unframed_test.go
@@ -78,6 +78,11 @@
 	}
 }
 
+// framedEmpty is a stream without events whose end can be seen.
+func framedEmpty(int) unframedAnswer {
+	return unframedAnswer{"200 OK", "Content-Type: text/event-stream\r\nContent-Length: 0\r\n", "", closed}
+}
+
 // An answer may have neither a length nor chunks and end with its connection. A
 // caller must get it whole, and never a part of one that looks whole.
 func TestAnswersThatEndWithTheirConnection(t *testing.T) {
@@ -101,7 +106,9 @@
 		{"stream, ended inside the blank line", "/stream/1", answers{unframedEvents(2, "id: 3\ndata: t3\n", closed), unframedEvents(3, "", closed)}, 200, whole, 2},
 		{"stream, reset at the edge of an event", "/stream/1", answers{unframedEvents(2, "", reset), unframedEvents(3, "", closed)}, 200, whole, 2},
 		{"stream, ended before the first event", "/stream/1", answers{unframedEvents(0, "", closed), unframedEvents(3, "", closed)}, 200, whole, 2},
-		{"stream, resumed after its last event", "/stream/1", answers{unframedEvents(3, "id: 4", closed), unframedEvents(3, "", closed)}, 200, whole, 2},
+		{"stream, broken inside an event that the next server lacks", "/stream/1", answers{unframedEvents(3, "id: 4", closed), unframedEvents(3, "", closed)}, 0, "", 2},
+		{"stream, broken after its first event, no event from the next server", "/stream/1", answers{unframedEvents(1, "", reset), unframedEvents(1, "", closed)}, 0, "", 2},
+		{"stream, broken, no event from the next server in an answer with an end", "/stream/1", answers{unframedEvents(3, "", reset), framedEmpty}, 200, whole, 2},
 		{"non-resumable stream", "/once/1", answers{unframedEvents(3, "", closed)}, 200, whole, 1},
 		{"non-resumable stream, ended inside its first event", "/once/1", answers{unframedEvents(0, "id: 1", closed), unframedEvents(3, "", closed)}, 502, "", 1},
 		{"non-resumable stream, ended before the first event", "/once/1", answers{unframedEvents(0, "", closed), unframedEvents(3, "", closed)}, 502, "", 1},
