stager, gateway: agents respect their engine's quiet time and pass on what it says

An agent called its engine, and the origin, again right after a refusal with a time to return, and counted such an engine as down. Now no call goes out until the time has passed; the engine's last state stands meanwhile. What the engine says about itself with its state goes to all entries by the datagram that entries use among themselves, named by address, as agents know no id.

--- a/core/backpressure/tracker.go
+++ b/core/backpressure/tracker.go
@@ -63,6 +63,8 @@
 // part of it, because each entry has its own.
 type Notice struct {
 	Server Server `json:"server"`
+	// ByAddress means that the server's id is its address: agents know no other.
+	ByAddress bool `json:"by_address,omitempty"`
 	// Limited says whether the server limits its rate, as of AgeMS milliseconds
 	// ago. A negative age means that nothing is known about a limit.
 	Limited bool    `json:"limited,omitempty"`
--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -227,6 +227,16 @@
 	f.services[m.server.Service] = slices.DeleteFunc(f.services[m.server.Service], func(o *member) bool { return o == m })
 }
 
+// InstanceAt returns the server instance at an address if it was born at the given
+// time, as far as that is known.
+func (f *Fleet) InstanceAt(address string, born int64) (instance backpressure.Server, ok bool) {
+	m := f.byAddress[address]
+	if m == nil || born != 0 && m.server.Born != 0 && born != m.server.Born {
+		return backpressure.Server{}, false
+	}
+	return m.server.Instance(), true
+}
+
 // Servers returns the registry records of all servers, ordered by id.
 func (f *Fleet) Servers() []Server {
 	all := make([]Server, 0, len(f.members))
--- a/node/gateway/backpressure.go
+++ b/node/gateway/backpressure.go
@@ -115,6 +115,13 @@
 	var changes []backpressure.Change
 	g.mu.Lock()
 	for _, n := range notices {
+		if n.ByAddress {
+			instance, known := g.fleet.InstanceAt(n.Server.ID, n.Server.Born)
+			if !known {
+				continue
+			}
+			n.Server = instance
+		}
 		changes = append(changes, g.pressure.Adopt(n, now)...)
 	}
 	if len(changes) > 0 {
--- a/node/gateway/gateway_test.go
+++ b/node/gateway/gateway_test.go
@@ -53,10 +53,14 @@
 }
 
 func (testCodec) Answer(resp *http.Response) Answer {
-	return Answer{
+	a := Answer{
 		RequestID: resp.Header.Get("Id"), Signed: resp.Header.Get("Signature") != "",
 		NotRun: resp.Header.Get("Not-Run") != "", Misdirected: resp.StatusCode == http.StatusMisdirectedRequest,
 	}
+	a.Signals.ParseRate("Rate", resp.Header["Rate"])
+	a.Signals.ParseLeaving("Gone-Soon", resp.Header["Gone-Soon"])
+	a.Signals.ParseQuiet("Wait", resp.Header["Wait"])
+	return a
 }
 
 // server is a backend server with one scripted answer per request; the last
@@ -639,3 +643,8 @@
 	bootclock.AddSuspension(8 * time.Second)
 	c.Assert(place(), qt.Equals, ReasonNoWeights)
 }
+
+// serverAt returns the record of an instance of a test server.
+func serverAt(s *server, id string, born int64) placement.Server {
+	return placement.Server{ID: id, Address: strings.TrimPrefix(s.URL, "http://"), Service: "svc", Zone: "z", Born: born}
+}
--- a/node/stager/stager.go
+++ b/node/stager/stager.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
@@ -13,9 +14,11 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/laburnumloft/laburnumloft/core/backpressure"
 	"github.com/laburnumloft/laburnumloft/core/placement"
 	"github.com/laburnumloft/laburnumloft/core/rollout"
 	"github.com/laburnumloft/laburnumloft/node/decision"
+	"github.com/laburnumloft/laburnumloft/node/lib/bootclock"
 )
 
 // Errors of engines and origins.
@@ -57,6 +60,8 @@
 	Slowdown float64
 	// StartTime is the start time of the server instance; it changes at a restart.
 	StartTime int64
+	// Signals is what the engine says about itself with its state.
+	Signals backpressure.Signals
 }
 
 // Engine is the engine on this machine.
@@ -113,6 +118,8 @@
 	Peers func() []rollout.Peer
 	// Report sends the engine's load to the entries.
 	Report func(r placement.Report)
+	// Notify tells the entries what the engine says about itself; nil disables it.
+	Notify func(backpressure.Notice)
 	Log    *decision.Log
 	// Announce announces to other agents which pieces this agent holds.
 	Announce func(version int64, pieces []bool, to Audience)
@@ -194,16 +201,21 @@
 	// nextManifestFetch is the time of the next attempt to fetch the manifest of
 	// a version that the engine was already running.
 	nextManifestFetch time.Time
+	// signals is what the engine said about itself; notifiedAt is when the entries
+	// were last told. Only the monitor goroutine uses them.
+	signals    *backpressure.Tracker
+	notifiedAt time.Time
 }
 
 // New returns a stager without a target.
 func New(cfg Config) *Stager {
+	cfg.Engine = quietEngine{cfg.Engine, &quietTime{log: cfg.Log, server: cfg.Address}}
 	return &Stager{
 		cfg: cfg, store: newPieceStore(), peers: newPeerClient(), fetchWork: make(chan struct{}, 1), loadWork: make(chan struct{}, 1),
 		uplink: newLinkLimiter(cfg.LinkMbps), downlink: newLinkLimiter(cfg.LinkMbps), uploadSlots: make(chan struct{}, maxActiveUploads),
 		link:             newLinkMonitor(cfg.LinkMbps),
 		announceRequests: make(chan struct{}, 1), announcements: map[string]peerAnnouncements{}, publishedManifests: map[string]*Manifest{},
-		nextManifestFetch: time.Now().Add(rand.N(manifestJitter)),
+		nextManifestFetch: time.Now().Add(rand.N(manifestJitter)), signals: backpressure.NewTracker(),
 	}
 }
 
@@ -218,7 +230,7 @@
 		t.Version = s.target.Version
 	}
 	if t.Origin != s.target.Origin && t.Origin != "" {
-		s.origin = s.cfg.NewOrigin(t.Origin)
+		s.origin = quietOrigin{s.cfg.NewOrigin(t.Origin), &quietTime{log: s.cfg.Log, server: t.Origin}}
 	}
 	s.target = t
 	s.cfg.Log.Event("target_taken", "model", t.Model, "version", t.Version, "origin", t.Origin)
@@ -295,15 +307,22 @@
 func (s *Stager) pollEngine(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, stateTimeout)
 	defer cancel()
+	sentAt := bootclock.Now()
 	state, err := s.cfg.Engine.State(ctx)
+	if err == nil {
+		s.observeSignals(state, sentAt)
+	}
+	var refused *RefusedError
 	s.mu.Lock()
-	if err != nil {
+	// An engine that wants no calls for a while is not down: what it last said stays.
+	quiet := errors.Is(err, ErrQuiet) || errors.As(err, &refused)
+	if err != nil && !quiet {
 		s.failedCalls++
 		if s.failedCalls == failuresUntilDown {
 			s.down = true
 			s.cfg.Log.Event("engine_down", "cause", err.Error())
 		}
-	} else {
+	} else if err == nil {
 		if s.down || !s.stateKnown || s.state.StartTime != state.StartTime || s.state.Version != state.Version {
 			s.cfg.Log.Event("engine_state", "weights", state.Version, "born", state.StartTime, "running", state.Running, "queued", state.Queued, "busy", state.Busy)
 		}
@@ -327,6 +346,32 @@
 	}
 }
 
+// notifyInterval is the time between two notices of what the engine says about itself,
+// for entries that missed the first one.
+const notifyInterval = time.Second
+
+// observeSignals tells the entries what the engine says about itself.
+func (s *Stager) observeSignals(state EngineState, sentAt time.Time) {
+	now := bootclock.Now()
+	server := backpressure.Server{ID: s.cfg.Address, Born: state.StartTime}
+	changes := s.signals.Observe(server, state.Signals, sentAt, now)
+	for _, c := range changes {
+		s.cfg.Log.Event(string(c.Kind), "server", s.cfg.Address, "limit", c.Rate, "source", "engine_state")
+	}
+	if len(state.Signals.Unreadable) > 0 && now.Sub(s.notifiedAt) >= notifyInterval {
+		s.cfg.Log.Event("server_signal_unreadable", "server", s.cfg.Address, "values", state.Signals.Unreadable)
+	}
+	if len(changes) == 0 && now.Sub(s.notifiedAt) < notifyInterval {
+		return
+	}
+	s.notifiedAt = now
+	// Leaving is the only other thing that a notice holds, and never ends.
+	_, limited := s.signals.Limit(server)
+	if s.cfg.Notify != nil && (len(changes) > 0 || limited || state.Signals.Leaving) {
+		s.cfg.Notify(s.signals.NoticeOf(server, backpressure.Membership{}, now))
+	}
+}
+
 // sequenced returns the report with the next sequence number; Changed is set if
 // what the engine can serve differs from the last report. The caller must hold
 // s.mu.
--- a/node/stager/stager_test.go
+++ b/node/stager/stager_test.go
@@ -15,6 +15,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/laburnumloft/laburnumloft/core/backpressure"
 	"github.com/laburnumloft/laburnumloft/core/placement"
 	"github.com/laburnumloft/laburnumloft/core/rollout"
 	"github.com/laburnumloft/laburnumloft/node/decision"
@@ -45,6 +46,10 @@
 	down   bool
 	// busyOrders is the number of load orders to refuse first.
 	busyOrders int
+	// refuseFor makes the engine refuse calls, with this time to return; refused
+	// are the times of the calls meanwhile.
+	refuseFor time.Duration
+	refused   []time.Time
 	// corruptWhileBusy makes a staged piece corrupt at each refused order.
 	corruptWhileBusy bool
 	// corruptPuts is the number of pieces to corrupt when they are staged.
@@ -76,6 +81,10 @@
 	if e.down {
 		return EngineState{}, io.ErrClosedPipe
 	}
+	if e.refuseFor > 0 {
+		e.refused = append(e.refused, time.Now())
+		return EngineState{}, &RefusedError{RetryAfter: e.refuseFor}
+	}
 	return e.state, nil
 }
 
@@ -582,3 +591,59 @@
 	c.Assert(time.Since(start) >= 450*time.Millisecond, qt.IsTrue, qt.Commentf("the bytes took %v", time.Since(start)))
 	c.Assert(newLinkLimiter(0).wait(t.Context(), 1<<30), qt.IsNil)
 }
+
+// An engine that refuses a call with a time to return must get no calls of its agent
+// meanwhile, and must not be reported as down.
+func TestRefusingEngineIsLeftAlone(t *testing.T) {
+	c := qt.New(t)
+	engine := newFakeEngine(1)
+	var mu sync.Mutex
+	var reports []placement.Report
+	s := New(Config{
+		Address: "10.0.0.1:1", Engine: engine, Log: decision.New(decision.Config{Output: io.Discard}),
+		Report: func(r placement.Report) {
+			mu.Lock()
+			defer mu.Unlock()
+			reports = append(reports, r)
+		},
+	})
+	s.pollEngine(t.Context())
+	const quiet = 300 * time.Millisecond
+	engine.refuseFor = quiet
+	for began := time.Now(); time.Since(began) < 2*quiet; {
+		s.pollEngine(t.Context())
+		_, _ = s.cfg.Engine.Get(t.Context(), "m", 0)
+		<-time.After(5 * time.Millisecond)
+	}
+	c.Check(len(engine.refused) >= 2, qt.IsTrue)
+	for i, at := range engine.refused[1:] {
+		c.Check(at.Sub(engine.refused[i]) >= quiet, qt.IsTrue, qt.Commentf("called %v after a refusal", at.Sub(engine.refused[i])))
+	}
+	for _, r := range reports {
+		c.Assert(r.Down, qt.IsFalse)
+		c.Assert(r.WeightVersion, qt.Equals, int64(1))
+	}
+}
+
+// The entries must be told of what the engine says with its state.
+func TestEngineStateSignalsReachTheEntries(t *testing.T) {
+	c := qt.New(t)
+	engine := newFakeEngine(1)
+	var notices []backpressure.Notice
+	s := New(Config{
+		Address: "10.0.0.1:1", Engine: engine, Log: decision.New(decision.Config{Output: io.Discard}),
+		Report: func(placement.Report) {}, Notify: func(n backpressure.Notice) { notices = append(notices, n) },
+	})
+	s.pollEngine(t.Context())
+	c.Assert(notices, qt.HasLen, 0)
+	engine.state.Signals = backpressure.Signals{Limit: backpressure.LimitNamed, Rate: 1.7}
+	s.pollEngine(t.Context())
+	engine.state.Signals = backpressure.Signals{Leaving: true}
+	s.pollEngine(t.Context())
+	c.Assert(notices, qt.HasLen, 2)
+	c.Check(notices[0].Limited, qt.IsTrue)
+	c.Check(notices[0].Rate, qt.Equals, 1.7)
+	c.Check(notices[1].Limited, qt.IsFalse)
+	c.Check(notices[1].Leaving, qt.IsTrue)
+	c.Check(notices[1].Server, qt.Equals, backpressure.Server{ID: "10.0.0.1:1", Born: 1})
+}
--- a/standin/platform/server.go
+++ b/standin/platform/server.go
@@ -41,6 +41,7 @@
 	onDeadlyPart func()
 	distress     Distress
 	arrivals     []Arrival
+	agentCalls   []Arrival
 }
 
 // DeadlyPart is the part of a prompt under which engines crash as soon as they
@@ -74,6 +75,8 @@
 	// Refuse makes the server refuse all requests, with RetryAfter if it is set.
 	Refuse     bool
 	RetryAfter string
+	// RefuseAgent makes an engine refuse the calls of its agent, with RetryAfter.
+	RefuseAgent bool
 }
 
 // Arrival is a request that reached a server for its own instance.
@@ -99,6 +102,32 @@
 	return append([]Arrival(nil), s.arrivals...)
 }
 
+// AgentCalls returns the calls of the agent that reached the engine, in order.
+func (s *Server) AgentCalls() []Arrival {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]Arrival(nil), s.agentCalls...)
+}
+
+// refusesAgent adds what the server says to an answer, and refuses calls of an agent
+// if it has to.
+func (s *Server) refusesAgent(w http.ResponseWriter, r *http.Request) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.writeDistress(w.Header())
+	if s.model == "" || !strings.HasPrefix(r.URL.Path, "/v1/") {
+		return false
+	}
+	call := Arrival{ID: r.URL.Path, At: time.Now()}
+	if s.distress.RefuseAgent {
+		call.RetryAfter = s.distress.RetryAfter
+		w.Header().Set("Retry-After", call.RetryAfter)
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+	s.agentCalls = append(s.agentCalls, call)
+	return s.distress.RefuseAgent
+}
+
 // writeDistress adds the headers of a server in need to an answer.
 func (s *Server) writeDistress(h http.Header) {
 	for _, value := range s.distress.Limit {
@@ -179,9 +208,9 @@
 
 // ServeHTTP implements http.Handler.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	s.mu.Lock()
-	s.writeDistress(w.Header())
-	s.mu.Unlock()
+	if s.refusesAgent(w, r) {
+		return
+	}
 	switch {
 	case r.URL.Path == "/v1/report" && s.model != "":
 		s.mu.Lock()
