agent, entry: the own interface respects backend servers in need, too

All requests to a backend server pass through its agent here, so the agent holds the limit alone: a request that the server takes within 0.1 s waits, others go back to the entry as not run, with the time for which the agent is paused, and the entry's pool leaves it out meanwhile. Operations that the server does not take are not sent. The names of the three headers are our own.

--- a/core/routing/pool.go
+++ b/core/routing/pool.go
@@ -117,10 +117,12 @@
 	limit          float64
 	slowStartUntil int64
 	ejectedUntil   int64
-	regionBit      uint64
-	reportedAt     int64
-	occupied       bool
-	generation     uint32
+	// pausedUntil is until when the backend server takes no requests.
+	pausedUntil int64
+	regionBit   uint64
+	reportedAt  int64
+	occupied    bool
+	generation  uint32
 	Backend
 	failures, ejections int
 }
@@ -351,7 +353,7 @@
 }
 
 func (m *member) eligible(at int64, regions uint64) bool {
-	return m.occupied && m.regionBit&regions != 0 && at >= m.ejectedUntil
+	return m.occupied && m.regionBit&regions != 0 && at >= m.ejectedUntil && at >= m.pausedUntil
 }
 
 func (m *member) wasTried(slot uint32, tried []Handle) bool {
@@ -423,6 +425,14 @@
 	m.recordLoad(p.sinceEpoch(now), running+queued)
 }
 
+// Pause keeps requests away from a backend server for a time, because it limits its
+// rate or wants none.
+func (p *Pool) Pause(now time.Time, h Handle, d time.Duration) {
+	if m := p.member(h); m != nil && d > 0 {
+		m.pausedUntil = p.sinceEpoch(now) + d.Nanoseconds()
+	}
+}
+
 func (p *Pool) member(h Handle) *member {
 	if int(h.slot) >= len(p.members) {
 		return nil
@@ -482,7 +492,7 @@
 			continue
 		}
 		s.InFlight += int(m.inFlight)
-		if at >= m.ejectedUntil {
+		if at >= m.ejectedUntil && at >= m.pausedUntil {
 			s.Free += int(max(0, p.capacity(m, at)-m.estimatedLoad(at, halfLife)))
 		}
 	}
--- a/node/agent/agent.go
+++ b/node/agent/agent.go
@@ -83,7 +83,9 @@
 	tracker     *lifecycle.Tracker
 	operations  *operationsDuty
 	admission   *admission
-	cancels     *ring.Ring[string]
+	// gate keeps requests away from a backend server in need.
+	gate    *backendGate
+	cancels *ring.Ring[string]
 }
 
 // agentState is what the duties of one agent share.
@@ -127,7 +129,7 @@
 		peers:       &http.Client{Transport: peerTransport(cfg)},
 		weights:     platform.NewWeights(cfg.WeightsURL, platformClient),
 		membership:  platform.NewMembership(cfg.MembershipURL, platformClient),
-		engine:      newEngineClient(cfg.BackendURL),
+		gate:        newBackendGate(cfg.BackendURL, cfg.Logger),
 		state: &agentState{
 			settings:      settings.NewState(),
 			inForce:       settings.NewInForce(),
@@ -135,6 +137,7 @@
 			reportChanged: make(chan struct{}, 1),
 		},
 	}
+	a.engine = newEngineClient(cfg.BackendURL, a.gate)
 	a.rollout = newRolloutDuty(a)
 	a.sync = newSyncDuty(a, lifecycle.ControlClient(cfg.Channel, cfg.Dial))
 	a.tracker = lifecycle.NewTracker()
@@ -142,7 +145,7 @@
 	if cfg.Kind == settings.KindEngine {
 		a.state.gate = a.rollout
 	}
-	a.admission = newAdmission()
+	a.admission = newAdmission(a.gate)
 	a.cancels = newCancelRing()
 	return a
 }
--- a/node/agent/engine.go
+++ b/node/agent/engine.go
@@ -21,8 +21,9 @@
 	url    string
 }
 
-func newEngineClient(url string) *engineClient {
-	client := &http.Client{Transport: &telemetry.Transport{Base: &http.Transport{MaxIdleConnsPerHost: 64}}}
+func newEngineClient(url string, gate *backendGate) *engineClient {
+	base := signalTransport{&http.Transport{MaxIdleConnsPerHost: 64}, gate}
+	client := &http.Client{Transport: &telemetry.Transport{Base: base}}
 	return &engineClient{client: client, base: sling.New().Client(client).Base(url), url: url}
 }
 
--- a/node/agent/operations.go
+++ b/node/agent/operations.go
@@ -85,7 +85,7 @@
 func newOperationsDuty(a *Agent) *operationsDuty {
 	return &operationsDuty{
 		agent:    a,
-		backend:  newOperationBackend(a.cfg.BackendURL),
+		backend:  newOperationBackend(a.cfg.BackendURL, a.gate),
 		table:    operation.NewTable(a.cfg.ID, a.incarnation, operation.DefaultLimits()),
 		commands: ring.New[command]("operation_commands", commandRing, ring.Refuse),
 		ends:     ring.New[finished]("operation_ends", commandRing, ring.Block),
@@ -208,6 +208,9 @@
 	if d.agent.state.isLeaving() {
 		return nil, twirp.NewError(twirp.Unavailable, "agent is leaving")
 	}
+	if failure := d.agent.gate.refusal(); failure != nil {
+		return nil, twirp.NewError(twirp.Unavailable, failure.Message)
+	}
 	return d.ask(ctx, command{kind: commandReserve, id: req.GetRequestId()})
 }
 
@@ -254,6 +257,9 @@
 	if d.agent.state.isLeaving() {
 		return nil, twirp.NewError(twirp.Unavailable, "agent is leaving")
 	}
+	if failure := d.agent.gate.refusal(); failure != nil {
+		return nil, twirp.NewError(twirp.Unavailable, failure.Message)
+	}
 	select {
 	case d.calls <- struct{}{}:
 		defer func() { <-d.calls }()
--- a/node/agent/operations_backend.go
+++ b/node/agent/operations_backend.go
@@ -26,24 +26,28 @@
 type operationBackend struct {
 	url    string
 	client *http.Client
+	gate   *backendGate
 }
 
 // newOperationBackend returns a client that sends each request at most once.
 // Go's transport replays a request only on a reused connection, and a client
 // repeats a POST that is redirected with status 307 or 308; both are off.
-func newOperationBackend(baseURL string) *operationBackend {
+func newOperationBackend(baseURL string, gate *backendGate) *operationBackend {
 	transport := &http.Transport{
 		DisableKeepAlives: true,
 		DialContext:       (&net.Dialer{Timeout: backendDialTimeout}).DialContext,
 	}
-	return &operationBackend{url: baseURL, client: &http.Client{
-		Transport:     &telemetry.Transport{Base: transport},
+	return &operationBackend{url: baseURL, gate: gate, client: &http.Client{
+		Transport:     &telemetry.Transport{Base: signalTransport{transport, gate}},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}}
 }
 
 // send sends one request and classifies its end.
 func (b *operationBackend) send(ctx context.Context, ticket string, fence wire.Fence, method string, body []byte) operation.Result {
+	if !b.gate.await(ctx) {
+		return operation.Result{Outcome: operation.OutcomeNotRun}
+	}
 	connected := false
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(httptrace.GotConnInfo) { connected = true },
--- a/node/agent/requests_admission.go
+++ b/node/agent/requests_admission.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/laburnumloft/laburnumloft/core/limits"
+	"github.com/laburnumloft/laburnumloft/node/lib/bootclock"
 	"github.com/laburnumloft/laburnumloft/node/lib/ring"
 	"github.com/laburnumloft/laburnumloft/node/lib/wire"
 )
@@ -42,6 +43,7 @@
 	queue   *limits.FairQueue
 	limit   *limits.Concurrency
 	waiting map[uint64]chan *wire.Error
+	gate    *backendGate
 	// life ends when the owning goroutine ends.
 	life context.Context
 	stop context.CancelFunc
@@ -61,7 +63,7 @@
 	served int
 }
 
-func newAdmission() *admission {
+func newAdmission(gate *backendGate) *admission {
 	life, stop := context.WithCancel(context.Background())
 	a := &admission{
 		events: ring.New[admissionEvent]("agent_admission", admissionBacklog, ring.Block),
@@ -70,6 +72,7 @@
 		}),
 		limit:   limits.NewConcurrency(limits.DefaultConcurrency),
 		waiting: map[uint64]chan *wire.Error{},
+		gate:    gate,
 		life:    life,
 		stop:    stop,
 	}
@@ -124,7 +127,9 @@
 
 // load returns the load as of the latest event.
 func (a *admission) load() *wire.Load {
-	return a.published.Load()
+	load := *a.published.Load()
+	load.PausedMS = a.gate.pausedMS()
+	return &load
 }
 
 func (a *admission) run(ctx context.Context) {
@@ -144,7 +149,9 @@
 }
 
 func (a *admission) handle(now time.Time, event admissionEvent) {
-	if event.item != nil {
+	if failure := a.gate.refusal(); event.item != nil && failure != nil {
+		event.reply <- failure
+	} else if event.item != nil {
 		result := a.queue.Push(now, *event.item)
 		if result.Refused != "" {
 			event.reply <- refusal(result.Refused, result.RetryAfter)
@@ -178,6 +185,10 @@
 func (a *admission) dispatch(now time.Time) {
 	for {
 		free := a.limit.Limit() - a.queue.Running()
+		if a.gate.wait(bootclock.Now()) != 0 {
+			// Expired items still have to be answered.
+			free = 0
+		}
 		item, ok, expired := a.queue.Pop(now, free, nil)
 		for _, id := range expired {
 			a.answer(id, refusal(limits.RefusedDeadline, time.Second))
@@ -185,6 +196,10 @@
 		if !ok {
 			break
 		}
+		if !a.gate.take(bootclock.Now()) {
+			a.queue.Requeue(item)
+			break
+		}
 		a.answer(item.ID, nil)
 	}
 	a.publish()
--- a/node/entry/requests_dispatch.go
+++ b/node/entry/requests_dispatch.go
@@ -205,6 +205,7 @@
 	if event.kind == eventLoad {
 		if s := d.services[event.service]; s != nil {
 			s.pool.RecordLoad(now, event.grant.handle, event.load.Running, event.load.Queued, event.load.Limit)
+			s.pool.Pause(now, event.grant.handle, time.Duration(event.load.PausedMS)*time.Millisecond)
 			d.pump(now, s)
 		}
 		return
--- a/node/lib/wire/wire.go
+++ b/node/lib/wire/wire.go
@@ -111,6 +111,9 @@
 	Queued  int `json:"queued"`
 	// Limit is the maximum number of requests that the agent runs concurrently.
 	Limit int `json:"limit"`
+	// PausedMS is for how many milliseconds the backend server takes no requests,
+	// because it limits its rate, wants none, or is leaving.
+	PausedMS int64 `json:"paused_ms,omitempty"`
 }
 
 // Token is one generated token.
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -59,6 +59,10 @@
 	// stepping says that a goroutine runs the batch.
 	stepping bool
 	loadAt   time.Time
+	// need is what the engine says in its answers; accepted are the times of the
+	// requests that reached it.
+	need     Need
+	accepted []time.Time
 }
 
 // New returns an engine without a version.
@@ -78,7 +82,53 @@
 		wire.WriteJSON(w, http.StatusOK, e.Status())
 	})
 	e.addGenerate(mux)
-	return mux
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if !e.refuses(w, r) {
+			mux.ServeHTTP(w, r)
+		}
+	})
+}
+
+// Need is what an engine in need says in its answers. Empty fields are not sent.
+type Need struct {
+	RateLimit, Leaving string
+	// RetryAfter makes the engine refuse requests with this time to return.
+	RetryAfter string
+}
+
+// SetNeed sets what the engine says from now on.
+func (e *Engine) SetNeed(n Need) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.need = n
+}
+
+// Arrivals returns the times of the requests for answers that reached the engine.
+func (e *Engine) Arrivals() []time.Time {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return append([]time.Time(nil), e.accepted...)
+}
+
+// refuses adds what the engine says to an answer, and refuses a request if it has to.
+func (e *Engine) refuses(w http.ResponseWriter, r *http.Request) bool {
+	e.mu.Lock()
+	need := e.need
+	if r.URL.Path == "/v1/generate" {
+		e.accepted = append(e.accepted, time.Now())
+	}
+	e.mu.Unlock()
+	for name, value := range map[string]string{wire.RateLimitHeader: need.RateLimit, wire.LeavingHeader: need.Leaving} {
+		if value != "" {
+			w.Header().Set(name, value)
+		}
+	}
+	if need.RetryAfter == "" || r.URL.Path != "/v1/generate" {
+		return false
+	}
+	w.Header().Set(wire.RetryAfterHeader, need.RetryAfter)
+	wire.WriteError(w, wire.Error{Kind: wire.ErrorUnavailable, Message: "the engine wants no requests", Run: wire.RunNotRun})
+	return true
 }
 
 // Status returns the state of the engine.
