--- a/bench/fleet/distress_test.go
+++ b/bench/fleet/distress_test.go
@@ -36,9 +36,12 @@
 	callInterval = time.Second / 60
 )
 
+// plainPaths are requests to the plain servers, enginePaths to the engines.
+var plainPaths, enginePaths = []string{"/order/", "/read/"}, []string{"/notice/"}
+
 // callers sends requests until stop is called, which returns the numbers of requests
 // by status.
-func (f *fleet) callers(name string, entryOf func(n int) int) (stop func() map[int]int) {
+func (f *fleet) callers(name string, paths []string, entryOf func(n int) int) (stop func() map[int]int) {
 	done, counts := make(chan struct{}), map[int]int{}
 	var mu sync.Mutex
 	var wait sync.WaitGroup
@@ -51,7 +54,7 @@
 				return
 			case <-tick.C:
 			}
-			path := []string{"/order/", "/read/"}[n%2]
+			path := paths[n%len(paths)]
 			wait.Go(func() {
 				status := f.call(entryOf(n), path, fmt.Sprint(strings.Trim(path, "/"), "-", name, "-", n))
 				mu.Lock()
@@ -146,7 +149,7 @@
 			c := qt.New(t)
 			f := startWith(c, test.plains)
 			limited := f.plains[0]
-			stop := f.callers("limit", test.entryOf)
+			stop := f.callers("limit", plainPaths, test.entryOf)
 			for _, limit := range test.limits {
 				limited.SetDistress(platform.Distress{Limit: []string{fmt.Sprint(limit)}})
 				named := time.Now()
@@ -169,6 +172,37 @@
 	}
 }
 
+// Engines that name limits at the same time, one of them below a request in 4 s, get
+// what they take, and the others the rest.
+func TestEngineLimitsHoldTogether(t *testing.T) {
+	c := qt.New(t)
+	f := start(c)
+	stop := f.callers("engines", enginePaths, allEntries)
+	limits := []float64{0.2, 2, 5}
+	for i, limit := range limits {
+		f.engines[i].SetDistress(platform.Distress{Limit: []string{fmt.Sprint(limit)}})
+	}
+	named := time.Now()
+	<-time.After(limitSettles + measured)
+	for i, limit := range limits {
+		f.checkLimit(f.engines[i], limit, named, time.Now())
+		f.engines[i].SetDistress(platform.Distress{})
+	}
+	withdrawn := time.Now()
+	f.eventually("all engines get their usual share again", func() bool {
+		for i := range limits {
+			now := time.Now()
+			if len(arrivalsBetween(f.engines[i], now.Add(-time.Second), now)) < 8 {
+				return false
+			}
+		}
+		return true
+	})
+	c.Check(time.Since(withdrawn) < limitWindow+time.Second, qt.IsTrue, qt.Commentf("limits in force %v after they were withdrawn", time.Since(withdrawn)))
+	f.checkServed(stop())
+	f.checkServers(nil)
+}
+
 // A server that says it is leaving gets no more requests, and its callers are served
 // by the others.
 func TestLeavingServerGetsNoMoreRequests(t *testing.T) {
@@ -176,7 +210,7 @@
 		t.Run(fmt.Sprint("refuses ", refuse), func(t *testing.T) {
 			c := qt.New(t)
 			f := start(c)
-			stop := f.callers("leaving", allEntries)
+			stop := f.callers("leaving", plainPaths, allEntries)
 			<-time.After(time.Second)
 			f.plains[0].SetDistress(platform.Distress{Leaving: []string{"1"}, Refuse: refuse})
 			said := time.Now()
@@ -194,7 +228,7 @@
 func TestRefusingServerIsLeftAlone(t *testing.T) {
 	c := qt.New(t)
 	f := start(c)
-	stop := f.callers("quiet", allEntries)
+	stop := f.callers("quiet", plainPaths, allEntries)
 	<-time.After(time.Second)
 	const quiet = 5 * time.Second
 	f.plains[0].SetDistress(platform.Distress{Refuse: true, RetryAfter: fmt.Sprint(quiet.Seconds())})
