core/backpressure, mesh, gateway: forget servers that need nothing, tell others only what concerns them

A server whose need has ended stayed in the tracker for ten minutes, so that each decision looked every server up; a quiet time was announced to all entries, although it is each entry's own. Permits are sent to one member without a pass over all. TestQuietTime covers the forgetting.

--- a/bench/routing/need_test.go
+++ b/bench/routing/need_test.go
@@ -87,8 +87,8 @@
 func TestEnginesInNeed(t *testing.T) {
 	c := qt.New(t)
 	cluster, err := bench.StartCluster(bench.ClusterConfig{Entries: 3, Engines: 2, Engine: engine.Config{TokenTime: 2 * time.Millisecond}, Workspaces: []string{"w"}})
-	defer cluster.Close()
 	c.Assert(err, qt.IsNil)
+	defer cluster.Close()
 	needy := cluster.Engines[0]
 	stop := callers(cluster)
 	<-time.After(time.Second)
--- a/core/backpressure/signals.go
+++ b/core/backpressure/signals.go
@@ -13,7 +13,6 @@
 
 import (
 	"cmp"
-	"slices"
 	"strconv"
 	"time"
 )
@@ -120,9 +119,7 @@
 	return s.Limit == LimitAbsent && !s.Leaving && s.QuietFor == 0 && len(s.Unreadable) == 0
 }
 
+// compareServers orders servers by id and instance.
 func compareServers(a, b Server) int {
 	return cmp.Or(cmp.Compare(a.ID, b.ID), cmp.Compare(a.Born, b.Born))
 }
-
-// sortServers orders servers by id and instance.
-func sortServers(servers []Server) { slices.SortFunc(servers, compareServers) }
--- a/core/backpressure/tracker.go
+++ b/core/backpressure/tracker.go
@@ -242,13 +242,17 @@
 	return s.rate, true
 }
 
-// Notices returns what other entries should know, ordered by server.
+// Notices returns what other entries should know, ordered by server. It forgets servers
+// that are no longer in need, which would slow down each decision.
 func (t *Tracker) Notices(m Membership, now time.Time) []Notice {
 	var servers []Server
 	for server, s := range t.servers {
-		if s.limited || s.leaving && now.Sub(s.leavingSince) < leavingNoticePeriod ||
-			!s.limitAsOf.IsZero() && now.Sub(s.limitAsOf) < withdrawalNoticePeriod {
+		withdrawn := !s.limited && !s.limitAsOf.IsZero() && now.Sub(s.limitAsOf) < withdrawalNoticePeriod
+		switch {
+		case s.limited || withdrawn || s.leaving && now.Sub(s.leavingSince) < leavingNoticePeriod:
 			servers = append(servers, server)
+		case !s.leaving && !now.Before(s.quietUntil):
+			t.remove(server)
 		}
 	}
 	slices.SortFunc(servers, compareServers)
--- a/core/backpressure/tracker_test.go
+++ b/core/backpressure/tracker_test.go
@@ -94,6 +94,9 @@
 	c.Check(until, qt.Equals, epoch.Add(5*time.Second))
 	c.Check(standing(tracker, server, epoch.Add(5*time.Second)), qt.Equals, Free)
 	c.Check(tracker.Notices(Membership{Self: "e"}, epoch), qt.HasLen, 0)
+	c.Check(tracker.Len(), qt.Equals, 1)
+	tracker.Notices(Membership{Self: "e"}, epoch.Add(5*time.Second))
+	c.Check(tracker.Len(), qt.Equals, 0, qt.Commentf("a server that is no longer in need slows down decisions"))
 }
 
 // A process that was stopped or delayed must not use a permit that has expired.
--- a/node/backpressure/backpressure.go
+++ b/node/backpressure/backpressure.go
@@ -113,7 +113,8 @@
 	if _, live, _ := s.cfg.Mesh.EntryCounts(); rand.IntN(max(live, 1)) >= joinGreeters {
 		return
 	}
-	s.send(someNotices(s.cfg.Gateway.ServerNotices()), 0, func(m mesh.Member) bool { return m.ID == joined.ID })
+	isJoined := func(m mesh.Member) bool { return m.ID == joined.ID }
+	s.send(someNotices(s.cfg.Gateway.ServerNotices()), 0, isJoined)
 }
 
 // someNotices returns as many of the notices as fit in a datagram, chosen at random.
--- a/node/gateway/backpressure.go
+++ b/node/gateway/backpressure.go
@@ -5,6 +5,7 @@
 	"errors"
 	"expvar"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"time"
 
@@ -67,7 +68,8 @@
 	}
 	g.mu.Unlock()
 	g.recordChanges(changes, server.Service, "answer")
-	if g.cfg.OnServerNotices != nil && len(changes) > 0 {
+	concernsOthers := slices.ContainsFunc(changes, func(c backpressure.Change) bool { return c.Kind != backpressure.QuietBegun })
+	if g.cfg.OnServerNotices != nil && concernsOthers {
 		g.cfg.OnServerNotices([]backpressure.Notice{g.serverNotice(server.Instance())})
 	}
 }
--- a/node/mesh/mesh.go
+++ b/node/mesh/mesh.go
@@ -405,10 +405,20 @@
 	if err != nil {
 		return err
 	}
-	m.sendTo(b, m.targets(func(o Member) bool { return o.ID == entryID }))
+	m.sendToMember(b, entryID)
 	return nil
 }
 
+// sendToMember sends a datagram to one member.
+func (m *Mesh) sendToMember(b []byte, id string) {
+	m.mu.Lock()
+	p := m.members[id]
+	m.mu.Unlock()
+	if p != nil {
+		m.sendTo(b, []netip.AddrPort{p.addr})
+	}
+}
+
 // answerPermitRequest answers an entry's request for permits.
 func (m *Mesh) answerPermitRequest(r *PermitRequest) {
 	from, known := m.memberByHash(r.Member)
@@ -420,7 +430,7 @@
 		m.cfg.Log.Event("permit_reply_unsent", "to", from.ID, "cause", err.Error())
 		return
 	}
-	m.sendTo(b, m.targets(func(o Member) bool { return o.ID == from.ID }))
+	m.sendToMember(b, from.ID)
 }
 
 // memberRetention is the age of the last word of an entry above which it no longer
