agent: one connection for each call to the engine on the own interface

Report of other operators: a faulty engine wrote an earlier refusal once more on a kept connection, and callers were told 'not run' for requests that it ran.

On the users' platform each request to a server has a connection of its own. The agent of our own interface kept its connections to the engine: the copy answered the next request, which the entry then ran elsewhere, too. Each call now has its own connection, on the machine's loopback. TestRepeatedRefusalOnAConnection: 4 requests on 2 connections before, two of them answered by a copy; 4 on 4 after.

The platform's agents keep theirs: a report is read anew every 0.2 s, pieces are checked by their digest and read back, and a load counts by the engine's state.

--- a/node/agent/engine.go
+++ b/node/agent/engine.go
@@ -22,7 +22,9 @@
 }
 
 func newEngineClient(url string, gate *backendGate) *engineClient {
-	base := signalTransport{&http.Transport{MaxIdleConnsPerHost: 64}, gate}
+	// Each call has a connection of its own: on a kept one, a late copy of an earlier
+	// answer would be taken for the next one.
+	base := signalTransport{&http.Transport{DisableKeepAlives: true}, gate}
 	client := &http.Client{Transport: &telemetry.Transport{Base: base}}
 	return &engineClient{client: client, base: sling.New().Client(client).Base(url), url: url}
 }
