--- a/node/gateway/unframed_test.go
+++ b/node/gateway/unframed_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync/atomic"
 	"testing"
 
@@ -27,6 +28,8 @@
 type unframedAnswer struct {
 	status, header, body string
 	ending               ending
+	// cutHead ends the connection in the middle of the head.
+	cutHead bool
 }
 
 // newUnframedServer returns the address of a server with one answer per request;
@@ -45,7 +48,10 @@
 		last, _ := strconv.Atoi(req.Header.Get("Last"))
 		n := int(arrivals.Add(1)) - 1
 		a := answers[min(n, len(answers)-1)](last)
-		_, _ = fmt.Fprintf(conn, "HTTP/1.1 %s\r\nId: %s\r\nSignature: s\r\n%s\r\n%s", a.status, req.Header.Get("Id"), a.header, a.body)
+		_, _ = fmt.Fprintf(conn, "HTTP/1.1 %s\r\nId: %s\r\nSignature: s\r\n", a.status, req.Header.Get("Id"))
+		if !a.cutHead {
+			_, _ = fmt.Fprintf(conn, "%s\r\n%s", a.header, a.body)
+		}
 		if a.ending == reset {
 			_ = conn.SetLinger(0)
 		}
@@ -62,8 +68,18 @@
 	return listener.Addr().String()
 }
 
+// cutHead is an answer that ends in the middle of its head.
+func cutHead(int) unframedAnswer { return unframedAnswer{status: "200 OK", cutHead: true} }
+
+// errorText is in the answers of servers that fail.
+const errorText = "error text"
+
+func failed(status string) func(int) unframedAnswer {
+	return func(int) unframedAnswer { return unframedAnswer{status: status, body: errorText} }
+}
+
 func plain(body string, end ending) func(int) unframedAnswer {
-	return func(int) unframedAnswer { return unframedAnswer{"200 OK", "", body, end} }
+	return func(int) unframedAnswer { return unframedAnswer{status: "200 OK", body: body, ending: end} }
 }
 
 // unframedEvents sends the events after the caller's last one up to end, and then
@@ -74,13 +90,13 @@
 		for i := last + 1; i <= end; i++ {
 			body += fmt.Sprintf("id: %d\ndata: t%d\n\n", i, i)
 		}
-		return unframedAnswer{"200 OK", "Content-Type: text/event-stream\r\n", body + rest, how}
+		return unframedAnswer{status: "200 OK", header: "Content-Type: text/event-stream\r\n", body: body + rest, ending: how}
 	}
 }
 
 // framedEmpty is a stream without events whose end can be seen.
 func framedEmpty(int) unframedAnswer {
-	return unframedAnswer{"200 OK", "Content-Type: text/event-stream\r\nContent-Length: 0\r\n", "", closed}
+	return unframedAnswer{status: "200 OK", header: "Content-Type: text/event-stream\r\nContent-Length: 0\r\n"}
 }
 
 // An answer may have neither a length nor chunks and end with its connection. A
@@ -88,7 +104,9 @@
 func TestAnswersThatEndWithTheirConnection(t *testing.T) {
 	type answers = []func(int) unframedAnswer
 	whole := "id: 1\ndata: t1\n\nid: 2\ndata: t2\n\nid: 3\ndata: t3\n\n"
-	refusal := func(int) unframedAnswer { return unframedAnswer{"503 Full", "Not-Run: 1\r\n", "full", closed} }
+	refusal := func(int) unframedAnswer {
+		return unframedAnswer{status: "503 Full", header: "Not-Run: 1\r\n", body: errorText}
+	}
 	for _, test := range []struct {
 		name, path string
 		answers    answers
@@ -109,6 +127,14 @@
 		{"stream, broken inside an event that the next server lacks", "/stream/1", answers{unframedEvents(3, "id: 4", closed), unframedEvents(3, "", closed)}, 0, "", 2},
 		{"stream, broken after its first event, no event from the next server", "/stream/1", answers{unframedEvents(1, "", reset), unframedEvents(1, "", closed)}, 0, "", 2},
 		{"stream, broken, no event from the next server in an answer with an end", "/stream/1", answers{unframedEvents(3, "", reset), framedEmpty}, 200, whole, 2},
+		{"stream, broken, error from the next server", "/stream/1", answers{unframedEvents(1, "", reset), failed("500 Failed")}, 0, "", 2},
+		{"stream, broken, caller's error from the next server", "/stream/1", answers{unframedEvents(1, "", reset), failed("404 Not Found")}, 0, "", 2},
+		{"stream, broken, refusal from the next server", "/stream/1", answers{unframedEvents(1, "", reset), refusal}, 0, "", 2},
+		{"stream, broken, the next head is cut", "/stream/1", answers{unframedEvents(1, "", reset), cutHead}, 0, "", 2},
+		{"stream, head is cut", "/stream/1", answers{cutHead, unframedEvents(3, "", closed)}, 200, whole, 2},
+		{"non-resumable stream, head is cut", "/once/1", answers{cutHead, unframedEvents(3, "", closed)}, 502, "", 1},
+		{"order, head is cut", "/order/1", answers{cutHead, plain("body", closed)}, 502, "", 1},
+		{"read, head is cut", "/read/1", answers{cutHead, plain("body", closed)}, 200, "body", 2},
 		{"non-resumable stream", "/once/1", answers{unframedEvents(3, "", closed)}, 200, whole, 1},
 		{"non-resumable stream, ended inside its first event", "/once/1", answers{unframedEvents(0, "id: 1", closed), unframedEvents(3, "", closed)}, 502, "", 1},
 		{"non-resumable stream, ended before the first event", "/once/1", answers{unframedEvents(0, "", closed), unframedEvents(3, "", closed)}, 502, "", 1},
@@ -124,6 +150,7 @@
 			}
 			resp, body, err := r.do(c, http.MethodPost, test.path, "payload")
 			c.Check(arrivals.Load(), qt.Equals, test.arrivals)
+			c.Check(strings.Contains(body, errorText), qt.IsFalse, qt.Commentf("the text of an error is in the answer"))
 			if test.status == 0 {
 				c.Assert(err, qt.Not(qt.IsNil), qt.Commentf("an incomplete stream looks complete"))
 				return
