core/backpressure: entries take turns at asking for permits

A coordinator now tells an entry that it denies when its turn is, one after the other at the server's rate, at most 2 s ahead, so that entries without traffic hold up nobody. One entry that just misses a permit waits for it, and at least two unused permits are saved, so that turns that nobody uses are not lost.

--- a/core/backpressure/permits.go
+++ b/core/backpressure/permits.go
@@ -30,10 +30,15 @@
 	// whatever its limit, so that the end of the limit is noticed within the 4 s in
 	// which its usual share of the traffic must be back.
 	probeRate = 0.35
-	// burstTime is the time for which a coordinator saves up unused permits.
+	// minBurst is the number of unused permits that a coordinator saves up at least,
+	// and burstTime the time for which it saves up more.
+	minBurst  = 2
 	burstTime = 250 * time.Millisecond
-	// maxDenial limits how long an entry does not ask again, because the limit may
-	// change meanwhile.
+	// nearMiss is the wait for a permit up to which one entry that asks is not sent to
+	// the end of the line.
+	nearMiss = 50 * time.Millisecond
+	// maxDenial limits how long an entry does not ask again: entries without traffic
+	// do not use their turn. It also limits the asks of a large fleet.
 	maxDenial = 2 * time.Second
 )
 
@@ -206,35 +211,61 @@
 
 // allocator hands out permits for servers at given rates.
 type allocator struct {
-	buckets map[Server]*limits.TokenBucket
+	supplies map[Server]*supply
 }
 
-func newAllocator() *allocator { return &allocator{buckets: map[Server]*limits.TokenBucket{}} }
+// supply is what an allocator has for one server.
+type supply struct {
+	bucket *limits.TokenBucket
+	// nextTurn is when the next entry that is denied a permit may ask again. If all
+	// were told the time of the next permit, each permit would be asked for by all
+	// entries at once.
+	nextTurn time.Time
+	// nearMissAt is the time of the permit that was last kept for a near miss.
+	nearMissAt time.Time
+}
+
+func newAllocator() *allocator { return &allocator{supplies: map[Server]*supply{}} }
 
-func (a *allocator) remove(server Server) { delete(a.buckets, server) }
+func (a *allocator) remove(server Server) { delete(a.supplies, server) }
 
-// grant returns up to want permits, or the time until the next one.
+// grant returns up to want permits, or the time after which to ask again.
 func (a *allocator) grant(server Server, rate float64, want int, now time.Time) (granted int, retry time.Duration) {
-	burst := 1 + rate*burstTime.Seconds()
-	bucket := a.buckets[server]
-	if bucket == nil {
+	s := a.supplies[server]
+	if s == nil {
 		// It starts empty: another entry may have handed out permits until now.
-		bucket = limits.NewTokenBucket(rate, 0)
-		a.buckets[server] = bucket
+		s = &supply{bucket: limits.NewTokenBucket(rate, 0)}
+		a.supplies[server] = s
 	}
-	bucket.SetRate(now, rate, burst)
+	s.bucket.SetRate(now, rate, minBurst+rate*burstTime.Seconds())
 	for granted < want {
-		wait, ok := bucket.Take(now, 1)
+		wait, ok := s.bucket.Take(now, 1)
+		if !ok && granted == 0 {
+			return 0, s.turn(wait, rate, now)
+		}
 		if !ok {
-			if granted > 0 {
-				return granted, 0
-			}
-			if wait < 0 {
-				return 0, maxDenial
-			}
-			return 0, wait
+			break
 		}
 		granted++
 	}
 	return granted, 0
 }
+
+// turn returns after which time an entry that was denied a permit may ask again. The
+// next permit is available after wait.
+func (s *supply) turn(wait time.Duration, rate float64, now time.Time) time.Duration {
+	if permitAt := now.Add(wait); wait <= nearMiss && now.After(s.nearMissAt) {
+		s.nearMissAt = permitAt
+		return wait
+	}
+	turn := now.Add(wait)
+	if s.nextTurn.After(turn) {
+		turn = s.nextTurn
+	}
+	latest := now.Add(maxDenial)
+	if !turn.Before(latest) {
+		return maxDenial
+	}
+	s.nextTurn = turn.Add(time.Duration(float64(time.Second) / rate))
+	return turn.Sub(now)
+}
--- a/core/backpressure/sim_test.go
+++ b/core/backpressure/sim_test.go
@@ -69,6 +69,8 @@
 	cut     func(a, b int) bool
 	loss    float64
 	servers map[Server]*simServer
+	// asks counts the requests for permits that reached a coordinator.
+	asks int
 }
 
 type simServer struct {
@@ -238,6 +240,7 @@
 }
 
 func (s *simulation) answer(i, j int, ask PermitRequest) {
+	s.asks++
 	reply, _ := s.entries[j].tracker.Grant(ask, s.membership(j), s.now)
 	s.send(j, i, func() {
 		s.entries[i].tracker.HandleReply(reply, s.now)
@@ -370,6 +373,26 @@
 	}
 }
 
+// In a large fleet each permit must not be asked for by all entries: at the target of 410
+// entries that would be thousands of datagrams a second at one of them.
+func TestAsksStayFewInALargeFleet(t *testing.T) {
+	c := qt.New(t)
+	const entries, limit = 150, 6
+	server := Server{ID: "a", Born: 1}
+	s := newSimulation(1, entries, server)
+	s.traffic(600, server, s.even)
+	s.servers[server].limit = limit
+	s.runFor(settles)
+	from := s.now
+	s.asks = 0
+	const measured = 10 * time.Second
+	s.runFor(measured)
+	s.check(c, server, limit, from, minUse, all, "large fleet")
+	perSecond := float64(s.asks) / measured.Seconds()
+	c.Logf("%.0f asks a second of %d entries", perSecond, entries)
+	c.Check(perSecond <= entries/maxDenial.Seconds()+2*limit, qt.IsTrue, qt.Commentf("%.0f asks a second", perSecond))
+}
+
 // The limit must hold while entries start, die, drain and are cut off from each other.
 func TestLimitHoldsDuringFaults(t *testing.T) { limitHoldsDuringFaults(t, 1) }
 
