gateway: a stream without progress keeps its engine while no other has room

Cause: the watch asked whether the request may move, not whether a server can take it; with a single engine it even ended each slow stream. Change: it also asks core/placement for a server that could take the request now, and looks again after each pause.

TestSlowStreamKeptWithoutAlternative/no_other_server fails without the change.

--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -331,12 +331,8 @@
 // used. If each entry used the least loaded of all servers, all entries would
 // send their requests to one engine between two reports.
 func (f *Fleet) Choose(now time.Time, q Query) (Choice, Miss) {
-	minVersion := int64(0)
-	if q.Model != "" {
-		minVersion = f.published.MinVersion(q.Model, now)
-	}
 	f.availableAt = time.Time{}
-	m, miss := f.sample(q, minVersion, now)
+	m, miss := f.sample(q, f.minVersion(q, now), now)
 	if m == nil {
 		return Choice{AvailableIn: max(0, f.availableAt.Sub(now))}, miss
 	}
@@ -358,6 +354,22 @@
 	return choice, Found
 }
 
+// CanServe reports whether a server may receive a request now.
+func (f *Fleet) CanServe(now time.Time, q Query) bool {
+	minVersion := f.minVersion(q, now)
+	return slices.ContainsFunc(f.services[q.Service], func(m *member) bool {
+		return f.checkEligible(m, q, minVersion, now) == Found
+	})
+}
+
+// minVersion returns the lowest weight version that a request accepts.
+func (f *Fleet) minVersion(q Query, now time.Time) int64 {
+	if q.Model == "" {
+		return 0
+	}
+	return f.published.MinVersion(q.Model, now)
+}
+
 // maxSamples is the number of random servers that are checked for two eligible
 // ones before all servers are checked. While most servers of a large service
 // have free slots, a decision checks two or three of them.
--- a/node/gateway/gateway_test.go
+++ b/node/gateway/gateway_test.go
@@ -294,14 +294,14 @@
 	}
 }
 
-// A slow but healthy engine must keep its stream if no other engine may take
-// over, because the route isn't resumable or the retry budget is used up. Similar
-// systems cut such streams.
+// A slow but healthy engine must keep its stream if no other engine may or can take
+// over, because the route isn't resumable, the retry budget is used up or no other
+// engine has room. Similar systems cut such streams.
 func TestSlowStreamKeptWithoutAlternative(t *testing.T) {
 	for _, test := range []struct {
 		name, path string
 		slack      float64
-	}{{"not resumable", "/once/1", 1000}, {"no budget", "/stream/1", 0}} {
+	}{{"not resumable", "/once/1", 1000}, {"no budget", "/stream/1", 0}, {"no other server", "/stream/1", 1000}} {
 		t.Run(test.name, func(t *testing.T) {
 			c := qt.New(t)
 			s := newServer(c, slowEvents(2, minFirstEventTimeout+100*time.Millisecond))
--- a/node/gateway/progress.go
+++ b/node/gateway/progress.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"slices"
 	"sync/atomic"
 	"time"
 
 	"github.com/laburnumloft/laburnumloft/core/limits"
 	"github.com/laburnumloft/laburnumloft/core/placement"
+	"github.com/laburnumloft/laburnumloft/node/lib/bootclock"
 )
 
 const (
@@ -24,8 +26,9 @@
 )
 
 // progressWatch cancels an attempt at an engine that sends no events, if another
-// engine may take over. If none may, because the stream can't be resumed or the
-// retry budget is used up, a slow engine is better than none. The attempt then
+// engine may take over. If none may or can, because the stream can't be resumed, the
+// retry budget is used up or no other engine has room, a slow engine is better than
+// none. The attempt then
 // ends only at the request's deadline, or at firstEventDeadline if the engine
 // has sent no event by then.
 type progressWatch struct {
@@ -46,9 +49,10 @@
 func (g *Gateway) watchProgress(req *request, choice placement.Choice, cancel context.CancelFunc) *progressWatch {
 	// When the watch fires, this attempt counts as a run.
 	repeatable, service := req.mayRerunAfter(1), req.service
+	others := placement.Query{Service: service, Model: req.model, Tried: slices.Clone(req.tried), SpareCapacityOnly: req.pastTarget}
 	p := &progressWatch{
 		pauseTimeout: max(minPauseTimeout, time.Duration(pauseTargets*float64(req.route.PauseTarget))),
-		cancel:       cancel, mayRetry: func() bool { return repeatable && g.hasRetryBudget(service) },
+		cancel:       cancel, mayRetry: func() bool { return repeatable && g.canMove(others) },
 	}
 	if choice.HasFirstEventTimeout {
 		p.firstEventDeadline = time.Now().Add(choice.FirstEventTimeout)
@@ -92,9 +96,9 @@
 
 func (p *progressWatch) stop() { p.timer.Stop() }
 
-// hasRetryBudget reports whether the retry budget of a service allows a retry.
-func (g *Gateway) hasRetryBudget(service string) bool {
+// canMove reports whether the retry budget allows a retry and a server can take it.
+func (g *Gateway) canMove(others placement.Query) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.budget.CanRetry(limits.RetryKey{Service: service})
+	return g.budget.CanRetry(limits.RetryKey{Service: others.Service}) && g.fleet.CanServe(bootclock.Now(), others)
 }
