--- a/bench/fleet/distress_test.go
+++ b/bench/fleet/distress_test.go
@@ -10,6 +10,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/laburnumloft/laburnumloft/bench/harness"
 	"github.com/laburnumloft/laburnumloft/standin/platform"
 )
 
@@ -91,15 +92,12 @@
 }
 
 // peak returns the largest number of arrivals in any limitWindow.
-func peak(arrivals []platform.Arrival) (most int) {
-	first := 0
-	for i, a := range arrivals {
-		for a.At.Sub(arrivals[first].At) > limitWindow {
-			first++
-		}
-		most = max(most, i-first+1)
+func peak(arrivals []platform.Arrival) int {
+	var times []time.Time
+	for _, a := range arrivals {
+		times = append(times, a.At)
 	}
-	return most
+	return harness.Peak(times, limitWindow)
 }
 
 // allowed is the number of requests that a limited server may get in a limitWindow.
--- a/bench/routing/need_test.go
+++ b/bench/routing/need_test.go
@@ -9,6 +9,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/laburnumloft/laburnumloft/bench/harness"
 	bench "github.com/laburnumloft/laburnumloft/bench/routing"
 	"github.com/laburnumloft/laburnumloft/node/lib/wire"
 	"github.com/laburnumloft/laburnumloft/standin/engine"
@@ -60,18 +61,6 @@
 	}
 }
 
-// peak returns the largest number of times within any limitWindow.
-func peak(times []time.Time) (most int) {
-	first := 0
-	for i, at := range times {
-		for at.Sub(times[first]) > limitWindow {
-			first++
-		}
-		most = max(most, i-first+1)
-	}
-	return most
-}
-
 func between(e *engine.Engine, from, to time.Time) (out []time.Time) {
 	for _, at := range e.Arrivals() {
 		if !at.Before(from) && at.Before(to) {
@@ -99,8 +88,8 @@
 		<-time.After(needMeasured)
 		got := between(needy, from, time.Now())
 		allowed := int(1.5*limit*limitWindow.Seconds()) + limitSlack
-		c.Logf("limit %v: %d requests in %v, at most %d in %v", limit, len(got), needMeasured, peak(got), limitWindow)
-		c.Check(peak(got) <= allowed, qt.IsTrue, qt.Commentf("limit %v: %d requests in %v, allowed %d", limit, peak(got), limitWindow, allowed))
+		c.Logf("limit %v: %d requests in %v, at most %d in %v", limit, len(got), needMeasured, harness.Peak(got, limitWindow), limitWindow)
+		c.Check(harness.Peak(got, limitWindow) <= allowed, qt.IsTrue, qt.Commentf("limit %v: %d requests in %v, allowed %d", limit, harness.Peak(got, limitWindow), limitWindow, allowed))
 		c.Check(float64(len(got)) >= minLimitUse*limit*needMeasured.Seconds(), qt.IsTrue, qt.Commentf("limit %v: starved, %d requests in %v", limit, len(got), needMeasured))
 	}
 
