--- a/bench/fleet/fleet_test.go
+++ b/bench/fleet/fleet_test.go
@@ -5,6 +5,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -35,6 +36,10 @@
 	readers = 2
 	model   = "model-1"
 	ownPort = 7700
+	// usualHoldTimeout is the timeout of the routes to holding servers, and holdTarget
+	// their target, which is so long that no attempt is cut for lack of progress.
+	usualHoldTimeout = 6 * time.Second
+	holdTarget       = 5 * time.Second
 )
 
 var bin string
@@ -63,6 +68,10 @@
 	engines []*platform.Server
 	plains  []*platform.Server
 	logs    lockedBuffer
+	// holding are the servers of startHolding, and holdTimeout is the timeout of
+	// their routes.
+	holding     []*platform.HoldingServer
+	holdTimeout time.Duration
 	// crashes counts the engines that crashed under a deadly part.
 	crashes atomic.Int32
 
@@ -96,6 +105,8 @@
 func engineIP(i int) string { return fmt.Sprintf("127.77.1.%d", i+1) }
 func plainIP(i int) string  { return fmt.Sprintf("127.77.3.%d", i+1) }
 
+func holdingIP(i int) string { return fmt.Sprintf("127.77.4.%d", i+1) }
+
 const (
 	storeAddress  = "127.77.2.1:8007"
 	originAddress = "127.77.2.2:8006"
@@ -229,6 +240,12 @@
 		for i, s := range f.plains {
 			_ = f.store.Put("keyed.servers", fmt.Sprint("plain-", i), s.Beat("switching", plainIP(i)+":8001", "z"))
 		}
+		f.mu.Lock()
+		holding := f.holding
+		f.mu.Unlock()
+		for i, s := range holding {
+			_ = f.store.Put("keyed.servers", fmt.Sprint("holding-", i), s.Beat("holding", holdingIP(i)+":8001", "z"))
+		}
 		select {
 		case <-time.After(beatEvery):
 		case <-ctx.Done():
@@ -242,7 +259,7 @@
 func (f *fleet) configure() {
 	f.mu.Lock()
 	f.config++
-	version := f.config
+	version, holdTimeout := f.config, cmp.Or(f.holdTimeout, usualHoldTimeout)
 	f.mu.Unlock()
 	route := func(prefix, kind, service string, attempts int) map[string]any {
 		return map[string]any{
@@ -250,15 +267,22 @@
 			"timeoutMs": 3000, "targetLatencyMs": 400, "maxAttempts": attempts, "streamResume": true,
 		}
 	}
+	hold := func(prefix, kind string, resume bool) map[string]any {
+		r := route(prefix, kind, "holding", 2)
+		r["timeoutMs"], r["streamResume"], r["targetLatencyMs"] = holdTimeout.Milliseconds(), resume, holdTarget.Milliseconds()
+		return r
+	}
 	err := f.store.Put("keyed.op", "config", map[string]any{
 		"version": version,
 		"routes": []any{
 			route("/notice/", "streaming", "llm", 2), route("/order/", "unsafe", "switching", 2), route("/read/", "safe", "switching", 2),
 			route(fmt.Sprintf("/v%d/", version), "safe", "switching", 2),
+			hold("/hold/", "unsafe", false), hold("/holdsafe/", "safe", false), hold("/holdstream/", "streaming", false),
 		},
 		"services": []any{
 			map[string]any{"name": "llm", "engine": map[string]any{"slots": 16, "models": []any{map[string]any{"name": model}}, "layers": platform.Pieces}},
 			map[string]any{"name": "switching"},
+			map[string]any{"name": "holding"},
 			map[string]any{"name": "weights", "origin": originAddress, "zone": "z"},
 		},
 		"limits":  map[string]any{"maxBodyBytes": 65536},
--- a/node/stager/stager_test.go
+++ b/node/stager/stager_test.go
@@ -24,9 +24,12 @@
 
 const testPieces = 12
 
+// pieceRepeats sets the size of the pieces.
+var pieceRepeats = 50
+
 // pieceBytes returns the content of a piece of a version.
 func pieceBytes(version int64, n int) []byte {
-	return []byte(strings.Repeat(fmt.Sprintf("piece %d of version %d ", n, version), 50))
+	return []byte(strings.Repeat(fmt.Sprintf("piece %d of version %d ", n, version), pieceRepeats))
 }
 
 func testManifest(version int64) *Manifest {
--- a/standin/platform/server.go
+++ b/standin/platform/server.go
@@ -42,6 +42,8 @@
 	distress     Distress
 	arrivals     []Arrival
 	agentCalls   []Arrival
+	// report replaces the load report if it is set.
+	report []byte
 }
 
 // DeadlyPart is the part of a prompt under which engines crash as soon as they
@@ -79,6 +81,14 @@
 	RefuseAgent bool
 }
 
+// SetReport makes the server answer with these bytes instead of its load report; nil
+// ends that.
+func (s *Server) SetReport(report []byte) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.report = report
+}
+
 // Arrival is a request that reached a server for its own instance.
 type Arrival struct {
 	ID string
@@ -215,6 +225,11 @@
 	case r.URL.Path == "/v1/report" && s.model != "":
 		s.mu.Lock()
 		defer s.mu.Unlock()
+		if s.report != nil {
+			// A caller that left asks again.
+			_, _ = w.Write(s.report)
+			return
+		}
 		writeJSON(w, map[string]any{"phase": "both", "models": s.models(), "busy": s.busy, "seq": s.seq, "running": s.running, "queued": 0, "pace": 1.0, "born": s.born})
 	case strings.HasPrefix(r.URL.Path, "/v1/stage-"):
 		s.serveStaged(w, r)
--- a/standin/platform/store.go
+++ b/standin/platform/store.go
@@ -8,7 +8,9 @@
 	"encoding/binary"
 	"encoding/json"
 	"io"
+	"maps"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -109,6 +111,9 @@
 	return nil
 }
 
+// PutRaw appends a record with the given bytes, as another writer may.
+func (s *Store) PutRaw(name, key string, value []byte) { s.append(name, record{key, value}) }
+
 // Drop appends a record without a value.
 func (s *Store) Drop(name, key string) { s.append(name, record{key: key}) }
 
@@ -146,7 +151,7 @@
 	case "/v1/log-read":
 		s.serveRead(w, r, name)
 	case "/v1/log-newest":
-		s.serveNewest(w, name)
+		s.serveNewest(w, name, r.URL.Query().Get("after"))
 	default:
 		http.NotFound(w, r)
 	}
@@ -173,7 +178,8 @@
 func (s *Store) serveRead(w http.ResponseWriter, r *http.Request, name string) {
 	from, err := strconv.Atoi(r.URL.Query().Get("from"))
 	waitMS, _ := strconv.Atoi(r.URL.Query().Get("waitMs"))
-	if err != nil {
+	maxKiB, err2 := strconv.Atoi(r.URL.Query().Get("maxKib"))
+	if err != nil || err2 != nil {
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
@@ -189,7 +195,7 @@
 			panic(http.ErrAbortHandler)
 		}
 		if from < len(records) {
-			writeFrame(w, records, from)
+			writeFrame(w, records, from, maxKiB<<10)
 			return
 		}
 		select {
@@ -199,7 +205,7 @@
 				return
 			}
 		case <-timeout:
-			writeFrame(w, records, len(records))
+			writeFrame(w, records, len(records), 0)
 			return
 		case <-r.Context().Done():
 			return
@@ -207,10 +213,14 @@
 	}
 }
 
-func writeFrame(w http.ResponseWriter, records []record, from int) {
+// writeFrame answers a read with records of at most maxBytes, but at least one.
+func writeFrame(w http.ResponseWriter, records []record, from, maxBytes int) {
 	out := binary.BigEndian.AppendUint64(nil, uint64(len(records)))
 	out = binary.BigEndian.AppendUint64(out, 0)
-	for _, r := range records[from:] {
+	for i, r := range records[from:] {
+		if i > 0 && len(out)+len(r.value) > maxBytes {
+			break
+		}
 		out = binary.BigEndian.AppendUint32(out, uint32(1+len(r.key)+len(r.value)))
 		out = append(out, byte(len(r.key)))
 		out = append(append(out, r.key...), r.value...)
@@ -219,7 +229,13 @@
 	_, _ = w.Write(out)
 }
 
-func (s *Store) serveNewest(w http.ResponseWriter, name string) {
+// A page of newest records has at most so many records and bytes.
+const (
+	maxPageRecords = 500
+	maxPageBytes   = 1 << 20
+)
+
+func (s *Store) serveNewest(w http.ResponseWriter, name, after string) {
 	type item struct {
 		Key    string `json:"key"`
 		Value  string `json:"value"`
@@ -232,13 +248,20 @@
 	for i, r := range records {
 		newest[r.key] = i
 	}
-	items := []item{}
-	for i, r := range records {
-		if newest[r.key] == i && r.value != nil {
-			items = append(items, item{r.key, base64.StdEncoding.EncodeToString(r.value), i})
+	keys := slices.Sorted(maps.Keys(newest))
+	items, size, truncated := []item{}, 0, false
+	for _, key := range keys {
+		r := records[newest[key]]
+		if key <= after || r.value == nil {
+			continue
+		}
+		if size += len(r.value); len(items) == maxPageRecords || len(items) > 0 && size > maxPageBytes {
+			truncated = true
+			break
 		}
+		items = append(items, item{key, base64.StdEncoding.EncodeToString(r.value), newest[key]})
 	}
-	writeJSON(w, map[string]any{"items": items, "truncated": false, "end": len(records)})
+	writeJSON(w, map[string]any{"items": items, "truncated": truncated, "end": len(records)})
 }
 
 func writeJSON(w http.ResponseWriter, v any) {
