stager: pieces leave a narrow downlink to the requests

Cause: up to six pieces of 48 KB were on their way to an agent whatever its link carried. On a link of 1.2 Mbit/s the requests to the engine, and the ends of their connections, waited behind them for 1 to 2 s. The pulls themselves failed by timeout and were repeated, so that the machine got no version either.

core/rollout.Downlink now decides from the progress of the pulls how many may run, and finds the link narrow if they receive less than a quarter of the stated rate for 150 ms. Then one pull at a time requests 8 KB parts, and what had arrived is kept.

--- /dev/null
+++ b/core/rollout/downlink.go
@@ -0,0 +1,139 @@
+package rollout
+
+import "time"
+
+// DownlinkConfig configures a Downlink.
+type DownlinkConfig struct {
+	// Rate is the stated rate of the link in bytes per second; 0 means unknown, and
+	// then the link never counts as narrow.
+	Rate float64
+	// MaxPulls is how many pulls may run at once on a link at its stated rate.
+	MaxPulls int
+}
+
+const (
+	// narrowShare is the share of its stated rate below which a link counts as
+	// narrow while pulls are receiving. Two uploads that share a machine's uplink
+	// still reach it.
+	narrowShare = 0.25
+	// narrowWindow is the receiving time over which the rate is measured.
+	narrowWindow = 150 * time.Millisecond
+	// wideParts is how many parts in a row must arrive at narrowShare of the stated
+	// rate until a narrow link counts as wide again.
+	wideParts = 3
+	// narrowPartBytes is the size of a part on a narrow link. At an eighth of 9.4
+	// Mbit/s, it delays a request by 55 ms.
+	narrowPartBytes = 8 << 10
+)
+
+// Downlink decides how many pulls may run at once and how much each may request, so
+// that pieces do not fill the queue of a narrow link. Requests to the engine on the
+// same machine, and the ends of those whose callers have left, wait in that queue.
+//
+// The number of pulls starts at one and grows with each delivered piece. If the pulls
+// together receive less than narrowShare of the stated rate, the link counts as
+// narrow: one pull at a time then requests its piece in small parts. A wrong verdict,
+// for example because a sender is slow, ends after wideParts parts.
+//
+// It does no I/O and is not safe for concurrent use.
+type Downlink struct {
+	cfg    DownlinkConfig
+	pulls  int
+	narrow bool
+	// receiving counts the transfers between their first and their last byte.
+	receiving int
+	// windowTime and windowBytes are the receiving time and the bytes of the current
+	// window; lastAt is until when windowTime counts.
+	windowTime  time.Duration
+	windowBytes int
+	lastAt      time.Time
+	fastParts   int
+}
+
+// NewDownlink returns the state of a link that carried nothing yet.
+func NewDownlink(cfg DownlinkConfig) *Downlink {
+	return &Downlink{cfg: cfg, pulls: 1}
+}
+
+// MaxPulls returns how many pulls may run at once.
+func (d *Downlink) MaxPulls() int {
+	if d.cfg.Rate <= 0 {
+		return d.cfg.MaxPulls
+	}
+	return d.pulls
+}
+
+// PartBytes returns how many bytes a pull may request at once; 0 means the whole rest
+// of its piece.
+func (d *Downlink) PartBytes() int {
+	if d.narrow {
+		return narrowPartBytes
+	}
+	return 0
+}
+
+// Narrow reports whether the link counts as narrow.
+func (d *Downlink) Narrow() bool { return d.narrow }
+
+// Begin records the first byte of a transfer.
+func (d *Downlink) Begin(now time.Time) {
+	d.advance(now)
+	d.receiving++
+}
+
+// Received records bytes of a transfer.
+func (d *Downlink) Received(bytes int, now time.Time) {
+	d.advance(now)
+	d.windowBytes += bytes
+}
+
+// End records the end of a transfer that took the given time from its first to its
+// last byte. bytes is 0 if it failed.
+func (d *Downlink) End(bytes int, took time.Duration, now time.Time) {
+	d.advance(now)
+	d.receiving--
+	if !d.narrow || bytes == 0 {
+		return
+	}
+	if took.Seconds()*d.cfg.Rate*narrowShare > float64(bytes) {
+		d.fastParts = 0
+		return
+	}
+	if d.fastParts++; d.fastParts >= wideParts {
+		d.narrow, d.pulls = false, 1
+		d.resetWindow()
+	}
+}
+
+// RecordPiece records that a pull delivered its piece.
+func (d *Downlink) RecordPiece() {
+	if !d.narrow {
+		d.pulls = min(d.pulls+1, d.cfg.MaxPulls)
+	}
+}
+
+// Check reports whether the link has become narrow. It is called regularly while
+// pulls run, because a link that carries nothing records nothing.
+func (d *Downlink) Check(now time.Time) (becameNarrow bool) {
+	d.advance(now)
+	if d.narrow || d.cfg.Rate <= 0 || d.windowTime < narrowWindow {
+		return false
+	}
+	rate := float64(d.windowBytes) / d.windowTime.Seconds()
+	d.resetWindow()
+	if rate >= narrowShare*d.cfg.Rate {
+		return false
+	}
+	d.narrow, d.pulls, d.fastParts = true, 1, 0
+	return true
+}
+
+// advance adds the time since the last call to the window if a transfer was receiving.
+func (d *Downlink) advance(now time.Time) {
+	if d.receiving > 0 && now.After(d.lastAt) {
+		d.windowTime += now.Sub(d.lastAt)
+	}
+	d.lastAt = now
+}
+
+func (d *Downlink) resetWindow() { d.windowTime, d.windowBytes = 0, 0 }
--- a/node/stager/fetch.go
+++ b/node/stager/fetch.go
@@ -229,7 +229,9 @@
 			// just now, so all announcements are passed again.
 			f.recordedSequence = 0
 		}
-		for feeding < maxFeedPulls {
+		f.checkLink()
+		limit := f.incoming.maxPulls()
+		for feeding < min(maxFeedPulls, limit) {
 			pull, ok := f.swarm.NextFeed(time.Now())
 			if !ok {
 				break
@@ -237,7 +239,7 @@
 			feeding++
 			wait.Go(func() { f.pull(ctx, pull, true) })
 		}
-		for exchanging < maxExchangePulls {
+		for exchanging < min(maxExchangePulls, limit) {
 			pull, ok := f.swarm.NextExchange(time.Now())
 			if !ok {
 				break
@@ -264,6 +266,13 @@
 	return nil
 }
 
+// checkLink logs when the downlink becomes narrow.
+func (f *fetch) checkLink() {
+	if f.incoming.check() {
+		f.cfg.Log.Event("downlink_narrow", "version", f.manifest.Version, "stated_mbps", f.cfg.LinkMbps, "missing", f.swarm.Remaining())
+	}
+}
+
 // notifyFeeders announces to the feeders of a piece in the other regions that
 // the piece is held here.
 func (f *fetch) notifyFeeders(piece int) {
@@ -281,6 +290,7 @@
 	}
 	result := pullResult{pull: p, feed: feed, outcome: outcomeOf(err)}
 	if err == nil {
+		f.incoming.recordPiece()
 		f.store.put(f.manifest, p.Piece, data)
 		f.requestAnnouncement()
 		if p.Source.Origin && f.originDown.Swap(false) {
@@ -316,9 +326,7 @@
 	if p.Source.Origin {
 		data, err = f.originClient.Piece(ctx, f.manifest.Model, f.manifest.Version, p.Piece)
 	} else {
-		data, err = f.peers.piece(ctx, p.Source.Peer, pieceQuery{
-			Model: f.manifest.Model, Version: f.manifest.Version, Number: p.Piece,
-		})
+		data, err = f.pullFromPeer(ctx, p.Source.Peer, p.Piece)
 	}
 	if err == nil && f.engineServing {
 		err = f.downlink.wait(ctx, len(data))
--- a/node/stager/peers.go
+++ b/node/stager/peers.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"net/url"
 	"strconv"
 	"sync"
 	"time"
@@ -66,28 +68,67 @@
 	Model   string `url:"model"`
 	Version int64  `url:"version"`
 	Number  int    `url:"number"`
+	// From and Bytes select a part of a piece; Bytes 0 selects the rest of it.
+	From  int `url:"from,omitempty"`
+	Bytes int `url:"bytes,omitempty"`
 }
 
-// piece fetches a piece from a peer.
-func (c *peerClient) piece(ctx context.Context, peer rollout.Peer, q pieceQuery) ([]byte, error) {
+// pieceBytesHeader is the response header with the size of the whole piece. Agents that
+// do not know parts leave it out and send the whole piece.
+const pieceBytesHeader = "Piece-Bytes"
+
+// piecePart fetches a part of a piece from a peer, and reports whether the piece ends
+// with it. onBegin is called at the first byte of the response, and onWide if the link
+// is found to be no longer narrow. Beside an error it returns what had arrived.
+func (c *peerClient) piecePart(ctx context.Context, peer rollout.Peer, q pieceQuery, onBegin func() *transfer, onWide func()) (part []byte, complete bool, err error) {
 	resp, err := c.get(ctx, peer, PiecePath, q)
 	if err != nil {
-		return nil, err
+		return nil, false, err
 	}
 	defer func() { _ = resp.Body.Close() }()
 	switch resp.StatusCode {
 	case http.StatusOK:
 	case http.StatusTooManyRequests:
-		return nil, errPeerBusy
+		return nil, false, errPeerBusy
 	default:
-		return nil, ErrNoPiece
+		return nil, false, ErrNoPiece
+	}
+	t := onBegin()
+	part, err = readCounted(io.LimitReader(resp.Body, maxPieceBytes), t)
+	if t.end(err == nil) {
+		onWide()
+	}
+	size, sizeErr := strconv.Atoi(resp.Header.Get(pieceBytesHeader))
+	if sizeErr != nil {
+		part = part[min(q.From, len(part)):]
 	}
-	data, err := io.ReadAll(io.LimitReader(resp.Body, maxPieceBytes))
 	if err != nil {
-		c.startBackoff(peer.ID)
-		return nil, eris.Wrap(err, "reading a piece from a peer")
+		if ctx.Err() == nil {
+			c.startBackoff(peer.ID)
+		}
+		return part, false, eris.Wrap(err, "reading a piece from a peer")
+	}
+	if sizeErr == nil && q.From+len(part) < size && len(part) == 0 {
+		return nil, false, ErrNoPiece
+	}
+	return part, sizeErr != nil || q.From+len(part) >= size, nil
+}
+
+// readCounted reads to the end and records the progress.
+func readCounted(r io.Reader, t *transfer) ([]byte, error) {
+	var data []byte
+	buffer := make([]byte, uploadWriteBytes)
+	for {
+		n, err := r.Read(buffer)
+		data = append(data, buffer[:n]...)
+		t.received(n)
+		if errors.Is(err, io.EOF) {
+			return data, nil
+		}
+		if err != nil {
+			return data, err
+		}
 	}
-	return data, nil
 }
 
 // manifest fetches a manifest from a peer.
@@ -211,7 +252,33 @@
 		http.Error(w, "too many queued uploads, or the link is narrow; try another agent", http.StatusTooManyRequests)
 		return
 	}
-	s.upload(r.Context(), w, r.RemoteAddr, data)
+	from, length, ok := partOf(q, len(data))
+	if !ok {
+		http.Error(w, "from and bytes must be integers and name a part of the piece", http.StatusBadRequest)
+		return
+	}
+	w.Header().Set(pieceBytesHeader, strconv.Itoa(len(data)))
+	s.upload(r.Context(), w, r.RemoteAddr, data[from:from+length])
+}
+
+// partOf returns the part of a piece that a query selects.
+func partOf(q url.Values, size int) (from, length int, ok bool) {
+	from, length = 0, size
+	var err error
+	if text := q.Get("from"); text != "" {
+		if from, err = strconv.Atoi(text); err != nil || from < 0 || from > size {
+			return 0, 0, false
+		}
+	}
+	length = size - from
+	if text := q.Get("bytes"); text != "" {
+		bytes, err := strconv.Atoi(text)
+		if err != nil || bytes <= 0 {
+			return 0, 0, false
+		}
+		length = min(length, bytes)
+	}
+	return from, length, true
 }
 
 // uploadWriteBytes is the size of one write to the receiver; the rate limit
--- a/node/stager/stager.go
+++ b/node/stager/stager.go
@@ -168,6 +168,7 @@
 	uplink, downlink *linkLimiter
 	uploadSlots      chan struct{}
 	link             *linkMonitor
+	incoming         *incomingPieces
 	queuedUploads    atomic.Int32
 	// fetchWork and loadWork wake up the fetcher and the loader.
 	fetchWork, loadWork chan struct{}
@@ -214,6 +215,7 @@
 		cfg: cfg, store: newPieceStore(), peers: newPeerClient(), fetchWork: make(chan struct{}, 1), loadWork: make(chan struct{}, 1),
 		uplink: newLinkLimiter(cfg.LinkMbps), downlink: newLinkLimiter(cfg.LinkMbps), uploadSlots: make(chan struct{}, maxActiveUploads),
 		link:             newLinkMonitor(cfg.LinkMbps),
+		incoming:         newIncomingPieces(cfg.LinkMbps),
 		announceRequests: make(chan struct{}, 1), announcements: map[string]peerAnnouncements{}, publishedManifests: map[string]*Manifest{},
 		nextManifestFetch: time.Now().Add(rand.N(manifestJitter)), signals: backpressure.NewTracker(),
 	}
