gateway: a caller's end is seen behind further bytes, too

Cause: net/http watches a connection for its end with one read of one byte; when a byte comes, it stops until the answer is written.

node/lib/callerconn reads on into a bounded buffer (96 KB a connection, 8 MB in all) while a handler runs, ends the request's context at the end of the connection, and fails writes to a caller that has left, so that its place is given back. A caller that shuts down only its sending side has left: its FIN is the same. A line caller_left tells when the close was seen.

--- a/node/gateway/handler.go
+++ b/node/gateway/handler.go
@@ -90,6 +90,7 @@
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), req.deadline)
 	defer cancel()
+	defer g.watchCaller(w, req)()
 	if req.route.Kind == route.Stream {
 		g.serveStream(ctx, w, req)
 		return
@@ -97,6 +98,26 @@
 	g.serveBuffered(ctx, w, req)
 }
 
+// lastWriteTimeout is how long after a request's deadline a write to a caller that does
+// not read may last. Until it ends, the request keeps its place at the server.
+const lastWriteTimeout = 250 * time.Millisecond
+
+// watchCaller limits the writes to the caller, and logs when the caller is seen to have
+// left. The returned function ends that.
+func (g *Gateway) watchCaller(w http.ResponseWriter, req *request) (end func()) {
+	controller := http.NewResponseController(w)
+	// Writers without deadlines, in tests, don't block.
+	_ = controller.SetWriteDeadline(req.deadline.Add(lastWriteTimeout))
+	stop := context.AfterFunc(req.in.Context(), func() {
+		g.cfg.Log.Event("caller_left", "request", req.call.RequestID, "service", req.service, "ms", time.Since(req.start).Milliseconds())
+	})
+	return func() {
+		if stop() {
+			_ = controller.SetWriteDeadline(time.Time{})
+		}
+	}
+}
+
 // admit validates a request against the active configuration.
 func (g *Gateway) admit(w http.ResponseWriter, r *http.Request) (*request, Reason) {
 	req := &request{call: g.cfg.Codec.Call(r.Header), in: r, start: time.Now()}
--- a/node/gateway/server.go
+++ b/node/gateway/server.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/laburnumloft/laburnumloft/node/decision"
+	"github.com/laburnumloft/laburnumloft/node/lib/callerconn"
 )
 
 const (
@@ -31,6 +32,7 @@
 	server := &http.Server{
 		Handler: g, ReadHeaderTimeout: callerHeaderTimeout, IdleTimeout: idle, MaxHeaderBytes: maxCallerHeaderBytes,
 	}
+	listener = callerconn.Configure(server, listener)
 	go func() {
 		// The error is ignored: Serve returns one on every Shutdown, and the
 		// platform's health checks detect any other failure.
