gateway: reset the server's connection of a cancelled attempt

A server that had not read a large body worked on until the caller's deadline: 24 of 24 with 60,000 bytes. Cause: the entry closed its connection at once, but in order, so that the close waited behind the bytes that the server's full window held back. A cancelled attempt now resets its connection, which drops them. The line server_connection_reset tells how long after the cancellation, so that caller_left, this line and the server's view show which part of the way was late.

--- a/node/gateway/exchange.go
+++ b/node/gateway/exchange.go
@@ -116,6 +116,14 @@
 	return e
 }
 
+// logReset returns the function that logs when the connection of a cancelled attempt
+// was reset. Together with caller_left it tells which part of the way was late.
+func (g *Gateway) logReset(req *request, choice placement.Choice) func(cause error, since time.Duration) {
+	return func(cause error, since time.Duration) {
+		g.cfg.Log.Event("server_connection_reset", "request", req.call.RequestID, "server", choice.Server.ID, "cause", cause.Error(), "after_ms", since.Milliseconds())
+	}
+}
+
 // logAttempt logs a failed attempt with its cause and the data of the placement.
 func (g *Gateway) logAttempt(req *request, e *exchange, result string) {
 	status := 0
--- a/node/gateway/stream.go
+++ b/node/gateway/stream.go
@@ -66,13 +66,15 @@
 // tryStream makes one attempt and forwards its events to the caller.
 func (g *Gateway) tryStream(ctx context.Context, req *request, choice placement.Choice, s *stream) *exchange {
 	req.tried = append(req.tried, choice.Server.ID)
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	watch := g.watchProgress(req, choice, cancel)
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	ctx, end := beginAttempt(ctx, g.logReset(req, choice))
+	defer end()
+	watch := g.watchProgress(req, choice, func() { cancel(errNoProgress) })
 	defer watch.stop()
 	info := AttemptInfo{}
 	info.LastEvent, info.Resumes = s.sequence.Last()
-	waiting := g.addWaiting(req.call.PromptParts, cancel)
+	waiting := g.addWaiting(req.call.PromptParts, func() { cancel(errQuarantined) })
 	defer g.removeWaiting(waiting)
 	e := g.send(ctx, req, choice, info)
 	e.onSound = func() { g.recordSound(req, e.firstEventAt) }
--- a/node/gateway/transport.go
+++ b/node/gateway/transport.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -44,6 +46,9 @@
 			_ = conn.Close()
 			return nil, err
 		}
+		if a, ok := ctx.Value(attemptKey{}).(*attemptEnd); ok {
+			return &serverConn{Conn: conn, attempt: a}, nil
+		}
 		return conn, nil
 	}
 	return &http.Transport{
@@ -72,3 +77,58 @@
 	}
 	return sockoptErr
 }
+
+// errAttemptDone is the cause of the end of an attempt's context after the attempt.
+var errAttemptDone = errors.New("the attempt is over")
+
+// attemptKey is the context key of an attempt's end.
+type attemptKey struct{}
+
+// attemptEnd tells the connection of an attempt how the attempt ended.
+type attemptEnd struct {
+	ctx context.Context
+	// onReset is called after the connection of a cancelled attempt was reset; since
+	// is the time from the cancellation until then.
+	onReset     func(cause error, since time.Duration)
+	cancelledAt atomic.Int64
+}
+
+// beginAttempt returns the context of an attempt. end must be called when the attempt
+// is over.
+func beginAttempt(ctx context.Context, onReset func(cause error, since time.Duration)) (attemptCtx context.Context, end func()) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	a := &attemptEnd{ctx: ctx, onReset: onReset}
+	stop := context.AfterFunc(ctx, func() { a.cancelledAt.CompareAndSwap(0, time.Now().UnixNano()) })
+	return context.WithValue(ctx, attemptKey{}, a), func() {
+		stop()
+		cancel(errAttemptDone)
+	}
+}
+
+// serverConn is the connection of one attempt. The end of a cancelled attempt must
+// reach the server at once. An orderly close would wait behind bytes of the request
+// that the server has not read; a reset drops them.
+type serverConn struct {
+	net.Conn
+	attempt *attemptEnd
+	closed  atomic.Bool
+}
+
+// Close implements net.Conn.
+func (c *serverConn) Close() error {
+	cause := context.Cause(c.attempt.ctx)
+	if c.closed.Swap(true) || cause == nil || errors.Is(cause, errAttemptDone) {
+		return c.Conn.Close()
+	}
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		// Without the option the close is an orderly one.
+		_ = tcp.SetLinger(0)
+	}
+	err := c.Conn.Close()
+	since := time.Duration(0)
+	if at := c.attempt.cancelledAt.Load(); at != 0 {
+		since = time.Since(time.Unix(0, at))
+	}
+	c.attempt.onReset(cause, since)
+	return err
+}
