entry, agent, platform: callers' ends are seen behind further bytes on all listeners

Below TLS the bytes are not read ahead: only own processes use TLS, and they send one request after the other.

--- a/bench/routing/fault_test.go
+++ b/bench/routing/fault_test.go
@@ -6,6 +6,8 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"os"
 	"strings"
@@ -316,3 +318,53 @@
 	c.Assert(harness.Until(ctx, func() bool { return cluster.Engines[0].Stats().Paused > 100 }), qt.IsNil)
 	c.Check(cluster.Engines[0].Stats().Tokens < 8000, qt.IsTrue)
 }
+
+// maxEndDelay is the users' bound on the time from a caller's leaving until its work
+// ends.
+const maxEndDelay = 500 * time.Millisecond
+
+// TestFurtherBytesDoNotHideThatACallerLeft guards against an engine that works on for
+// callers who sent more than their request before they left.
+func TestFurtherBytesDoNotHideThatACallerLeft(t *testing.T) {
+	c := qt.New(t)
+	cluster, err := bench.StartCluster(bench.ClusterConfig{
+		Entries: 1, Engines: 1, Workspaces: []string{"w0"}, Engine: engine.Config{TokenTime: 5 * time.Millisecond},
+	})
+	c.Assert(err, qt.IsNil)
+	defer cluster.Close()
+	address := strings.TrimPrefix(cluster.EntryURLs[0], "http://")
+	body, _ := json.Marshal(wire.Request{Prompt: "a", MaxTokens: 8000})
+	request := fmt.Sprintf("POST /v1/workspaces/w0/services/juru-tulis/requests HTTP/1.1\r\nHost: h\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+	for name, further := range map[string]string{"nothing": "", "stray line end": "\r\n", "next request": request} {
+		c.Run(name, func(c *qt.C) {
+			const callers = 2
+			before := cluster.Engines[0].Stats().Cancelled
+			var conns []net.Conn
+			for range callers {
+				conn, err := net.Dial("tcp", address)
+				c.Assert(err, qt.IsNil)
+				_, err = io.WriteString(conn, request)
+				c.Assert(err, qt.IsNil)
+				conns = append(conns, conn)
+			}
+			ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+			defer cancel()
+			c.Assert(harness.Until(ctx, func() bool { s := cluster.Engines[0].Status(); return s.Running+s.Queued >= 1 }), qt.IsNil)
+			for _, conn := range conns {
+				_, err := io.WriteString(conn, further)
+				c.Assert(err, qt.IsNil)
+			}
+			<-time.After(100 * time.Millisecond)
+			left := time.Now()
+			for _, conn := range conns {
+				c.Assert(conn.Close(), qt.IsNil)
+			}
+			ended := func() bool {
+				s := cluster.Engines[0].Status()
+				return s.Running+s.Queued == 0 && cluster.Engines[0].Stats().Cancelled > before
+			}
+			c.Assert(harness.Until(ctx, ended), qt.IsNil)
+			c.Check(time.Since(left) <= maxEndDelay, qt.IsTrue, qt.Commentf("the work went on for %v", time.Since(left)))
+		})
+	}
+}
--- a/node/agent/agent.go
+++ b/node/agent/agent.go
@@ -16,6 +16,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/laburnumloft/laburnumloft/core/settings"
+	"github.com/laburnumloft/laburnumloft/node/lib/callerconn"
 	"github.com/laburnumloft/laburnumloft/node/lib/lifecycle"
 	"github.com/laburnumloft/laburnumloft/node/lib/platform"
 	"github.com/laburnumloft/laburnumloft/node/lib/ring"
@@ -159,7 +160,8 @@
 	if a.cfg.WrapListener != nil {
 		listener = a.cfg.WrapListener(listener)
 	}
-	server := lifecycle.NewServer(a.handler(), serverProtocols())
+	server := lifecycle.NewServer(callerconn.Watch(a.handler()), serverProtocols())
+	server.ConnContext = callerconn.ConnContext
 	var duties sync.WaitGroup
 	dutyCtx, stopDuties := context.WithCancel(context.Background())
 	defer stopDuties()
@@ -173,7 +175,8 @@
 		a.state.setServing("")
 	}
 	duties.Go(func() {
-		if err := server.Serve(a.cfg.Channel.Listener(listener)); !errors.Is(err, http.ErrServerClosed) {
+		// The connections of package callerconn lie below TLS.
+		if err := server.Serve(a.cfg.Channel.Listener(callerconn.Listener{Listener: listener})); !errors.Is(err, http.ErrServerClosed) {
 			a.logger.Error("server stopped", "error", err)
 		}
 	})
--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -17,6 +17,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/laburnumloft/laburnumloft/core/membership"
+	"github.com/laburnumloft/laburnumloft/node/lib/callerconn"
 	"github.com/laburnumloft/laburnumloft/node/lib/lifecycle"
 	"github.com/laburnumloft/laburnumloft/node/lib/platform"
 	"github.com/laburnumloft/laburnumloft/node/lib/secure"
@@ -125,8 +126,9 @@
 	duties.Go(func() { e.gossip(dutyCtx) })
 	duties.Go(func() { e.tailClaims(dutyCtx) })
 	duties.Go(func() { e.dispatcher.run(dutyCtx) })
-	duties.Go(func() { e.serve(servers[0], public) })
-	duties.Go(func() { e.serve(servers[1], e.cfg.Channel.Listener(peer)) })
+	duties.Go(func() { e.serve(servers[0], callerconn.Listener{Listener: public}) })
+	// The connections of package callerconn lie below TLS.
+	duties.Go(func() { e.serve(servers[1], e.cfg.Channel.Listener(callerconn.Listener{Listener: peer})) })
 	e.logger.Info("entry started", "listen", public.Addr(), "peer_listen", peer.Addr())
 	select {
 	case <-ctx.Done():
@@ -143,6 +145,8 @@
 }
 
 func (e *Entry) serve(server *http.Server, listener net.Listener) {
+	server.ConnContext = callerconn.ConnContext
+	server.Handler = callerconn.Watch(server.Handler)
 	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 		e.logger.Error("server stopped", "error", err)
 	}
