--- a/node/mesh/datagram.go
+++ b/node/mesh/datagram.go
@@ -32,8 +32,12 @@
 	kindPermitReply      = 10
 )
 
-// paceScale is the factor that turns the pace into an integer on the wire.
-const paceScale = 16
+// paceScale is the factor that turns the pace into an integer on the wire, and maxPace
+// the largest such integer.
+const (
+	paceScale = 16
+	maxPace   = 1<<8 - 1
+)
 
 // Flags of a datagram.
 const (
@@ -277,7 +281,7 @@
 	return wireReport{
 		Flags: flag(r.Loading, flagLoading) | flag(r.Down, flagDown) | flag(r.Changed, flagChanged),
 		IP:    addr.Addr().As4(), Port: addr.Port(),
-		Running: clamp(r.Running), Queued: clamp(r.Queued), Pace: clamp(int(r.Slowdown * paceScale)),
+		Running: clamp(r.Running), Queued: clamp(r.Queued), Pace: clamp(int(min(r.Slowdown*paceScale, maxPace))),
 		WeightVersion: uint32(r.WeightVersion), Sequence: r.Sequence, Born: r.Born,
 	}, nil
 }
--- a/node/registry/sync.go
+++ b/node/registry/sync.go
@@ -33,6 +33,9 @@
 	otherRegionPollWait = 300 * time.Millisecond
 	// requestTimeout limits a request to a relay or to the store.
 	requestTimeout = pollWait + 300*time.Millisecond
+	// snapshotTimeout limits a read of the newest records of all servers. Its pages
+	// have a timeout of their own; another writer may have left thousands of records.
+	snapshotTimeout = 30 * time.Second
 	// maxRelayListAge is the age of a relay's list from which the relay is
 	// treated as disconnected from the store.
 	maxRelayListAge = 1200 * time.Millisecond
@@ -269,7 +272,11 @@
 // readStore reads the records appended since the last read, or the newest record
 // of each key if the offset is unknown.
 func (s *Sync) readStore(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, requestTimeout)
+	timeout := requestTimeout
+	if !s.offsetKnown {
+		timeout = snapshotTimeout
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	if !s.offsetKnown {
 		records, end, err := s.cfg.Source.Newest(ctx)
