gateway: connections with a large request are reset when their entry is killed

Connections with a request of 4 KB or more are set to be reset from the start, and back before an orderly close.

--- a/bench/fleet/gone_test.go
+++ b/bench/fleet/gone_test.go
@@ -260,6 +260,33 @@
 	}
 }
 
+// The work of an entry that is killed ends at once, too: its connections end with it
+// (TestDepartureSoak, seed 1, once: a body that the server had not read).
+func TestWorkEndsWhenItsEntryIsKilled(t *testing.T) {
+	c := qt.New(t)
+	f := start(c)
+	f.startHolding()
+	for _, body := range []int{0, largeBody} {
+		f.sub(fmt.Sprint("body of ", body), func() {
+			f.setWork(platform.Work{Time: 10 * time.Second, Unread: true})
+			var callers []*holdCaller
+			for n := range 8 {
+				h := f.holdCall(0, "/hold/", fmt.Sprintf("killed-%d-%d", body, n))
+				h.BodyBytes = body
+				c.Assert(h.Send(h.address()), qt.IsNil)
+				callers = append(callers, h)
+			}
+			f.eventually("all requests at servers", func() bool { return len(f.visits()) == len(callers) })
+			for _, h := range callers {
+				h.left = time.Now()
+			}
+			f.restart(f.entries, 0, syscall.SIGKILL)
+			f.c.Check(f.checkEnded(callers), qt.Equals, len(callers))
+			f.eventually("entry ready", func() bool { return f.ready(0) })
+		})
+	}
+}
+
 // sub runs a part of a test as a subtest.
 func (f *fleet) sub(name string, run func()) {
 	parent := f.c
--- a/node/gateway/buffered.go
+++ b/node/gateway/buffered.go
@@ -52,7 +52,7 @@
 		ctx, cancel = context.WithTimeout(ctx, max(attemptTimeoutTargets*req.route.Target, time.Until(req.deadline)/2))
 		defer cancel()
 	}
-	ctx, end := beginAttempt(ctx, g.logReset(req, choice))
+	ctx, end := beginAttempt(ctx, len(req.body), g.logReset(req, choice))
 	defer end()
 	e, release = g.send(ctx, req, choice, AttemptInfo{}), func() {}
 	if e.err == nil {
--- a/node/gateway/transport.go
+++ b/node/gateway/transport.go
@@ -47,7 +47,7 @@
 			return nil, err
 		}
 		if a, ok := ctx.Value(attemptKey{}).(*attemptEnd); ok {
-			return &serverConn{Conn: conn, attempt: a}, nil
+			return newServerConn(conn, a), nil
 		}
 		return conn, nil
 	}
@@ -86,7 +86,8 @@
 
 // attemptEnd tells the connection of an attempt how the attempt ended.
 type attemptEnd struct {
-	ctx context.Context
+	ctx       context.Context
+	bodyBytes int
 	// onReset is called after the connection of a cancelled attempt was reset; since
 	// is the time from the cancellation until then.
 	onReset     func(cause error, since time.Duration)
@@ -95,9 +96,9 @@
 
 // beginAttempt returns the context of an attempt. end must be called when the attempt
 // is over.
-func beginAttempt(ctx context.Context, onReset func(cause error, since time.Duration)) (attemptCtx context.Context, end func()) {
+func beginAttempt(ctx context.Context, bodyBytes int, onReset func(cause error, since time.Duration)) (attemptCtx context.Context, end func()) {
 	ctx, cancel := context.WithCancelCause(ctx)
-	a := &attemptEnd{ctx: ctx, onReset: onReset}
+	a := &attemptEnd{ctx: ctx, bodyBytes: bodyBytes, onReset: onReset}
 	stop := context.AfterFunc(ctx, func() { a.cancelledAt.CompareAndSwap(0, time.Now().UnixNano()) })
 	return context.WithValue(ctx, attemptKey{}, a), func() {
 		stop()
@@ -108,22 +109,52 @@
 // serverConn is the connection of one attempt. The end of a cancelled attempt must
 // reach the server at once. An orderly close would wait behind bytes of the request
 // that the server has not read; a reset drops them.
+//
+// Connections with a large request are set to be reset from the start, so that they
+// are when this process is killed, too.
 type serverConn struct {
 	net.Conn
 	attempt *attemptEnd
 	closed  atomic.Bool
 }
 
+// largeRequestBytes is the size of a body from which on a server's receive window may
+// be too small for a request.
+const largeRequestBytes = 4 << 10
+
+func newServerConn(conn net.Conn, a *attemptEnd) *serverConn {
+	c := &serverConn{Conn: conn, attempt: a}
+	if a.bodyBytes >= largeRequestBytes {
+		c.setReset(true)
+	}
+	return c
+}
+
+// setReset chooses between a reset and an orderly end at the next close.
+func (c *serverConn) setReset(reset bool) {
+	seconds := -1
+	if reset {
+		seconds = 0
+	}
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		// Without the option the close is an orderly one.
+		_ = tcp.SetLinger(seconds)
+	}
+}
+
 // Close implements net.Conn.
 func (c *serverConn) Close() error {
 	cause := context.Cause(c.attempt.ctx)
-	if c.closed.Swap(true) || cause == nil || errors.Is(cause, errAttemptDone) {
+	if c.closed.Swap(true) {
 		return c.Conn.Close()
 	}
-	if tcp, ok := c.Conn.(*net.TCPConn); ok {
-		// Without the option the close is an orderly one.
-		_ = tcp.SetLinger(0)
+	if cause == nil || errors.Is(cause, errAttemptDone) {
+		if c.attempt.bodyBytes >= largeRequestBytes {
+			c.setReset(false)
+		}
+		return c.Conn.Close()
 	}
+	c.setReset(true)
 	err := c.Conn.Close()
 	since := time.Duration(0)
 	if at := c.attempt.cancelledAt.Load(); at != 0 {
--- a/standin/platform/holding.go
+++ b/standin/platform/holding.go
@@ -102,6 +102,13 @@
 	s.work, s.visits = w, nil
 }
 
+// ChangeWork is like SetWork, but keeps the visits.
+func (s *HoldingServer) ChangeWork(w Work) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.work = w
+}
+
 // Visits returns the attempts since the last SetWork, in order of arrival.
 func (s *HoldingServer) Visits() []Visit {
 	s.mu.Lock()
