stager: pieces are requested in parts on every link

Cause: four to six whole pieces of 48 KB were on their way when the link became narrow, 1.3 to 2 s of it.

Pulls now request 16 KB parts, 8 KB on a narrow link. A piece that was begun is finished even while the sender has its usual number of uploads.

--- a/core/rollout/downlink.go
+++ b/core/rollout/downlink.go
@@ -21,19 +21,24 @@
 	// wideParts is how many parts in a row must arrive at narrowShare of the stated
 	// rate until a narrow link counts as wide again.
 	wideParts = 3
-	// narrowPartBytes is the size of a part on a narrow link. At an eighth of 9.4
-	// Mbit/s, it delays a request by 55 ms.
+	// partBytes is how much of a piece one request asks for. When a link falls to an
+	// eighth of 9.4 Mbit/s, four of them on their way delay a request by 0.45 s.
+	// Smaller parts make a rollout slower.
+	partBytes = 16 << 10
+	// narrowPartBytes is the same on a narrow link, where one part is on its way. It
+	// delays a request by 55 ms.
 	narrowPartBytes = 8 << 10
 )
 
-// Downlink decides how many pulls may run at once and how much each may request, so
-// that pieces do not fill the queue of a narrow link. Requests to the engine on the
-// same machine, and the ends of those whose callers have left, wait in that queue.
+// Downlink decides how many pulls may run at once, so that pieces do not fill the queue
+// of a narrow link. Requests to the engine on the same machine, and the ends of those
+// whose callers have left, wait in that queue. For the same reason pulls request pieces
+// in parts.
 //
 // The number of pulls starts at one and grows with each delivered piece. If the pulls
 // together receive less than narrowShare of the stated rate, the link counts as
-// narrow: one pull at a time then requests its piece in small parts. A wrong verdict,
-// for example because a sender is slow, ends after wideParts parts.
+// narrow, and one pull may run at a time. A wrong verdict, for example because a sender
+// is slow, ends after wideParts parts.
 //
 // It does no I/O and is not safe for concurrent use.
 type Downlink struct {
@@ -63,13 +68,12 @@
 	return d.pulls
 }
 
-// PartBytes returns how many bytes a pull may request at once; 0 means the whole rest
-// of its piece.
+// PartBytes returns how many bytes of a piece one request may ask for.
 func (d *Downlink) PartBytes() int {
 	if d.narrow {
 		return narrowPartBytes
 	}
-	return 0
+	return partBytes
 }
 
 // Narrow reports whether the link counts as narrow.
--- a/node/stager/incoming.go
+++ b/node/stager/incoming.go
@@ -2,41 +2,29 @@
 
 import (
 	"context"
-	"errors"
 	"sync"
 	"time"
 
-	"github.com/rotisserie/eris"
-
 	"github.com/laburnumloft/laburnumloft/core/rollout"
 )
 
-// errLinkNarrow cancels requests for whole pieces when the downlink becomes narrow.
-var errLinkNarrow = eris.New("the downlink has become narrow")
-
 // incomingPieces limits the pieces on their way to this machine as core/rollout
 // decides from their progress.
 type incomingPieces struct {
-	// turn is held by the only pull that may request parts on a narrow link.
+	// turn is held by the only pull that may go on while the link is narrow.
 	turn chan struct{}
 
 	mu   sync.Mutex
 	link *rollout.Downlink
-	// wide ends with errLinkNarrow when the link becomes narrow.
-	wide       context.Context
-	cancelWide context.CancelCauseFunc
 }
 
 // newIncomingPieces returns the limits of a link of a rate in Mbit/s; 0 means an
 // unknown rate.
 func newIncomingPieces(linkMbps float64) *incomingPieces {
-	rate := linkMbps * 1e6 / 8
-	p := &incomingPieces{
+	return &incomingPieces{
 		turn: make(chan struct{}, 1),
-		link: rollout.NewDownlink(rollout.DownlinkConfig{Rate: rate, MaxPulls: maxExchangePulls}),
+		link: rollout.NewDownlink(rollout.DownlinkConfig{Rate: linkMbps * 1e6 / 8, MaxPulls: maxExchangePulls}),
 	}
-	p.wide, p.cancelWide = context.WithCancelCause(context.Background())
-	return p
 }
 
 // maxPulls returns how many pulls from peers may run at once.
@@ -46,43 +34,28 @@
 	return p.link.MaxPulls()
 }
 
-// narrow reports whether the link counts as narrow.
-func (p *incomingPieces) narrow() bool {
+// partBytes returns how many bytes of a piece one request may ask for.
+func (p *incomingPieces) partBytes() int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.link.Narrow()
+	return p.link.PartBytes()
 }
 
-// check reports whether the link has become narrow, and then cancels the requests for
-// whole pieces, so that what is left of them does not enter the link's queue.
-func (p *incomingPieces) check() (becameNarrow bool) {
+// narrow reports whether the link counts as narrow.
+func (p *incomingPieces) narrow() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if !p.link.Check(time.Now()) {
-		return false
-	}
-	p.cancelWide(errLinkNarrow)
-	return true
+	return p.link.Narrow()
 }
 
-// begin returns how many bytes of a piece to request, 0 for all, and the context of
-// the request.
-func (p *incomingPieces) begin(ctx context.Context) (partBytes int, partCtx context.Context, cancel context.CancelFunc) {
+// check reports whether the link has become narrow.
+func (p *incomingPieces) check() (becameNarrow bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if partBytes = p.link.PartBytes(); partBytes > 0 {
-		partCtx, cancel = context.WithCancel(ctx)
-		return partBytes, partCtx, cancel
-	}
-	if p.wide.Err() != nil {
-		p.wide, p.cancelWide = context.WithCancelCause(context.Background())
-	}
-	partCtx, cancelCause := context.WithCancelCause(ctx)
-	stop := context.AfterFunc(p.wide, func() { cancelCause(errLinkNarrow) })
-	return 0, partCtx, func() { stop(); cancelCause(nil) }
+	return p.link.Check(time.Now())
 }
 
-// takeTurn waits until this pull may request parts on a narrow link.
+// takeTurn waits until this pull may go on while the link is narrow.
 func (p *incomingPieces) takeTurn(ctx context.Context) error {
 	select {
 	case p.turn <- struct{}{}:
@@ -136,46 +109,35 @@
 	return before && !t.pieces.link.Narrow()
 }
 
-// pullFromPeer fetches a piece from a peer: whole, or in parts while the link is
-// narrow. What had arrived when the link became narrow is kept.
-func (f *fetch) pullFromPeer(ctx context.Context, peer rollout.Peer, number int) ([]byte, error) {
-	var data []byte
+// pullFromPeer fetches a piece from a peer in parts. On a narrow link one pull at a time
+// goes on.
+func (f *fetch) pullFromPeer(ctx context.Context, peer rollout.Peer, number int) (data []byte, err error) {
 	holdsTurn := false
 	defer func() {
 		if holdsTurn {
 			f.incoming.releaseTurn()
 		}
 	}()
-	for {
+	for complete := false; !complete; {
 		if !holdsTurn && f.incoming.narrow() {
 			if err := f.incoming.takeTurn(ctx); err != nil {
 				return nil, err
 			}
 			holdsTurn = true
 		}
-		part, complete, err := f.pullPart(ctx, peer, number, len(data))
-		data = append(data, part...)
-		switch {
-		case err != nil && !errors.Is(err, errLinkNarrow):
+		var part []byte
+		if part, complete, err = f.pullPart(ctx, peer, number, len(data)); err != nil {
 			return nil, err
-		case err == nil && complete:
-			return data, nil
 		}
+		data = append(data, part...)
 	}
+	return data, nil
 }
 
-// pullPart requests the rest of a piece, or a part of it on a narrow link. With
-// errLinkNarrow it returns what had arrived until then.
 func (f *fetch) pullPart(ctx context.Context, peer rollout.Peer, number, from int) (part []byte, complete bool, err error) {
-	limit, partCtx, cancel := f.incoming.begin(ctx)
-	defer cancel()
-	part, complete, err = f.peers.piecePart(partCtx, peer, pieceQuery{
-		Model: f.manifest.Model, Version: f.manifest.Version, Number: number, From: from, Bytes: limit,
-	}, func() *transfer { return f.incoming.beginTransfer() }, f.logWide)
-	if err != nil && errors.Is(context.Cause(partCtx), errLinkNarrow) && ctx.Err() == nil {
-		return part, false, errLinkNarrow
-	}
-	return part, complete, err
+	return f.peers.piecePart(ctx, peer, pieceQuery{
+		Model: f.manifest.Model, Version: f.manifest.Version, Number: number, From: from, Bytes: f.incoming.partBytes(),
+	}, f.incoming.beginTransfer, f.logWide)
 }
 
 // logWide logs that the link is no longer narrow.
--- a/node/stager/peers.go
+++ b/node/stager/peers.go
@@ -79,7 +79,7 @@
 
 // piecePart fetches a part of a piece from a peer, and reports whether the piece ends
 // with it. onBegin is called at the first byte of the response, and onWide if the link
-// is found to be no longer narrow. Beside an error it returns what had arrived.
+// is found to be no longer narrow.
 func (c *peerClient) piecePart(ctx context.Context, peer rollout.Peer, q pieceQuery, onBegin func() *transfer, onWide func()) (part []byte, complete bool, err error) {
 	resp, err := c.get(ctx, peer, PiecePath, q)
 	if err != nil {
@@ -106,7 +106,7 @@
 		if ctx.Err() == nil {
 			c.startBackoff(peer.ID)
 		}
-		return part, false, eris.Wrap(err, "reading a piece from a peer")
+		return nil, false, eris.Wrap(err, "reading a piece from a peer")
 	}
 	if sizeErr == nil && q.From+len(part) < size && len(part) == 0 {
 		return nil, false, ErrNoPiece
@@ -248,15 +248,16 @@
 		http.Error(w, fmt.Sprintf("this agent does not hold piece %d", number), http.StatusNotFound)
 		return
 	}
-	if s.queuedUploads.Load() >= maxQueuedUploads || s.link.isNarrow(time.Now()) {
-		http.Error(w, "too many queued uploads, or the link is narrow; try another agent", http.StatusTooManyRequests)
-		return
-	}
 	from, length, ok := partOf(q, len(data))
 	if !ok {
 		http.Error(w, "from and bytes must be integers and name a part of the piece", http.StatusBadRequest)
 		return
 	}
+	// A piece that was begun is finished.
+	if from == 0 && (s.queuedUploads.Load() >= maxQueuedUploads || s.link.isNarrow(time.Now())) {
+		http.Error(w, "too many queued uploads, or the link is narrow; try another agent", http.StatusTooManyRequests)
+		return
+	}
 	w.Header().Set(pieceBytesHeader, strconv.Itoa(len(data)))
 	s.upload(r.Context(), w, r.RemoteAddr, data[from:from+length])
 }
