--- a/node/stager/narrow_test.go
+++ b/node/stager/narrow_test.go
@@ -4,6 +4,9 @@
 	"context"
 	"io"
 	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/url"
 	"sync"
 	"testing"
 	"time"
@@ -231,3 +234,37 @@
 		})
 	}
 }
+
+// A part beyond the piece must be refused, and one that reaches over its end shortened.
+func TestPartOfAPiece(t *testing.T) {
+	c := qt.New(t)
+	for query, want := range map[string][3]int{
+		"": {0, 100, 1}, "from=40": {40, 60, 1}, "from=40&bytes=16": {40, 16, 1}, "from=90&bytes=16": {90, 10, 1}, "from=100&bytes=1": {100, 0, 1},
+		"from=101": {}, "from=-1": {}, "from=x": {}, "bytes=0": {}, "bytes=-5": {}, "bytes=99999999999999999999": {}, "from=9223372036854775807&bytes=9223372036854775807": {},
+	} {
+		values, err := url.ParseQuery(query)
+		c.Assert(err, qt.IsNil)
+		from, length, ok := partOf(values, 100)
+		c.Check(ok, qt.Equals, want[2] == 1, qt.Commentf("%q", query))
+		if ok {
+			c.Check([2]int{from, length}, qt.Equals, [2]int{want[0], want[1]}, qt.Commentf("%q", query))
+		}
+	}
+}
+
+// An agent of an earlier version sends whole pieces whatever part is asked for, during
+// an update of the fleet.
+func TestPeerThatKnowsNoPartsSendsItsPiece(t *testing.T) {
+	c := qt.New(t)
+	piece := pieceBytes(2, 3)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write(piece) }))
+	defer server.Close()
+	peer := rollout.Peer{ID: "old", Address: server.Listener.Addr().String()}
+	pieces := newIncomingPieces(statedMbps)
+	for _, from := range []int{0, 100} {
+		part, complete, err := newPeerClient().piecePart(context.Background(), peer, pieceQuery{Number: 3, From: from, Bytes: 50}, pieces.beginTransfer, func() {})
+		c.Assert(err, qt.IsNil)
+		c.Assert(complete, qt.IsTrue)
+		c.Assert(string(part), qt.Equals, string(piece[from:]))
+	}
+}
