stager: a pull in parts has a bound in bytes and in time

Found while reading: a peer that names an endless size could go on sending parts, as each request has a timeout of its own. TestEndlessPiecesAreGivenUp did not end before.

--- a/node/stager/incoming.go
+++ b/node/stager/incoming.go
@@ -5,9 +5,16 @@
 	"sync"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"github.com/laburnumloft/laburnumloft/core/rollout"
 )
 
+// pullTimeout limits a pull of all parts of a piece, without the wait for its turn.
+const pullTimeout = 2 * pieceTimeout
+
+var errEndlessPiece = eris.New("the peer's piece is too large, or its parts come too slowly")
+
 // incomingPieces limits the pieces on their way to this machine as core/rollout
 // decides from their progress.
 type incomingPieces struct {
@@ -118,12 +125,18 @@
 			f.incoming.releaseTurn()
 		}
 	}()
+	deadline := time.Now().Add(pullTimeout)
 	for complete := false; !complete; {
 		if !holdsTurn && f.incoming.narrow() {
 			if err := f.incoming.takeTurn(ctx); err != nil {
 				return nil, err
 			}
 			holdsTurn = true
+			deadline = time.Now().Add(pullTimeout)
+		}
+		if len(data) > maxPieceBytes || time.Now().After(deadline) {
+			f.peers.startBackoff(peer.ID)
+			return nil, errEndlessPiece
 		}
 		var part []byte
 		if part, complete, err = f.pullPart(ctx, peer, number, len(data)); err != nil {
--- a/node/stager/narrow_test.go
+++ b/node/stager/narrow_test.go
@@ -268,3 +268,24 @@
 		c.Assert(string(part), qt.Equals, string(piece[from:]))
 	}
 }
+
+// Peers whose piece never ends, or that send it byte by byte, must be given up.
+func TestEndlessPiecesAreGivenUp(t *testing.T) {
+	for name, part := range map[string]int{"large parts": 1 << 20, "single bytes": 1} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			data := make([]byte, part)
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				w.Header().Set(pieceBytesHeader, "9000000000")
+				_, _ = w.Write(data)
+			}))
+			defer server.Close()
+			s := New(Config{Log: decision.New(decision.Config{Output: io.Discard}), LinkMbps: statedMbps})
+			f := &fetch{Stager: s, manifest: testManifest(2)}
+			begun := time.Now()
+			_, err := f.pullFromPeer(context.Background(), rollout.Peer{ID: "odd", Address: server.Listener.Addr().String()}, 3)
+			c.Assert(err, qt.ErrorIs, errEndlessPiece)
+			c.Assert(time.Since(begun) < pullTimeout+2*time.Second, qt.IsTrue)
+		})
+	}
+}
