--- a/bench/fleet/gone_soak_test.go
+++ b/bench/fleet/gone_soak_test.go
@@ -61,7 +61,7 @@
 	late, seen := 0, 0
 	now := time.Now()
 	for _, v := range f.visits() {
-		at, known := left[strings.TrimSuffix(v.ID, "-next")]
+		at, known := left[strings.TrimSuffix(v.ID, nextSuffix)]
 		if !known {
 			continue
 		}
--- a/bench/fleet/gone_test.go
+++ b/bench/fleet/gone_test.go
@@ -26,6 +26,8 @@
 	usualLeaving = 24
 	// largeBody is larger than what a server's receive window takes.
 	largeBody = 60_000
+	// nextSuffix follows a request's id in the id of the next one on its connection.
+	nextSuffix = "-next"
 	// holdingServers is how many holding servers a test has.
 	holdingServers = 2
 )
@@ -128,7 +130,7 @@
 	seen, late, worst, arrivedLate := 0, 0, time.Duration(0), 0
 	now := time.Now()
 	for _, v := range f.visits() {
-		at, known := left[v.ID]
+		at, known := left[strings.TrimSuffix(v.ID, nextSuffix)]
 		if !known || v.Answered && v.Ended.IsZero() && v.Arrived.Before(at) {
 			continue
 		}
@@ -175,7 +177,7 @@
 	}
 	next := func(path string, body int) func(*holdCaller) {
 		return func(h *holdCaller) {
-			following := platform.Caller{ID: h.ID + "-next", Path: path, Deadline: callerDeadline, BodyBytes: body}
+			following := platform.Caller{ID: h.ID + nextSuffix, Path: path, Deadline: callerDeadline, BodyBytes: body}
 			h.Further = following.Request()
 		}
 	}
