core/rollout: a part's time counts from its request

Its log shows two agents that found their narrow links wide again every 0.3 to 0.9 s: a process that reads late finds a whole part in its buffer, so that the time from the first to the last byte said nothing. The time from the request does.

TestLateReadsDoNotMakeALinkWide failed before.

--- a/core/rollout/downlink.go
+++ b/core/rollout/downlink.go
@@ -18,9 +18,11 @@
 	narrowShare = 0.25
 	// narrowWindow is the receiving time over which the rate is measured.
 	narrowWindow = 150 * time.Millisecond
-	// wideParts is how many parts in a row must arrive at narrowShare of the stated
-	// rate until a narrow link counts as wide again.
+	// wideParts is how many parts in a row must arrive at wideShare of the stated rate
+	// until a narrow link counts as wide again. Their times include those of the
+	// requests, so that the share is lower than narrowShare.
 	wideParts = 3
+	wideShare = 0.18
 	// partBytes is how much of a piece one request asks for. When a link falls to an
 	// eighth of 9.4 Mbit/s, four of them on their way delay a request by 0.45 s.
 	// Smaller parts make a rollout slower.
@@ -91,15 +93,16 @@
 	d.windowBytes += bytes
 }
 
-// End records the end of a transfer that took the given time from its first to its
-// last byte. bytes is 0 if it failed.
+// End records the end of a transfer that took the given time from its request to its
+// last byte. bytes is 0 if it failed. The time from its first byte would not do: a
+// process that reads late finds the whole part.
 func (d *Downlink) End(bytes int, took time.Duration, now time.Time) {
 	d.advance(now)
 	d.receiving--
 	if !d.narrow || bytes == 0 {
 		return
 	}
-	if took.Seconds()*d.cfg.Rate*narrowShare > float64(bytes) {
+	if took.Seconds()*d.cfg.Rate*wideShare > float64(bytes) {
 		d.fastParts = 0
 		return
 	}
--- a/core/rollout/downlink_test.go
+++ b/core/rollout/downlink_test.go
@@ -78,3 +78,19 @@
 	c.Assert(narrowed, qt.IsFalse)
 	c.Assert(d.MaxPulls(), qt.Equals, 6)
 }
+
+// A part that lay ready when the process read it must not make a narrow link wide: its
+// request took long (narrow-rollout, seed 900562271879).
+func TestLateReadsDoNotMakeALinkWide(t *testing.T) {
+	c := qt.New(t)
+	d := NewDownlink(DownlinkConfig{Rate: linkRate, MaxPulls: 6})
+	now, narrowed := receive(d, pieceSize, linkRate/8, time.Unix(0, 0))
+	c.Assert(narrowed, qt.IsTrue)
+	for range 10 {
+		d.Begin(now)
+		d.Received(d.PartBytes(), now)
+		d.End(d.PartBytes(), 60*time.Millisecond, now)
+		c.Assert(d.Narrow(), qt.IsTrue)
+		now = now.Add(60 * time.Millisecond)
+	}
+}
--- a/node/stager/incoming.go
+++ b/node/stager/incoming.go
@@ -83,18 +83,17 @@
 
 // transfer records the progress of one response.
 type transfer struct {
-	pieces *incomingPieces
-	begun  time.Time
-	bytes  int
+	pieces    *incomingPieces
+	requested time.Time
+	bytes     int
 }
 
-// beginTransfer records the first byte of a response.
-func (p *incomingPieces) beginTransfer() *transfer {
+// beginTransfer records the first byte of the response to a request.
+func (p *incomingPieces) beginTransfer(requested time.Time) *transfer {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	t := &transfer{pieces: p, begun: time.Now()}
-	p.link.Begin(t.begun)
-	return t
+	p.link.Begin(time.Now())
+	return &transfer{pieces: p, requested: requested}
 }
 
 func (t *transfer) received(n int) {
@@ -112,7 +111,7 @@
 		t.bytes = 0
 	}
 	now, before := time.Now(), t.pieces.link.Narrow()
-	t.pieces.link.End(t.bytes, now.Sub(t.begun), now)
+	t.pieces.link.End(t.bytes, now.Sub(t.requested), now)
 	return before && !t.pieces.link.Narrow()
 }
 
--- a/node/stager/peers.go
+++ b/node/stager/peers.go
@@ -80,7 +80,8 @@
 // piecePart fetches a part of a piece from a peer, and reports whether the piece ends
 // with it. onBegin is called at the first byte of the response, and onWide if the link
 // is found to be no longer narrow.
-func (c *peerClient) piecePart(ctx context.Context, peer rollout.Peer, q pieceQuery, onBegin func() *transfer, onWide func()) (part []byte, complete bool, err error) {
+func (c *peerClient) piecePart(ctx context.Context, peer rollout.Peer, q pieceQuery, onBegin func(requested time.Time) *transfer, onWide func()) (part []byte, complete bool, err error) {
+	requested := time.Now()
 	resp, err := c.get(ctx, peer, PiecePath, q)
 	if err != nil {
 		return nil, false, err
@@ -93,7 +94,7 @@
 	default:
 		return nil, false, ErrNoPiece
 	}
-	t := onBegin()
+	t := onBegin(requested)
 	part, err = readCounted(io.LimitReader(resp.Body, maxPieceBytes), t)
 	if t.end(err == nil) {
 		onWide()
