core/rollout: agents on narrow links leave the origin to others

Cause: the origin sends only whole pieces, and an agent that feeds its region pulled them one after the other, 0.33 s of a link of 1.2 Mbit/s each.

An agent on a narrow link now leaves them to the next feeders for 3 s.

--- a/core/rollout/swarm.go
+++ b/core/rollout/swarm.go
@@ -76,6 +76,8 @@
 	// originRetryAt the time from which it may be used again.
 	originFailures int
 	originRetryAt  time.Time
+	// narrow means that this agent leaves the origin to others.
+	narrow bool
 	// originFailed is true if the origin has ever failed for this swarm.
 	originFailed bool
 	// endgameStart is the time when a check found that the last pieces of the
@@ -118,6 +120,9 @@
 	// endgameFeederTimeout is how long the next agent in feeder order waits
 	// during the endgame.
 	endgameFeederTimeout = 200 * time.Millisecond
+	// narrowOriginTimeout is how long an agent on a narrow link leaves a piece to the
+	// other feeders, before it requests the piece from the origin itself.
+	narrowOriginTimeout = 3 * time.Second
 	// endgameCheckInterval is the time between two checks for the endgame.
 	endgameCheckInterval = 50 * time.Millisecond
 )
@@ -293,6 +298,11 @@
 	return due
 }
 
+// SetNarrow tells whether the machine's downlink is narrow. The origin sends whole
+// pieces, each of which delays the requests on such a link by a third of a second, so
+// that the next agents in feeder order get them.
+func (s *Swarm) SetNarrow(narrow bool) { s.narrow = narrow }
+
 // originScheduleShare is the part of the copy time over which the requests to
 // the origin are spread. It is less than 1 so that the origin's link is never
 // idle.
@@ -347,6 +357,9 @@
 	if chain[0] != s.cfg.Self.Region && waited < s.cfg.OriginFallbackTimeout {
 		return Source{}, false
 	}
+	if s.narrow && len(s.feeders) > 1 && waited < narrowOriginTimeout {
+		return Source{}, false
+	}
 	return Source{Origin: true}, !now.Before(s.originRetryAt)
 }
 
--- a/core/rollout/swarm_test.go
+++ b/core/rollout/swarm_test.go
@@ -386,3 +386,28 @@
 		}
 	}
 }
+
+// An agent on a narrow link must leave the origin's whole pieces to the other feeders
+// (narrow-rollout, seed 1), but not for ever, and not if it is alone in its region.
+func TestNarrowAgentLeavesTheOriginToOthers(t *testing.T) {
+	c := qt.New(t)
+	self := Peer{ID: "a", Address: "a:1", Region: "r"}
+	begun := time.Unix(1000, 0)
+	firstOriginPull := func(peers ...Peer) time.Duration {
+		s := NewSwarm(SwarmConfig{
+			Self: self, Peers: peers, OriginRegion: "r", Version: "2", Pieces: 8,
+			FirstRegionTimeout: time.Second, LaterRegionTimeout: time.Second, OriginFallbackTimeout: time.Second, PeerBackoff: time.Second, Seed: 1,
+		}, begun)
+		s.SetNarrow(true)
+		for waited := time.Duration(0); waited < 20*time.Second; waited += 50 * time.Millisecond {
+			if pull, ok := s.NextFeed(begun.Add(waited)); ok {
+				c.Assert(pull.Source.Origin, qt.IsTrue)
+				return waited
+			}
+		}
+		return -1
+	}
+	c.Check(firstOriginPull(), qt.Equals, time.Duration(0))
+	waited := firstOriginPull(Peer{ID: "b", Address: "b:1", Region: "r"})
+	c.Check(waited >= narrowOriginTimeout && waited < narrowOriginTimeout+time.Second, qt.IsTrue, qt.Commentf("%v", waited))
+}
--- a/node/stager/fetch.go
+++ b/node/stager/fetch.go
@@ -230,6 +230,7 @@
 			f.recordedSequence = 0
 		}
 		f.checkLink()
+		f.swarm.SetNarrow(f.incoming.narrow())
 		limit := f.incoming.maxPulls()
 		for feeding < min(maxFeedPulls, limit) {
 			pull, ok := f.swarm.NextFeed(time.Now())
