--- a/bench/fleet/fleet_test.go
+++ b/bench/fleet/fleet_test.go
@@ -79,12 +79,14 @@
 	// crashes counts the engines that crashed under a deadly part.
 	crashes atomic.Int32
 
-	mu      sync.Mutex
-	entries []*exec.Cmd
-	agents  []*exec.Cmd
-	version int64
-	config  int64
-	client  *http.Client
+	mu       sync.Mutex
+	silent   map[string]bool
+	draining map[string]bool
+	entries  []*exec.Cmd
+	agents   []*exec.Cmd
+	version  int64
+	config   int64
+	client   *http.Client
 }
 
 type lockedBuffer struct {
@@ -239,10 +241,10 @@
 func (f *fleet) beat(ctx context.Context) {
 	for {
 		for i, s := range f.engines {
-			_ = f.store.Put("keyed.servers", fmt.Sprint("engine-", i), s.Beat("llm", engineIP(i)+":8001", "z"))
+			f.writeBeat(fmt.Sprint("engine-", i), s.Beat("llm", engineIP(i)+":8001", "z"))
 		}
 		for i, s := range f.plains {
-			_ = f.store.Put("keyed.servers", fmt.Sprint("plain-", i), s.Beat("switching", plainIP(i)+":8001", "z"))
+			f.writeBeat(fmt.Sprint("plain-", i), s.Beat("switching", plainIP(i)+":8001", "z"))
 		}
 		f.mu.Lock()
 		holding := f.holding
@@ -258,6 +260,39 @@
 	}
 }
 
+// writeBeat writes the record of a server that has not been silenced.
+func (f *fleet) writeBeat(id string, beat map[string]any) {
+	f.mu.Lock()
+	silent, draining := f.silent[id], f.draining[id]
+	f.mu.Unlock()
+	if draining {
+		beat["state"] = "draining"
+	}
+	if !silent {
+		_ = f.store.Put("keyed.servers", id, beat)
+	}
+}
+
+// silence ends or resumes the records of a server.
+func (f *fleet) silence(id string, silent bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.silent == nil {
+		f.silent = map[string]bool{}
+	}
+	f.silent[id] = silent
+}
+
+// drain makes a server say that it is draining.
+func (f *fleet) drain(id string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.draining == nil {
+		f.draining = map[string]bool{}
+	}
+	f.draining[id] = true
+}
+
 // configure publishes the next configuration. Its version is a route of its
 // own, by which a test sees what is in force.
 func (f *fleet) configure() {
--- a/standin/platform/store.go
+++ b/standin/platform/store.go
@@ -59,11 +59,14 @@
 	deaf int
 	// waiting counts the waiting reads of the operator's records.
 	waiting int
+	era     eraHeader
+	// appends and newestReads count the calls of the system by topic.
+	appends, newestReads map[string]int
 }
 
 // NewStore returns an empty store.
 func NewStore() *Store {
-	return &Store{topics: map[string]*topic{}}
+	return &Store{topics: map[string]*topic{}, appends: map[string]int{}, newestReads: map[string]int{}}
 }
 
 // SetDown makes every call fail with 503.
@@ -159,11 +162,12 @@
 	s.mu.Lock()
 	down, losing := s.down, s.losing
 	s.mu.Unlock()
+	name := r.URL.Query().Get("topic")
+	w = &eraWriter{ResponseWriter: w, store: s, topic: name}
 	if down {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	name := r.URL.Query().Get("topic")
 	switch r.URL.Path {
 	case "/v1/log-append":
 		s.serveAppend(w, r, name, losing)
@@ -187,6 +191,9 @@
 	if len(value) == 0 {
 		value = nil
 	}
+	s.mu.Lock()
+	s.appends[name]++
+	s.mu.Unlock()
 	end := s.append(name, record{string(body[5 : 5+keyLength]), value})
 	if losing {
 		panic(http.ErrAbortHandler)
@@ -202,6 +209,11 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	if from > s.end(name) {
+		w.WriteHeader(http.StatusGone)
+		writeJSON(w, map[string]int{"first": 0})
+		return
+	}
 	timeout := time.After(min(time.Duration(waitMS)*time.Millisecond, maxWait))
 	s.wait(name, 1)
 	defer s.wait(name, -1)
@@ -256,6 +268,7 @@
 
 func (s *Store) serveNewest(w http.ResponseWriter, name, after string) {
 	s.mu.Lock()
+	s.newestReads[name]++
 	t := s.topic(name)
 	keys, end := t.sortedKeys(), len(t.records)
 	first, found := slices.BinarySearch(keys, after)
