platform, keyedlog, registry: an offset is valid only in its era of the store

What callers saw: a configuration or version that was written soon after the store came back from a copy was not in force until another change, and requests went to a backend server 5 s after its removal. Cause: readers kept a bare offset. After a restore it lies at or below the new end, so the store answers with what stands above it, no 410, and what stands below is never read. Lines that name an offset name the era.

--- a/core/route/route.go
+++ b/core/route/route.go
@@ -156,7 +156,10 @@
 
 // Configuration is one published version of the configuration.
 type Configuration struct {
-	Version    int64
+	Version int64
+	// StoreEra is the number of the store's era in which the configuration was read; 0
+	// also if it is not known.
+	StoreEra   int64
 	Routes     []Route
 	Services   []Service
 	Workspaces []Workspace
--- a/core/storeera/storeera.go
+++ b/core/storeera/storeera.go
@@ -31,6 +31,12 @@
 	return strconv.FormatInt(e.Number, 10)
 }
 
+// Position is an offset of one topic of the store, with the era that gives it a meaning.
+type Position struct {
+	Offset int64
+	Era    Era
+}
+
 // Event is what an answer of the store shows about the era, if it is worth a log line.
 type Event string
 
--- a/node/configsync/client.go
+++ b/node/configsync/client.go
@@ -62,15 +62,16 @@
 }
 
 // fetchConfiguration fetches an entry's configuration if it is newer than the
-// current version, and applies it.
-func (s *Syncer) fetchConfiguration(ctx context.Context, address string, current int64) {
+// current version, and applies it. It reports whether there was one.
+func (s *Syncer) fetchConfiguration(ctx context.Context, address string, current int64) bool {
 	var cfg route.Configuration
 	err := fetchJSON(ctx, s.cfg.Client, address, ConfigurationPath, configurationQuery{current}, &cfg)
 	if err == nil {
-		s.cfg.Gateway.Configure(cfg, "entry "+address)
+		return s.cfg.Gateway.Configure(cfg, "entry "+address)
 	} else if ctx.Err() == nil && !eris.Is(err, ErrNoContent) {
 		s.cfg.Log.Event("configuration_unread", "from", address, "version", current, "cause", err.Error())
 	}
+	return false
 }
 
 // fetchWeights fetches and applies an entry's published weight versions, and
--- a/node/configsync/syncer.go
+++ b/node/configsync/syncer.go
@@ -220,6 +220,36 @@
 	return randomAddress(addresses)
 }
 
+// maxEntriesAsked is how many entries are asked for a newer configuration before one
+// from a restored store is used.
+const maxEntriesAsked = 2
+
+// FetchNewer asks other entries for a configuration that is newer than a version, until
+// one has one or maxEntriesAsked did not.
+func (s *Syncer) FetchNewer(version int64) {
+	addresses := s.KnownEntries()
+	for _, i := range rand.Perm(len(addresses))[:min(maxEntriesAsked, len(addresses))] {
+		if s.fetchConfiguration(context.Background(), addresses[i], version) {
+			return
+		}
+	}
+}
+
+// KnownEntries returns the addresses of the live other entries, or, if there are none,
+// of all entries that may exist.
+func (s *Syncer) KnownEntries() (addresses []string) {
+	for _, l := range s.cfg.Mesh.LiveEntries() {
+		addresses = append(addresses, l.Address)
+	}
+	if len(addresses) > 0 {
+		return addresses
+	}
+	for _, m := range s.cfg.Mesh.Members(mesh.Entry) {
+		addresses = append(addresses, m.Address)
+	}
+	return append(addresses, s.cfg.Seeds()...)
+}
+
 // pickEntry returns the address of a random entry that fits, from the own region
 // if possible, or "" if none fits.
 func (s *Syncer) pickEntry(live []mesh.LiveEntry, fits func(mesh.Hello) bool) string {
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -173,7 +173,7 @@
 			return false
 		}
 		if g.table.CompareAndSwap(old, route.NewTable(cfg)) {
-			g.cfg.Log.Event("configuration_taken", "version", cfg.Version, "source", source,
+			g.cfg.Log.Event("configuration_taken", "version", cfg.Version, "store_era", cfg.StoreEra, "source", source,
 				"routes", len(cfg.Routes), "workspaces", len(cfg.Workspaces))
 			return true
 		}
--- a/node/keyedlog/follower.go
+++ b/node/keyedlog/follower.go
@@ -12,12 +12,19 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/laburnumloft/laburnumloft/core/storeera"
 	"github.com/laburnumloft/laburnumloft/node/decision"
 )
 
-// ErrOffsetExpired is returned by a Source if the log has expired records after
-// the offset.
-var ErrOffsetExpired = eris.New("the log no longer holds the records after the offset")
+// Errors of a Source after which a reader has to read the newest records.
+var (
+	// ErrOffsetExpired means that the log has expired records after the offset, or
+	// ends before it.
+	ErrOffsetExpired = eris.New("the log does not hold the records after the offset")
+	// ErrEraEnded means that the position, or an answer, belongs to an era of the log
+	// that has ended.
+	ErrEraEnded = eris.New("the era of the log to which the position belongs has ended")
+)
 
 // Record is one keyed record. A nil value means that the key was deleted.
 type Record struct {
@@ -28,11 +35,14 @@
 
 // Source reads one topic.
 type Source interface {
-	// Newest returns the newest record of each key and the end of the log.
-	Newest(ctx context.Context) (records []Record, end int64, err error)
-	// Read returns the records from an offset on and the offset after them. If
-	// there are none, it waits up to wait for the first.
-	Read(ctx context.Context, from int64, wait time.Duration) (records []Record, next int64, err error)
+	// Newest returns the newest record of each key, all from one era, and the end of
+	// the log.
+	Newest(ctx context.Context) (records []Record, end storeera.Position, err error)
+	// Read returns the records from a position on and the position after them, which
+	// is in the same era. If there are none, it waits up to wait for the first. It
+	// fails with ErrEraEnded, also while it waits, as soon as any call of this process
+	// has shown that the era has ended.
+	Read(ctx context.Context, from storeera.Position, wait time.Duration) (records []Record, next storeera.Position, err error)
 }
 
 // Batch is the result of one call to the Source.
@@ -40,11 +50,16 @@
 	Records []Record
 	// Snapshot means that Records are the newest records of all keys.
 	Snapshot bool
-	// MaxAge is the maximum time for which the records had been in the log when
-	// the call returned. It is 0 for a read that waited, because such a read
-	// gets a record at once; otherwise the records may have been appended during
-	// the pause before the read. For a snapshot it is also 0, which says nothing
-	// about the age of the records.
+	// EraEnded means that the snapshot was read because the era of the records read
+	// before has ended. It may hold older records than those.
+	EraEnded bool
+	// Era is the era of the records.
+	Era storeera.Era
+	// MaxAge is the maximum time for which records that were not read before had been
+	// in the log when the call returned. It is 0 for a read that waited, because such
+	// a read gets a record at once; otherwise the records may have been appended
+	// during the pause before the read. For a snapshot it is also 0, which says
+	// nothing about the age of the records, unless EraEnded is set.
 	MaxAge time.Duration
 }
 
@@ -93,11 +108,13 @@
 	// lastContact is the time at which the last successful call ended, in
 	// nanoseconds since started; negative if there was none.
 	lastContact  atomic.Int64
-	offset       int64
+	position     storeera.Position
 	snapshotRead bool
-	retryDelay   time.Duration
-	storeLost    bool
-	failing      atomic.Bool
+	// eraEnded is set until the snapshot after ErrEraEnded has been read.
+	eraEnded   bool
+	retryDelay time.Duration
+	storeLost  bool
+	failing    atomic.Bool
 	// lastCallEnd is the time at which the last call ended, or at which Active
 	// last returned false.
 	lastCallEnd time.Time
@@ -127,13 +144,16 @@
 		if f.cfg.Active != nil && !f.cfg.Active() {
 			// After an inactive period, read a snapshot rather than each record
 			// that was appended.
-			f.snapshotRead, pause = false, inactivePollInterval
+			f.snapshotRead, f.eraEnded, pause = false, false, inactivePollInterval
 		} else if err := f.step(ctx); err != nil {
 			pause = f.handleFailure(ctx, err)
 		} else {
 			f.handleSuccess()
 		}
-		f.lastCallEnd = time.Now()
+		if !f.eraEnded {
+			// A read that waits for an offset of an era that has ended misses records.
+			f.lastCallEnd = time.Now()
+		}
 		select {
 		case <-time.After(pause):
 		case <-ctx.Done():
@@ -144,34 +164,50 @@
 // step makes one call to the source: Newest if no snapshot was read, else Read.
 func (f *Follower) step(ctx context.Context) error {
 	if !f.snapshotRead {
-		ctx, cancel := context.WithTimeout(ctx, callTimeout)
-		defer cancel()
-		records, end, err := f.cfg.Source.Newest(ctx)
-		if err != nil {
-			return err
-		}
-		f.offset, f.snapshotRead = end, true
-		f.cfg.OnRecords(Batch{Records: records, Snapshot: true})
-		return nil
+		return f.readSnapshot(ctx)
 	}
 	ctx, cancel := context.WithTimeout(ctx, f.cfg.Wait+callTimeout)
 	defer cancel()
 	start := time.Now()
-	records, next, err := f.cfg.Source.Read(ctx, f.offset, f.cfg.Wait)
+	records, next, err := f.cfg.Source.Read(ctx, f.position, f.cfg.Wait)
 	if err != nil {
 		return err
 	}
-	f.offset = next
+	f.position = next
 	if len(records) > 0 {
-		maxAge := time.Duration(0)
-		if duration := time.Since(start); duration < minLongPollDuration {
-			maxAge = duration + start.Sub(f.lastCallEnd)
-		}
-		f.cfg.OnRecords(Batch{Records: records, MaxAge: maxAge})
+		f.cfg.OnRecords(Batch{Records: records, MaxAge: f.maxAge(start), Era: next.Era})
 	}
 	return nil
 }
 
+func (f *Follower) readSnapshot(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	start := time.Now()
+	records, end, err := f.cfg.Source.Newest(ctx)
+	if err != nil {
+		return err
+	}
+	batch := Batch{Records: records, Snapshot: true, Era: end.Era, EraEnded: f.eraEnded}
+	if f.eraEnded {
+		batch.MaxAge = f.maxAge(start)
+		f.cfg.Log.Event("feed_read_anew", "feed", f.cfg.Name, "era", end.Era.String(), "offset", end.Offset, "records", len(records))
+	}
+	f.position, f.snapshotRead, f.eraEnded = end, true, false
+	f.cfg.OnRecords(batch)
+	return nil
+}
+
+// maxAge returns the maximum age of the records that a call returned which began at
+// start.
+func (f *Follower) maxAge(start time.Time) time.Duration {
+	duration := time.Since(start)
+	if duration >= minLongPollDuration && !f.eraEnded {
+		return 0
+	}
+	return duration + start.Sub(f.lastCallEnd)
+}
+
 // handleSuccess records the time of a successful call and resets the retry delay.
 func (f *Follower) handleSuccess() {
 	f.lastContact.Store(int64(time.Since(f.started)))
@@ -179,7 +215,7 @@
 	f.failing.Store(false)
 	if f.storeLost {
 		f.storeLost = false
-		f.cfg.Log.Event("store_regained", "feed", f.cfg.Name, "offset", f.offset)
+		f.cfg.Log.Event("store_regained", "feed", f.cfg.Name, "offset", f.position.Offset, "era", f.position.Era.String())
 	}
 	if f.cfg.OnContact != nil {
 		f.cfg.OnContact()
@@ -187,15 +223,17 @@
 }
 
 // handleFailure returns the delay before the next call. It logs the first of
-// consecutive failures. After ErrOffsetExpired, the next call reads a snapshot at
-// once.
+// consecutive failures. After ErrOffsetExpired and ErrEraEnded, the next call reads a
+// snapshot at once.
 func (f *Follower) handleFailure(ctx context.Context, err error) time.Duration {
 	if ctx.Err() != nil {
 		return 0
 	}
-	if errors.Is(err, ErrOffsetExpired) {
+	if errors.Is(err, ErrOffsetExpired) || errors.Is(err, ErrEraEnded) {
+		// A snapshot during which the era ends is read again.
+		f.eraEnded = f.eraEnded || f.snapshotRead && errors.Is(err, ErrEraEnded)
 		f.snapshotRead = false
-		f.cfg.Log.Event("feed_expired", "feed", f.cfg.Name, "offset", f.offset)
+		f.cfg.Log.Event("feed_expired", "feed", f.cfg.Name, "offset", f.position.Offset, "era", f.position.Era.String(), "cause", err.Error())
 		return 0
 	}
 	f.failing.Store(true)
--- a/node/keyedlog/follower_test.go
+++ b/node/keyedlog/follower_test.go
@@ -11,6 +11,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/laburnumloft/laburnumloft/core/storeera"
 	"github.com/laburnumloft/laburnumloft/node/decision"
 )
 
@@ -20,27 +21,30 @@
 	newestCalls int
 	reads       []int64
 	answers     []func() ([]Record, int64, error)
+	// era is the era of all answers.
+	era storeera.Era
 }
 
-func (s *fakeSource) Newest(context.Context) ([]Record, int64, error) {
+func (s *fakeSource) Newest(context.Context) ([]Record, storeera.Position, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.newestCalls++
-	return []Record{{Key: "config", Value: []byte("1"), Offset: 4}}, 5, nil
+	return []Record{{Key: "config", Value: []byte("1"), Offset: 4}}, storeera.Position{Offset: 5, Era: s.era}, nil
 }
 
-func (s *fakeSource) Read(ctx context.Context, from int64, _ time.Duration) ([]Record, int64, error) {
+func (s *fakeSource) Read(ctx context.Context, from storeera.Position, _ time.Duration) ([]Record, storeera.Position, error) {
 	s.mu.Lock()
-	s.reads = append(s.reads, from)
+	s.reads = append(s.reads, from.Offset)
 	if len(s.answers) == 0 {
 		s.mu.Unlock()
 		<-ctx.Done()
-		return nil, 0, ctx.Err()
+		return nil, storeera.Position{}, ctx.Err()
 	}
 	answer := s.answers[0]
 	s.answers = s.answers[1:]
 	s.mu.Unlock()
-	return answer()
+	records, next, err := answer()
+	return records, storeera.Position{Offset: next, Era: from.Era}, err
 }
 
 // Across an outage, each record must be delivered once and in order. After the
@@ -159,3 +163,31 @@
 	}
 	c.Assert(longest > maxInitialRetryDelay*3/2, qt.IsTrue)
 }
+
+// A snapshot that was read because an era has ended must say so, and its records may
+// have been there since before the read that waited in the old era: a version that was
+// named meanwhile is that old.
+func TestSnapshotOfANewEra(t *testing.T) {
+	c := qt.New(t)
+	const wait = 300 * time.Millisecond
+	source := &fakeSource{era: storeera.Era{Number: 3, Known: true}}
+	source.answers = []func() ([]Record, int64, error){func() ([]Record, int64, error) {
+		<-time.After(wait)
+		return nil, 0, ErrEraEnded
+	}}
+	got := make(chan Batch, 10)
+	f := NewFollower(Config{
+		Name: "op", Source: source, Log: decision.New(decision.Config{Output: io.Discard}), Wait: time.Second,
+		OnRecords: func(b Batch) { got <- b },
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	running.Go(func() { f.Run(ctx) })
+	first, second := <-got, <-got
+	c.Assert(first.EraEnded, qt.IsFalse)
+	c.Assert(second.Snapshot && second.EraEnded, qt.IsTrue)
+	c.Assert(second.Era.Number, qt.Equals, int64(3))
+	c.Assert(second.MaxAge >= wait, qt.IsTrue, qt.Commentf("age %v", second.MaxAge))
+	cancel()
+	running.Wait()
+}
--- a/node/registry/registry.go
+++ b/node/registry/registry.go
@@ -31,6 +31,12 @@
 	Full    bool               `json:"full,omitempty"`
 	Servers []placement.Server `json:"servers,omitempty"`
 	Removed []string           `json:"gone,omitempty"`
+	// Departed holds the start times of the last instances of servers that have left,
+	// by id, in a full list. A copy of the store may still list them.
+	Departed map[string]int64 `json:"departed,omitempty"`
+	// StoreEra is the number of the store's era in which the list was last confirmed;
+	// 0 also if it is not known.
+	StoreEra int64 `json:"store_era,omitempty"`
 	// AgeMS is the time since the relay's list last matched the store.
 	AgeMS int64 `json:"age_ms"`
 }
@@ -42,8 +48,10 @@
 	mu       sync.Mutex
 	revision int64
 	servers  map[string]listedServer
-	removals map[string]int64
+	removals map[string]removal
 	changed  chan struct{}
+	// era is the number of the store's era in which the list was last confirmed.
+	era int64
 	// unpublished is true while there are changes that followers have not been
 	// notified of.
 	unpublished   bool
@@ -56,13 +64,16 @@
 	revision int64
 }
 
+// removal is the removal of a server, whose last instance started at born.
+type removal struct{ revision, born int64 }
+
 // maxRemovals limits the number of recorded removals. A follower that is
 // further behind gets the full list.
 const maxRemovals = 1024
 
 // NewList returns an empty list.
 func NewList() *List {
-	return &List{epoch: rand.Uint64(), servers: map[string]listedServer{}, removals: map[string]int64{}, changed: make(chan struct{})}
+	return &List{epoch: rand.Uint64(), servers: map[string]listedServer{}, removals: map[string]removal{}, changed: make(chan struct{})}
 }
 
 // RecordRead records that the list matches the state of the store at the given
@@ -139,19 +150,47 @@
 func (l *List) Remove(id string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if _, ok := l.servers[id]; !ok {
+	left, ok := l.servers[id]
+	if !ok {
 		return
 	}
 	l.revision++
 	delete(l.servers, id)
 	if len(l.removals) >= maxRemovals {
 		// A new epoch makes every follower fetch the full list.
-		l.removals, l.epoch = map[string]int64{}, rand.Uint64()
+		l.removals, l.epoch = map[string]removal{}, rand.Uint64()
 	}
-	l.removals[id] = l.revision
+	l.removals[id] = removal{l.revision, left.server.Born}
 	l.unpublished = true
 }
 
+// Get returns a server of the list.
+func (l *List) Get(id string) (s placement.Server, ok bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	e, ok := l.servers[id]
+	return e.server, ok
+}
+
+// SetEra records the number of the store's era in which the list is confirmed. The
+// followers are told of another one at once.
+func (l *List) SetEra(number int64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if number != l.era {
+		l.era = number
+		l.revision++
+		l.unpublished = true
+	}
+}
+
+// Era returns the number of the store's era in which the list was last confirmed.
+func (l *List) Era() int64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.era
+}
+
 // Revision returns the revision of the last change.
 func (l *List) Revision() int64 {
 	l.mu.Lock()
@@ -185,7 +224,8 @@
 		l.mu.Lock()
 		// A list that has never been read from the store holds no usable state,
 		// so wait for the first read.
-		if !l.readAt.IsZero() && (epoch != l.epoch || since != l.revision) {
+		// The same holds for one that is being changed.
+		if !l.readAt.IsZero() && !l.unpublished && (epoch != l.epoch || since != l.revision) {
 			defer l.mu.Unlock()
 			return l.updateSince(epoch, since)
 		}
@@ -206,7 +246,7 @@
 // updateSince returns the changes after the revision since. It returns the full
 // list if since belongs to another epoch or is newer than the list.
 func (l *List) updateSince(epoch uint64, since int64) Update {
-	u := Update{Epoch: l.epoch, Revision: l.revision, Full: epoch != l.epoch || since > l.revision, AgeMS: time.Hour.Milliseconds()}
+	u := Update{Epoch: l.epoch, Revision: l.revision, StoreEra: l.era, Full: epoch != l.epoch || since > l.revision, AgeMS: time.Hour.Milliseconds()}
 	settled := l.reconnectedAt.IsZero() || bootclock.Since(l.reconnectedAt) >= settleTime
 	if settled && !l.readAt.IsZero() {
 		u.AgeMS = bootclock.Since(l.readAt).Milliseconds()
@@ -217,11 +257,16 @@
 		}
 	}
 	if !u.Full {
-		for id, revision := range l.removals {
-			if revision > since {
+		for id, r := range l.removals {
+			if r.revision > since {
 				u.Removed = append(u.Removed, id)
 			}
 		}
+		return u
+	}
+	u.Departed = map[string]int64{}
+	for id, r := range l.removals {
+		u.Departed[id] = r.born
 	}
 	return u
 }
--- a/node/registry/registry_test.go
+++ b/node/registry/registry_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/laburnumloft/laburnumloft/core/placement"
 	"github.com/laburnumloft/laburnumloft/core/relay"
+	"github.com/laburnumloft/laburnumloft/core/storeera"
 	"github.com/laburnumloft/laburnumloft/node/decision"
 	"github.com/laburnumloft/laburnumloft/node/keyedlog"
 )
@@ -26,6 +27,18 @@
 	// othersReachedStore means that the other entries could reach the store while
 	// this entry could not.
 	othersReachedStore bool
+	// era is the number of the era; a read from a position of another one fails.
+	era int64
+}
+
+// restore makes the store come back with only the first records.
+func (s *fakeStore) restore(count int) {
+	s.records = s.records[:count:count]
+	s.era++
+}
+
+func (s *fakeStore) end() storeera.Position {
+	return storeera.Position{Offset: int64(len(s.records)), Era: storeera.Era{Number: s.era, Known: true}}
 }
 
 func (s *fakeStore) put(key, value string) {
@@ -36,9 +49,9 @@
 	s.records = append(s.records, r)
 }
 
-func (s *fakeStore) Newest(context.Context) ([]keyedlog.Record, int64, error) {
+func (s *fakeStore) Newest(context.Context) ([]keyedlog.Record, storeera.Position, error) {
 	if s.down {
-		return nil, 0, errors.New("down")
+		return nil, storeera.Position{}, errors.New("down")
 	}
 	var live []keyedlog.Record
 	for _, r := range newestByKey(s.records) {
@@ -46,14 +59,17 @@
 			live = append(live, r)
 		}
 	}
-	return live, int64(len(s.records)), nil
+	return live, s.end(), nil
 }
 
-func (s *fakeStore) Read(_ context.Context, from int64, _ time.Duration) ([]keyedlog.Record, int64, error) {
+func (s *fakeStore) Read(_ context.Context, from storeera.Position, _ time.Duration) ([]keyedlog.Record, storeera.Position, error) {
 	if s.down {
-		return nil, 0, errors.New("down")
+		return nil, storeera.Position{}, errors.New("down")
+	}
+	if from.Era.Number != s.era {
+		return nil, storeera.Position{}, keyedlog.ErrEraEnded
 	}
-	return s.records[from:], int64(len(s.records)), nil
+	return s.records[from.Offset:], s.end(), nil
 }
 
 func newSync(store *fakeStore, address string) (*Sync, *List) {
@@ -240,3 +256,16 @@
 	c.Assert(resp.Body.Close(), qt.IsNil)
 	c.Assert(time.Since(start) < pollWait, qt.IsTrue)
 }
+
+// Followers must hear of a new era at once, without a change of the list.
+func TestFollowersHearOfAnEra(t *testing.T) {
+	c := qt.New(t)
+	list := NewList()
+	list.RecordRead(0)
+	first := list.Wait(t.Context(), 0, -1, 0)
+	updates := make(chan Update)
+	go func() { updates <- list.Wait(t.Context(), first.Epoch, first.Revision, 10*time.Second) }()
+	list.SetEra(4)
+	list.RecordRead(0)
+	c.Assert((<-updates).StoreEra, qt.Equals, int64(4))
+}
--- a/node/registry/sync.go
+++ b/node/registry/sync.go
@@ -16,6 +16,7 @@
 
 	"github.com/laburnumloft/laburnumloft/core/placement"
 	"github.com/laburnumloft/laburnumloft/core/relay"
+	"github.com/laburnumloft/laburnumloft/core/storeera"
 	"github.com/laburnumloft/laburnumloft/node/decision"
 	"github.com/laburnumloft/laburnumloft/node/keyedlog"
 )
@@ -61,8 +62,13 @@
 // Path is the HTTP path at which entries serve their list to each other.
 const Path = "/v1/registry"
 
-// ErrStale means that a relay's list is too old to be used.
-var ErrStale = eris.New("the relay's list is stale")
+// Errors of lists that are not used.
+var (
+	// ErrStale means that a relay's list is too old to be used.
+	ErrStale = eris.New("the relay's list is stale")
+	// ErrOldEra means that a relay read its list before the store was restored.
+	ErrOldEra = eris.New("the relay's list is from an era of the store that has ended")
+)
 
 // Config sets up a Sync.
 type Config struct {
@@ -83,9 +89,18 @@
 	// OtherEntries returns the entries to fetch the list from when neither the store
 	// nor a relay responds.
 	OtherEntries func() []string
+	// KnownEntries returns all entries that may exist. One that starts asks one of them
+	// before it reads a store that has been restored from a copy.
+	KnownEntries func() []string
 	// OthersReachedStore reports whether another entry could reach the store while
 	// this entry could not.
 	OthersReachedStore func() bool
+	// OnStoreEra is called with the era in which another entry has read the store; nil if
+	// not needed.
+	OnStoreEra func(number int64)
+	// StoreRestored reports whether the store is known to have been restored from a
+	// copy; nil means never.
+	StoreRestored func() bool
 	// OnPut and OnRemove are called for each added, updated or removed server.
 	OnPut    func(placement.Server)
 	OnRemove func(id, reason string)
@@ -95,9 +110,9 @@
 type Sync struct {
 	cfg Config
 
-	offset      int64
-	offsetKnown bool
-	lastContact time.Time
+	position      storeera.Position
+	positionKnown bool
+	lastContact   time.Time
 	// reconnectedAt is the end of the last store outage that affected all entries.
 	reconnectedAt time.Time
 	heldRemovals  map[string]bool
@@ -131,7 +146,11 @@
 // before the next call.
 func (s *Sync) syncOnce(ctx context.Context) time.Duration {
 	if source, ok := s.pickRelay(); ok {
-		err := s.pollEntry(ctx, source, maxRelayListAge)
+		wait := pollWait
+		if source.OtherRegion {
+			wait = otherRegionPollWait
+		}
+		err := s.pollEntry(ctx, source.Address, wait, maxRelayListAge)
 		s.logContactChange(&s.relayLost, "relay", err)
 		if err == nil {
 			return 0
@@ -161,13 +180,22 @@
 	// The store is unreachable, but another entry may have a newer list. During
 	// an outage all lists are old, so accept a list that is not older than this
 	// entry's own.
-	maxAge := max(maxRelayListAge, s.cfg.List.Age())
-	if others := s.cfg.OtherEntries(); len(others) > 0 && s.pollEntry(ctx, relay.Source{Address: others[rand.N(len(others))]}, maxAge) == nil {
+	if s.pollAny(ctx, s.cfg.OtherEntries(), pollWait) {
 		return 0
 	}
 	return storePollInterval/2 + rand.N(storePollInterval)
 }
 
+// pollAny polls a random one of the entries, if its list is not older than this
+// entry's own, and reports whether that succeeded.
+func (s *Sync) pollAny(ctx context.Context, addresses []string, wait time.Duration) bool {
+	if len(addresses) == 0 {
+		return false
+	}
+	maxAge := max(maxRelayListAge, s.cfg.List.Age())
+	return s.pollEntry(ctx, addresses[rand.N(len(addresses))], wait, maxAge) == nil
+}
+
 func (s *Sync) defersStoreReads() bool {
 	return s.cfg.DeferStoreReads != nil && s.cfg.DeferStoreReads()
 }
@@ -197,13 +225,9 @@
 
 // pollEntry fetches the changes from another entry and applies them. It returns
 // ErrStale if the list of that entry is older than maxAge.
-func (s *Sync) pollEntry(ctx context.Context, source relay.Source, maxAge time.Duration) error {
-	if source.Address != s.relayAddress {
-		s.relayAddress, s.relayEpoch, s.relayRevision = source.Address, 0, -1
-	}
-	wait := pollWait
-	if source.OtherRegion {
-		wait = otherRegionPollWait
+func (s *Sync) pollEntry(ctx context.Context, address string, wait, maxAge time.Duration) error {
+	if address != s.relayAddress {
+		s.relayAddress, s.relayEpoch, s.relayRevision = address, 0, -1
 	}
 	ctx, cancel := context.WithTimeout(ctx, requestTimeout)
 	defer cancel()
@@ -212,7 +236,7 @@
 		Revision int64  `url:"revision"`
 		WaitMS   int64  `url:"wait_ms"`
 	}{s.relayEpoch, s.relayRevision, wait.Milliseconds()}
-	req, err := sling.New().Base("http://" + source.Address).Get(Path).QueryStruct(&query).Request()
+	req, err := sling.New().Base("http://" + address).Get(Path).QueryStruct(&query).Request()
 	if err != nil {
 		return eris.Wrap(err, "building the registry request to a relay")
 	}
@@ -223,6 +247,9 @@
 	if age := time.Duration(u.AgeMS) * time.Millisecond; age > maxAge {
 		return ErrStale
 	}
+	if u.StoreEra > 0 && u.StoreEra < s.cfg.List.Era() {
+		return ErrOldEra
+	}
 	s.applyUpdate(u)
 	s.cfg.List.RecordRead(time.Duration(u.AgeMS) * time.Millisecond)
 	s.relayEpoch, s.relayRevision = u.Epoch, u.Revision
@@ -265,41 +292,53 @@
 			}
 		}
 	}
+	if u.StoreEra > 0 {
+		s.enterEra(u.StoreEra)
+		if s.cfg.OnStoreEra != nil {
+			s.cfg.OnStoreEra(u.StoreEra)
+		}
+	}
 	// The relay may have read the store at another offset than this entry, so
 	// the next read of the store must fetch the complete list.
-	s.offsetKnown = false
+	s.positionKnown = false
 }
 
-// readStore reads the records appended since the last read, or the newest record
-// of each key if the offset is unknown.
+// readStore reads the records appended since the last read, or the newest record of
+// each key if the position of the last read is unknown or means nothing any more.
 func (s *Sync) readStore(ctx context.Context) error {
-	timeout := requestTimeout
-	if !s.offsetKnown {
-		timeout = snapshotTimeout
-	}
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
-	if !s.offsetKnown {
-		records, end, err := s.cfg.Source.Newest(ctx)
-		if err != nil {
+	if s.positionKnown {
+		err := s.readAppended(ctx)
+		if !errors.Is(err, keyedlog.ErrOffsetExpired) && !errors.Is(err, keyedlog.ErrEraEnded) {
 			return err
 		}
-		s.recordContact()
-		s.offset, s.offsetKnown = end, true
-		s.replaceAll(records)
-		s.cfg.List.RecordRead(0)
-		return nil
+		s.cfg.Log.Event("feed_expired", "feed", "registry", "offset", s.position.Offset, "era", s.position.Era.String(), "cause", err.Error())
+		s.positionKnown = false
 	}
-	records, next, err := s.cfg.Source.Read(ctx, s.offset, 0)
-	if errors.Is(err, keyedlog.ErrOffsetExpired) {
-		s.offsetKnown = false
-		return nil
+	ctx, cancel := context.WithTimeout(ctx, snapshotTimeout)
+	defer cancel()
+	records, end, err := s.cfg.Source.Newest(ctx)
+	if err != nil {
+		return err
+	}
+	s.recordContact()
+	if end.Era.Known {
+		s.enterEra(end.Era.Number)
 	}
+	s.position, s.positionKnown = end, true
+	s.replaceAll(records)
+	s.cfg.List.RecordRead(0)
+	return nil
+}
+
+func (s *Sync) readAppended(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, requestTimeout)
+	defer cancel()
+	records, next, err := s.cfg.Source.Read(ctx, s.position, 0)
 	if err != nil {
 		return err
 	}
 	s.recordContact()
-	s.offset = next
+	s.position = next
 	for _, r := range newestByKey(records) {
 		s.handleRecord(r)
 	}
@@ -307,6 +346,14 @@
 	return nil
 }
 
+// enterEra records the era in which the list is confirmed from now on.
+func (s *Sync) enterEra(number int64) {
+	if number == s.cfg.List.Era() {
+		return
+	}
+	s.cfg.List.SetEra(number)
+}
+
 // newestByKey returns the last record of each key. A reader that reconnects
 // after an outage must not publish the superseded records, because they no
 // longer describe the current state.
