core/storeera, registry: a copy of the store does not replace what is known of servers

What callers saw: requests went to servers that had left, and were refused for want of servers that had registered after the copy was taken. Change: core/storeera.Servers believes a record of a restored store only if it stands above another of that server read in the same era, is of a later instance, or says draining; servers that have left are remembered, also across a start (full lists carry them, and an entry that starts asks another before it reads the copy). Servers that the copy lacks have the time in which they write again; what the new era removes does go.

--- a/node/registry/registry_test.go
+++ b/node/registry/registry_test.go
@@ -257,6 +257,116 @@
 	c.Assert(time.Since(start) < pollWait, qt.IsTrue)
 }
 
+// bornRecords makes a sync decode records of the form ADDRESS/BORN/STATE.
+func bornRecords(s *Sync) {
+	s.cfg.Decode = func(r keyedlog.Record) (placement.Server, bool) {
+		fields := strings.Split(string(r.Value), "/")
+		return placement.Server{ID: r.Key, Address: fields[0], Born: int64(len(fields[1])), Draining: fields[2] == "draining"}, true
+	}
+}
+
+// After a restore, the list must not follow the copy where more is known: servers that
+// left stay away, those that the copy lacks stay for the time in which they write
+// again, and what the new era says takes effect.
+func TestListAfterARestore(t *testing.T) {
+	c := qt.New(t)
+	store := &fakeStore{}
+	store.put("left", "10.0.0.1:1/b/ready")
+	store.put("draining", "10.0.0.2:1/b/ready")
+	store.put("kept", "10.0.0.3:1/b/ready")
+	s, list := newSync(store, "")
+	bornRecords(s)
+	s.syncOnce(t.Context())
+	store.put("left", "")
+	store.put("draining", "10.0.0.2:1/b/draining")
+	store.put("new", "10.0.0.4:1/b/ready")
+	s.syncOnce(t.Context())
+	want := map[string]bool{"draining": true, "kept": true, "new": true}
+	c.Assert(ids(list), qt.DeepEquals, want)
+	store.restore(3)
+	// The new history has grown beyond the last position.
+	for range 4 {
+		store.put("kept", "10.0.0.3:1/b/ready")
+	}
+	s.syncOnce(t.Context())
+	c.Assert(list.Era(), qt.Equals, int64(1))
+	c.Assert(ids(list), qt.DeepEquals, want)
+	draining, _ := list.Get("draining")
+	c.Assert(draining.Draining, qt.IsTrue)
+	// Another snapshot of the same era, after the list of a relay, says nothing new.
+	s.positionKnown = false
+	s.syncOnce(t.Context())
+	c.Assert(ids(list), qt.DeepEquals, want)
+	// A record that is written in the new era does.
+	store.put("left", "10.0.0.1:1/b/ready")
+	store.put("new", "10.0.0.4:1/b/ready")
+	s.syncOnce(t.Context())
+	c.Assert(ids(list), qt.DeepEquals, map[string]bool{"left": true, "draining": true, "kept": true, "new": true})
+	// What does not write again within the grace period is gone.
+	store.restore(3)
+	s.syncOnce(t.Context())
+	c.Assert(ids(list)["new"], qt.IsTrue)
+	s.reconnectedAt = s.reconnectedAt.Add(-removalGracePeriod)
+	s.syncOnce(t.Context())
+	c.Assert(ids(list), qt.DeepEquals, map[string]bool{"left": true, "draining": true, "kept": true})
+}
+
+// A removal that is held when the store is restored stays held, whatever the copy
+// lists: only a record of the new era shows that the server lives.
+func TestHeldRemovalAcrossARestore(t *testing.T) {
+	c := qt.New(t)
+	store := &fakeStore{}
+	store.put("a", "10.0.0.1:1/b/ready")
+	store.put("b", "10.0.0.2:1/b/ready")
+	s, list := newSync(store, "")
+	bornRecords(s)
+	s.syncOnce(t.Context())
+	s.reconnectedAt = time.Now()
+	store.put("a", "")
+	store.put("b", "")
+	s.syncOnce(t.Context())
+	c.Assert(s.heldRemovals, qt.HasLen, 2)
+	store.restore(2)
+	s.syncOnce(t.Context())
+	c.Assert(s.heldRemovals, qt.HasLen, 2)
+	store.put("b", "10.0.0.2:1/b/ready")
+	s.syncOnce(t.Context())
+	s.reconnectedAt = s.reconnectedAt.Add(-removalGracePeriod)
+	s.syncOnce(t.Context())
+	c.Assert(ids(list), qt.DeepEquals, map[string]bool{"b": true})
+}
+
+// An entry must refuse the list of one that has not noticed the restore, tell the
+// process of a new era, and get the departures before it reads a copy at its start.
+func TestListsOfOtherEras(t *testing.T) {
+	c := qt.New(t)
+	relayList := NewList()
+	relayList.Put(placement.Server{ID: "a", Address: "10.0.0.1:1", Born: 1})
+	relayList.Put(placement.Server{ID: "b", Address: "10.0.0.2:1", Born: 1})
+	relayList.Remove("b")
+	relayList.SetEra(2)
+	relayList.RecordRead(0)
+	server := httptest.NewServer(Handler(relayList))
+	defer server.Close()
+	address := strings.TrimPrefix(server.URL, "http://")
+	store := &fakeStore{era: 2}
+	store.put("a", "10.0.0.1:1/b/ready")
+	store.put("b", "10.0.0.2:1/b/ready")
+
+	s, list := newSync(store, "")
+	bornRecords(s)
+	var hinted []int64
+	s.cfg.OnStoreEra = func(number int64) { hinted = append(hinted, number) }
+	s.cfg.StoreRestored = func() bool { return true }
+	s.cfg.KnownEntries = func() []string { return []string{address} }
+	s.syncOnce(t.Context())
+	c.Assert(ids(list), qt.DeepEquals, map[string]bool{"a": true})
+	c.Assert(hinted, qt.DeepEquals, []int64{2})
+
+	list.SetEra(3)
+	c.Assert(s.pollEntry(t.Context(), address, 0, time.Hour), qt.ErrorIs, ErrOldEra)
+}
+
 // Followers must hear of a new era at once, without a change of the list.
 func TestFollowersHearOfAnEra(t *testing.T) {
 	c := qt.New(t)
--- a/node/registry/sync.go
+++ b/node/registry/sync.go
@@ -112,7 +112,9 @@
 
 	position      storeera.Position
 	positionKnown bool
-	lastContact   time.Time
+	// known decides which records of a restored store to believe.
+	known       *storeera.Servers
+	lastContact time.Time
 	// reconnectedAt is the end of the last store outage that affected all entries.
 	reconnectedAt time.Time
 	heldRemovals  map[string]bool
@@ -128,7 +130,7 @@
 
 // NewSync returns a Sync that has not read anything yet.
 func NewSync(cfg Config) *Sync {
-	return &Sync{cfg: cfg, heldRemovals: map[string]bool{}, avoidUntil: map[string]time.Time{}}
+	return &Sync{cfg: cfg, known: storeera.NewServers(), heldRemovals: map[string]bool{}, avoidUntil: map[string]time.Time{}}
 }
 
 // Run keeps the list up to date until ctx ends.
@@ -166,6 +168,10 @@
 	if s.defersStoreReads() {
 		return startupRetryInterval
 	}
+	if s.startsOnCopy() {
+		// If no entry answers, nobody knows more than the copy.
+		_ = s.pollAny(ctx, s.cfg.KnownEntries(), 0)
+	}
 	if time.Now().After(s.storeRetryAt) {
 		err := s.readStore(ctx)
 		s.logContactChange(&s.storeLost, "registry", err)
@@ -186,6 +192,12 @@
 	return storePollInterval/2 + rand.N(storePollInterval)
 }
 
+// startsOnCopy reports whether this entry has no list yet and the store may hold less
+// than the other entries know.
+func (s *Sync) startsOnCopy() bool {
+	return s.lastContact.IsZero() && s.relayEpoch == 0 && s.cfg.StoreRestored != nil && s.cfg.StoreRestored()
+}
+
 // pollAny polls a random one of the entries, if its list is not older than this
 // entry's own, and reports whether that succeeded.
 func (s *Sync) pollAny(ctx context.Context, addresses []string, wait time.Duration) bool {
@@ -280,6 +292,7 @@
 	listed := map[string]bool{}
 	for _, server := range u.Servers {
 		listed[server.ID] = true
+		s.known.Present(server.ID)
 		s.put(server)
 	}
 	for _, id := range u.Removed {
@@ -291,6 +304,11 @@
 				s.remove(id, "relay")
 			}
 		}
+		for id, born := range u.Departed {
+			if !listed[id] {
+				s.known.Departed(id, born)
+			}
+		}
 	}
 	if u.StoreEra > 0 {
 		s.enterEra(u.StoreEra)
@@ -340,17 +358,21 @@
 	s.recordContact()
 	s.position = next
 	for _, r := range newestByKey(records) {
-		s.handleRecord(r)
+		s.handleWritten(r)
 	}
 	s.cfg.List.RecordRead(0)
 	return nil
 }
 
-// enterEra records the era in which the list is confirmed from now on.
+// enterEra records the era in which the list is confirmed from now on. Servers that the
+// copy lacks write again within removalGracePeriod.
 func (s *Sync) enterEra(number int64) {
 	if number == s.cfg.List.Era() {
 		return
 	}
+	if len(s.cfg.List.IDs()) > 0 {
+		s.reconnectedAt = time.Now()
+	}
 	s.cfg.List.SetEra(number)
 }
 
@@ -386,13 +408,22 @@
 	s.lastContact = now
 }
 
-// replaceAll applies the newest record of every key and removes all other
-// servers.
+// replaceAll applies the newest record of every key and removes all other servers. Of a
+// restored store, it uses only records that are not older than what is known.
 func (s *Sync) replaceAll(records []keyedlog.Record) {
 	listed := map[string]bool{}
+	kept, ignored := 0, 0
 	for _, r := range records {
 		listed[r.Key] = true
-		s.handleRecord(r)
+		switch s.handleSnapshotRecord(r) {
+		case storeera.Keep:
+			kept++
+		case storeera.Ignore:
+			ignored++
+		}
+	}
+	if kept+ignored > 0 {
+		s.cfg.Log.Event("registry_copy_older", "era", s.position.Era.String(), "offset", s.position.Offset, "records", len(records), "kept", kept, "ignored", ignored)
 	}
 	for _, id := range s.cfg.List.IDs() {
 		if !listed[id] {
@@ -401,7 +432,30 @@
 	}
 }
 
-func (s *Sync) handleRecord(r keyedlog.Record) {
+// handleSnapshotRecord handles a record that may be from before what is known.
+func (s *Sync) handleSnapshotRecord(r keyedlog.Record) storeera.Belief {
+	if r.Value == nil {
+		s.removeOrHold(r.Key)
+		return storeera.Use
+	}
+	record, ok := s.cfg.Decode(r)
+	if !ok {
+		s.remove(r.Key, "unreadable")
+		return storeera.Use
+	}
+	var known *placement.Server
+	if server, listed := s.cfg.List.Get(r.Key); listed {
+		known = &server
+	}
+	server, belief := s.known.Reconcile(s.position.Era, known, record, r.Offset)
+	if belief == storeera.Use {
+		s.put(server)
+	}
+	return belief
+}
+
+// handleWritten handles a record that was written after the last read.
+func (s *Sync) handleWritten(r keyedlog.Record) {
 	if r.Value == nil {
 		s.removeOrHold(r.Key)
 		return
@@ -412,6 +466,7 @@
 		s.remove(r.Key, "unreadable")
 		return
 	}
+	s.known.RecordWritten(s.position.Era, r.Key, r.Offset)
 	s.put(server)
 }
 
@@ -445,6 +500,9 @@
 
 func (s *Sync) remove(id, reason string) {
 	delete(s.heldRemovals, id)
+	if server, listed := s.cfg.List.Get(id); listed {
+		s.known.Departed(id, server.Born)
+	}
 	s.cfg.List.Remove(id)
 	s.cfg.OnRemove(id, reason)
 }
