ownrecords: entries write again what a restored store has lost of ours

What callers saw: nothing until processes started; then members, manifests and verdicts on prompts that the store had lost were missing, and a prompt that crashes engines could have been let in again. Cause: each record was written once, by its writer, which may have ended. Agents don't take a manifest that is older than the one they know. The stand-in takes several records in an append, and its condition.

--- a/node/containment/containment.go
+++ b/node/containment/containment.go
@@ -200,8 +200,48 @@
 	}
 }
 
+// Record is the record of a verdict in force.
+type Record struct {
+	ID    string
+	Value []byte
+	// Outdated reports whether a record with the same id counts fewer crashes.
+	Outdated func(stored []byte) bool
+}
+
+// Records returns the records of the verdicts in force, whoever reached them.
+func (s *Sharer) Records() (records []Record) {
+	for _, v := range s.cfg.Gateway.ActiveVerdicts() {
+		value, err := encodeRecord(v)
+		if err != nil {
+			s.cfg.Log.Event("quarantine_unsaved", "quarantine", v.ID(), "cause", err.Error())
+			continue
+		}
+		records = append(records, Record{ID: v.ID(), Value: value, Outdated: func(stored []byte) bool {
+			var r record
+			return json.Unmarshal(stored, &r) != nil || r.Verdict.Crashes < v.Crashes
+		}})
+	}
+	return records
+}
+
+// RecordSaved records that this entry has written the record of a verdict in force, so
+// that it removes the record when the verdict has expired.
+func (s *Sharer) RecordSaved(id string) {
+	for _, v := range s.cfg.Gateway.ActiveVerdicts() {
+		if v.ID() == id {
+			s.mu.Lock()
+			s.saved[id] = time.Now().Add(v.Remaining)
+			s.mu.Unlock()
+		}
+	}
+}
+
+func encodeRecord(v quarantine.Verdict) ([]byte, error) {
+	return json.Marshal(record{Verdict: v, SavedMS: time.Now().UnixMilli()})
+}
+
 func (s *Sharer) save(ctx context.Context, v quarantine.Verdict) {
-	value, err := json.Marshal(record{Verdict: v, SavedMS: time.Now().UnixMilli()})
+	value, err := encodeRecord(v)
 	if err == nil {
 		err = s.put(ctx, v.ID(), value)
 	}
--- a/node/stager/manifest.go
+++ b/node/stager/manifest.go
@@ -58,7 +58,8 @@
 }
 
 // HandleManifest handles a manifest that another agent published. It ignores a
-// malformed one.
+// malformed one, and one that is older than what is known: a copy of the store may hold
+// it.
 func (s *Stager) HandleManifest(m *Manifest) {
 	if validateManifest(m, m.Model, m.Version) != nil {
 		s.cfg.Log.Event("manifest_refused", "model", m.Model, "version", m.Version, "reason", "malformed")
@@ -66,7 +67,9 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.publishedManifests[m.Model] = m
+	if known := s.publishedManifests[m.Model]; known == nil || known.Version <= m.Version {
+		s.publishedManifests[m.Model] = m
+	}
 }
 
 // publishedManifest returns the published manifest of a version, or nil.
--- a/node/stager/peers.go
+++ b/node/stager/peers.go
@@ -132,6 +132,24 @@
 	}
 }
 
+// FetchManifest fetches a manifest from an agent; version 0 means the newest.
+func FetchManifest(ctx context.Context, client *http.Client, address, model string, version int64) (*Manifest, error) {
+	req, err := sling.New().Base("http://" + address).Get(ManifestPath).QueryStruct(pieceQuery{Model: model, Version: version}).Request()
+	if err != nil {
+		return nil, eris.Wrap(err, "building a request for a manifest")
+	}
+	resp, err := client.Do(req.WithContext(ctx))
+	if err != nil {
+		return nil, eris.Wrap(err, "requesting a manifest from an agent")
+	}
+	defer func() { _ = resp.Body.Close() }()
+	m, err := readManifest(resp)
+	if err != nil {
+		return nil, err
+	}
+	return m, validateManifest(m, model, version)
+}
+
 // manifest fetches a manifest from a peer.
 func (c *peerClient) manifest(ctx context.Context, peer rollout.Peer, model string, version int64) (*Manifest, error) {
 	resp, err := c.get(ctx, peer, ManifestPath, pieceQuery{Model: model, Version: version})
@@ -139,6 +157,11 @@
 		return nil, err
 	}
 	defer func() { _ = resp.Body.Close() }()
+	return readManifest(resp)
+}
+
+// readManifest decodes the response to a request for a manifest.
+func readManifest(resp *http.Response) (*Manifest, error) {
 	if resp.StatusCode != http.StatusOK {
 		return nil, ErrNoPiece
 	}
--- a/standin/platform/store.go
+++ b/standin/platform/store.go
@@ -138,6 +138,11 @@
 func (s *Store) append(name string, r record) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	return s.appendLocked(name, r)
+}
+
+// appendLocked appends a record. The caller holds the lock.
+func (s *Store) appendLocked(name string, r record) int {
 	t := s.topic(name)
 	if _, known := t.newest[r.key]; !known {
 		t.keys = nil
@@ -186,19 +191,63 @@
 		w.WriteHeader(http.StatusForbidden)
 		return
 	}
-	keyLength := int(body[4])
-	value := body[5+keyLength:]
-	if len(value) == 0 {
-		value = nil
+	records, ok := decodeRecords(body)
+	if !ok {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	at := -1
+	if text := r.URL.Query().Get("at"); text != "" {
+		if at, err = strconv.Atoi(text); err != nil {
+			w.WriteHeader(http.StatusBadRequest)
+			return
+		}
+	}
+	end, ok := s.appendAt(name, at, records)
+	if !ok {
+		w.WriteHeader(http.StatusPreconditionFailed)
+		writeJSON(w, map[string]int{"end": end})
+		return
 	}
-	s.mu.Lock()
-	s.appends[name]++
-	s.mu.Unlock()
-	end := s.append(name, record{string(body[5 : 5+keyLength]), value})
 	if losing {
 		panic(http.ErrAbortHandler)
 	}
-	writeJSON(w, map[string]int{"offset": end - 1, "end": end})
+	writeJSON(w, map[string]int{"offset": end - len(records), "end": end})
+}
+
+// decodeRecords decodes the body of an append.
+func decodeRecords(body []byte) (records []record, ok bool) {
+	for len(body) > 0 {
+		if len(body) < 5 {
+			return nil, false
+		}
+		size, keyLength := int(binary.BigEndian.Uint32(body)), int(body[4])
+		if size > len(body)-4 || 1+keyLength > size {
+			return nil, false
+		}
+		r := record{key: string(body[5 : 5+keyLength])}
+		if value := body[5+keyLength : 4+size]; len(value) > 0 {
+			r.value = bytes.Clone(value)
+		}
+		records = append(records, r)
+		body = body[4+size:]
+	}
+	return records, true
+}
+
+// appendAt appends records if the topic ends at an offset, which counts if it is not
+// negative. It returns the end of the topic.
+func (s *Store) appendAt(name string, at int, records []record) (end int, ok bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.appends[name]++
+	if end := len(s.topic(name).records); at >= 0 && at != end {
+		return end, false
+	}
+	for _, r := range records {
+		s.appendLocked(name, r)
+	}
+	return len(s.topic(name).records), true
 }
 
 func (s *Store) serveRead(w http.ResponseWriter, r *http.Request, name string) {
