--- a/bench/fleet/fleet_test.go
+++ b/bench/fleet/fleet_test.go
@@ -298,6 +298,13 @@
 func (f *fleet) configure() {
 	f.mu.Lock()
 	f.config++
+	f.mu.Unlock()
+	f.writeConfiguration()
+}
+
+// writeConfiguration writes the newest configuration.
+func (f *fleet) writeConfiguration() {
+	f.mu.Lock()
 	version, holdTimeout := f.config, cmp.Or(f.holdTimeout, usualHoldTimeout)
 	f.mu.Unlock()
 	route := func(prefix, kind, service string, attempts int) map[string]any {
@@ -337,7 +344,23 @@
 	version := f.version
 	f.mu.Unlock()
 	f.origin.Name(version)
-	f.c.Check(f.store.Put("keyed.op", "version/"+model, map[string]any{"model": model, "version": version}), qt.IsNil)
+	f.writeNamedWeights()
+}
+
+// writeNamedWeights writes the newest weight version that was named, if there is one.
+func (f *fleet) writeNamedWeights() {
+	f.mu.Lock()
+	version := f.version
+	f.mu.Unlock()
+	if version > 1 {
+		f.c.Check(f.store.Put("keyed.op", "version/"+model, map[string]any{"model": model, "version": version}), qt.IsNil)
+	}
+}
+
+// writeAgain writes the operator's newest records again, as after a restore of the store.
+func (f *fleet) writeAgain() {
+	f.writeConfiguration()
+	f.writeNamedWeights()
 }
 
 func (f *fleet) ready(i int) bool {
--- a/bench/fleet/soak_test.go
+++ b/bench/fleet/soak_test.go
@@ -107,10 +107,21 @@
 		func(time.Duration) { f.engines[engine].Rot(piece) },
 		func(time.Duration) { f.configure() },
 		func(time.Duration) { f.nameWeights() },
+		func(d time.Duration) { f.exclusive(func() { f.restoreToRecentMark(d) }) },
 	}
 	return all[random.IntN(len(all))]
 }
 
+// restoreToRecentMark restores the store to a state some time ago; the operator writes
+// again what was lost.
+func (f *fleet) restoreToRecentMark(ago time.Duration) {
+	mark := f.store.Mark()
+	f.configure()
+	<-time.After(ago)
+	f.restore(mark, ago/4)
+	f.writeAgain()
+}
+
 var processFault sync.Mutex
 
 // exclusive keeps faults of processes from meeting at the same process.
