logera, operation: a log restored from a copy runs no operation again and replaces no settings

What callers saw, on our own interface: an operation whose claim the log had lost ran a second time at an entry that started afterwards, and settings in force could be replaced by records at offsets that were given out again. Cause: the same as on the platform, an offset without its era; and an index of claims that took a copy for complete. Change: the log's answers name an era and when it began; the client turns offsets into positions that rise with the era, so that lost records look like records that expired unread. Conclusion: decided and tested; recovery of settings stays with an operator.

--- a/bench/settings/cluster_test.go
+++ b/bench/settings/cluster_test.go
@@ -61,6 +61,11 @@
 	s.c.Assert(harness.PostJSON(s.LogURL+"/v1/expire", map[string]any{"stream": "settings", "before": before}, nil), qt.IsNil)
 }
 
+// restore brings the log back from a copy whose settings end before an offset.
+func (s *system) restore(end int64) {
+	s.c.Assert(harness.PostJSON(s.LogURL+"/v1/restore", map[string]any{"ends": map[string]int64{"settings": end}}, nil), qt.IsNil)
+}
+
 // until waits for a condition.
 func (s *system) until(condition func() bool, what string) {
 	ctx, cancel := context.WithTimeout(context.Background(), waitLimit)
--- a/bench/settings/faults_test.go
+++ b/bench/settings/faults_test.go
@@ -147,6 +147,42 @@
 	s.c.Assert(before.Offset < after.Offset, qt.IsTrue)
 }
 
+// TestLogRestoredFromACopy guards against settings that go back, or are replaced by
+// records which stand at offsets that the log gives out again after it came back from a
+// copy, and against a system that can't be used again after that.
+func TestLogRestoredFromACopy(t *testing.T) {
+	s := start(t)
+	s.publishBasics()
+	entry := s.entry("entry-1")
+	s.reaches(entry, 3)
+	file := s.write(parameters("ana") + "share: 5\n")
+	verdicts, code := s.publish(file)
+	s.c.Assert(code, qt.Equals, 0)
+	before := s.reaches(entry, verdicts[0].Offset)
+	s.c.Assert(string(before.State), qt.Contains, `"share":5`)
+	s.restore(verdicts[0].Offset)
+	// These stand where the lost record stood, and above it.
+	for i := range 3 {
+		record := map[string]any{"id": fmt.Sprint("new-era-", i), "kind": "parameters", "key": "parameters/ana", "base": 3, "body": map[string]any{"workspace": "ana", "template": "lessons", "share": 2}}
+		s.c.Assert(harness.PostJSON(s.LogURL+"/v1/streams/settings/records", record, nil), qt.IsNil)
+	}
+	second := s.entry("entry-2")
+	s.until(func() bool { return s.inForce(second).Offset >= before.Offset }, "settings at an entry that starts")
+	for _, p := range []*harness.Process{entry, second} {
+		s.c.Assert(string(s.inForce(p).State), qt.Contains, `"share":5`)
+	}
+	out, code := s.command("publish", "--log-url", s.LogURL, file)
+	s.c.Assert(code, qt.Equals, 1, qt.Commentf("published on a copy: %s", out))
+	out, code = s.command("recover", "--log-url", s.LogURL, "--entry", "http://"+entry.Address)
+	s.c.Assert(code, qt.Equals, 0, qt.Commentf("%s", out))
+	verdicts, code = s.publish(s.write(parameters("ana") + "share: 7\n"))
+	s.c.Assert(code, qt.Equals, 0, qt.Commentf("%v", verdicts))
+	s.c.Assert(verdicts[0].Offset > before.Offset, qt.IsTrue)
+	for _, p := range []*harness.Process{entry, second} {
+		s.c.Assert(string(s.reaches(p, verdicts[0].Offset).State), qt.Contains, `"share":7`)
+	}
+}
+
 // TestRecoverAfterTotalLoss guards against a system that can't be used again
 // after all processes were lost and the log has dropped all records.
 func TestRecoverAfterTotalLoss(t *testing.T) {
--- a/core/operation/claim.go
+++ b/core/operation/claim.go
@@ -82,7 +82,10 @@
 	// whose claim was evicted. It is math.MinInt64 if there is none, and
 	// math.MaxInt64 after a gap until the next record gives a bound.
 	missingUntilMS int64
-	claims         map[indexKey]*boundClaim
+	// lostUntilMS is the log time at which the current era of the log began. Claims
+	// before it may have been lost. It is math.MinInt64 in the first era.
+	lostUntilMS int64
+	claims      map[indexKey]*boundClaim
 	// claimOrder holds the claims in log order.
 	claimOrder []*boundClaim
 	history    invariant.History
@@ -99,7 +102,7 @@
 
 // NewIndex returns an empty index that keeps at most maxClaims claims.
 func NewIndex(maxClaims int) *Index {
-	return &Index{maxClaims: maxClaims, next: 1, missingUntilMS: math.MinInt64, claims: map[indexKey]*boundClaim{}}
+	return &Index{maxClaims: maxClaims, next: 1, missingUntilMS: math.MinInt64, lostUntilMS: math.MinInt64, claims: map[indexKey]*boundClaim{}}
 }
 
 // Next returns the offset of the next record to read.
@@ -118,6 +121,15 @@
 	x.missingUntilMS = math.MaxInt64
 }
 
+// BeginEra begins an era of the log, which came back from a copy at a log time and
+// whose records are read from a position on. Claims that were read before stay bound: a
+// later claim of the same key must not run its operation again.
+func (x *Index) BeginEra(first, beganMS int64) {
+	x.history.Addf("era from %d at %d", first, beganMS)
+	x.next = first
+	x.lostUntilMS = max(x.lostUntilMS, beganMS)
+}
+
 // Apply adds the record at offset, which must be the next one. Log times must
 // not decrease with the offset. The claim is nil if the record contains none.
 func (x *Index) Apply(offset, timeMS int64, claim *Claim) {
@@ -169,7 +181,8 @@
 	if x.missingUntilMS == math.MaxInt64 {
 		return false
 	}
-	return x.missingUntilMS == math.MinInt64 || issuedMS-ClockSkewMS > x.missingUntilMS
+	unread := max(x.missingUntilMS, x.lostUntilMS)
+	return unread == math.MinInt64 || issuedMS-ClockSkewMS > unread
 }
 
 // evict removes the oldest claim when the index holds more than maxClaims.
--- a/core/operation/simulation_test.go
+++ b/core/operation/simulation_test.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"pgregory.net/rapid"
+
+	"github.com/laburnumloft/laburnumloft/core/logera"
 )
 
 // TestMain sets seed 1 unless a flag gives another, so that every run gives the
@@ -27,7 +29,7 @@
 
 var faultKinds = []faultKind{
 	"none", "agent crash", "entry crash", "pause", "lost answers", "doubled answers",
-	"crossed answers", "racing entries", "log outage", "retention", "all",
+	"crossed answers", "racing entries", "log outage", "retention", "restored log", "all",
 }
 
 func (k faultKind) includes(kind faultKind) bool { return k == kind || k == "all" }
@@ -87,13 +89,16 @@
 // simulation holds the simulated agents, entries and log and all messages in
 // flight.
 type simulation struct {
-	t               *rapid.T
-	fault           faultKind
-	now             time.Time
-	agents          []*testAgent
-	entries         []*testEntry
-	log             []testRecord
-	oldest          int64
+	t       *rapid.T
+	fault   faultKind
+	now     time.Time
+	agents  []*testAgent
+	entries []*testEntry
+	log     []testRecord
+	oldest  int64
+	// era counts the restores of the log, and eraBegan is the time of the last one.
+	era             int64
+	eraBegan        time.Time
 	logDown         bool
 	messages        []message
 	answers         []*testAnswer
@@ -408,6 +413,9 @@
 	if e.paused || s.logDown {
 		return
 	}
+	if read, _ := logera.Split(e.index.Next()); read < s.era {
+		e.index.BeginEra(logera.Position(s.era, 1), s.eraBegan.UnixMilli())
+	}
 	e.index.SkipTo(s.oldest)
 	for range 1 + s.pick(4, "page") {
 		at := e.index.Next() - s.oldest
@@ -480,7 +488,7 @@
 func (s *simulation) injectFault() {
 	agent := s.agents[s.pick(len(s.agents), "agent")]
 	entry := s.entries[s.pick(len(s.entries), "entry")]
-	kinds := []faultKind{"agent crash", "entry crash", "pause", "crossed answers", "log outage", "retention"}
+	kinds := []faultKind{"agent crash", "entry crash", "pause", "crossed answers", "log outage", "retention", "restored log"}
 	kind := kinds[s.pick(len(kinds), "fault")]
 	if !s.fault.includes(kind) {
 		return
@@ -504,9 +512,24 @@
 		s.log = s.log[drop:]
 		s.oldest += int64(drop)
 		s.now = s.now.Add(time.Duration(s.pick(90, "seconds")) * time.Second)
+	case "restored log":
+		s.restoreLog(s.pick(min(len(s.log), 8)+1, "lost"))
+		// An entry that starts knows nothing but the copy.
+		if s.pick(2, "entry") == 0 {
+			s.startEntry(entry)
+		}
+		s.now = s.now.Add(time.Duration(s.pick(90, "seconds")) * time.Second)
 	}
 }
 
+// restoreLog brings the log back from a copy that lacks the newest records.
+func (s *simulation) restoreLog(lost int) {
+	s.log = s.log[:len(s.log)-lost]
+	_, offset := logera.Split(s.oldest)
+	s.era, s.eraBegan = s.era+1, s.now
+	s.oldest = logera.Position(s.era, offset)
+}
+
 // advance moves the clock on and performs one random action.
 func (s *simulation) advance() {
 	s.now = s.now.Add(time.Duration(s.pick(40, "milliseconds")) * time.Millisecond)
--- a/node/entry/claims.go
+++ b/node/entry/claims.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/laburnumloft/laburnumloft/core/logera"
 	"github.com/laburnumloft/laburnumloft/core/operation"
 	"github.com/laburnumloft/laburnumloft/node/lib/wire"
 )
@@ -14,6 +15,8 @@
 const (
 	claimsStream   = "claims"
 	claimsPageSize = 256
+	// firstOffset is the offset of the first record of a stream.
+	firstOffset    = 1
 	claimsPollWait = 20 * time.Second
 	// claimsReadTimeout ends a read that the log holds for too long.
 	claimsReadTimeout = 25 * time.Second
@@ -32,15 +35,33 @@
 	mu      sync.Mutex
 	index   *operation.Index
 	changed chan struct{}
+	// newEra is signalled when an append shows an era of the log that the index has not
+	// begun to read.
+	newEra chan struct{}
 }
 
 func newClaimStore() *claimStore {
-	return &claimStore{index: operation.NewIndex(maxClaims), changed: make(chan struct{})}
+	return &claimStore{index: operation.NewIndex(maxClaims), changed: make(chan struct{}), newEra: make(chan struct{}, 1)}
+}
+
+// recordAppend records that the log gave a position to a record.
+func (s *claimStore) recordAppend(position int64) {
+	appended, _ := logera.Split(position)
+	if read, _ := logera.Split(s.next()); appended <= read {
+		return
+	}
+	select {
+	case s.newEra <- struct{}{}:
+	default:
+	}
 }
 
 func (s *claimStore) apply(page *wire.LogPage) (gap bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if read, _ := logera.Split(s.index.Next()); page.Era > read {
+		s.index.BeginEra(logera.Position(page.Era, firstOffset), page.EraBeganMS)
+	}
 	gap = page.Oldest > s.index.Next()
 	s.index.SkipTo(page.Oldest)
 	for _, rec := range page.Records {
@@ -85,8 +106,14 @@
 	logger := e.logger.Named("claims")
 	for ctx.Err() == nil {
 		readCtx, cancel := context.WithTimeout(ctx, claimsReadTimeout)
+		stopWatching := e.endReadInNewEra(readCtx, cancel)
+		era, _ := logera.Split(e.claims.next())
 		page, err := e.log.Read(readCtx, claimsStream, e.claims.next(), claimsPageSize, claimsPollWait)
+		stopWatching()
 		cancel()
+		if err == nil && page.Era > era {
+			logger.Warn("the log came back from a copy; keys issued before that are refused unless their claims are known", "era", page.Era, "before", era)
+		}
 		if err != nil {
 			logger.Warn("log read failed", "error", err)
 			sleep(ctx, claimsRetry)
@@ -103,6 +130,20 @@
 	}
 }
 
+// endReadInNewEra ends a read when an append shows that the log has begun a new era, in
+// which the position of the read may never be reached. The returned function stops that.
+func (e *Entry) endReadInNewEra(ctx context.Context, end context.CancelFunc) (stop func()) {
+	ctx, stop = context.WithCancel(ctx)
+	go func() {
+		select {
+		case <-e.claims.newEra:
+			end()
+		case <-ctx.Done():
+		}
+	}()
+	return stop
+}
+
 // settle appends the claim and returns the first claim of its key once that
 // has been read back. The append may have taken effect without an answer, so
 // a claim that does not settle may still win later.
@@ -134,6 +175,7 @@
 		offset, err := e.log.Append(attempt, claimsStream, rec)
 		cancel()
 		if err == nil {
+			e.claims.recordAppend(offset)
 			return offset
 		}
 		e.logger.Named("claims").Warn("log append failed", "error", err)
--- a/node/lib/platform/platform.go
+++ b/node/lib/platform/platform.go
@@ -13,6 +13,7 @@
 	"github.com/dghubble/sling"
 	"github.com/rotisserie/eris"
 
+	"github.com/laburnumloft/laburnumloft/core/logera"
 	"github.com/laburnumloft/laburnumloft/node/lib/wire"
 )
 
@@ -23,6 +24,8 @@
 	ErrUnavailable = eris.New("platform service is unavailable")
 	// ErrRefused means that the service returned an error status.
 	ErrRefused = eris.New("platform service refused the request")
+	// ErrOldEra means that the log answered in an era that has ended.
+	ErrOldEra = eris.New("the log answered in an era that has ended")
 )
 
 // Throttled is the error for a request that a service refused because of its rate
@@ -50,7 +53,7 @@
 	return &Log{base: sling.New().Client(client).Base(baseURL), client: client}
 }
 
-// Append adds a JSON record to the stream and returns its offset.
+// Append adds a JSON record to the stream and returns its position.
 func (l *Log) Append(ctx context.Context, stream string, record any) (int64, error) {
 	req, err := l.base.New().Post("/v1/streams/" + stream + "/records").BodyJSON(record).Request()
 	if err != nil {
@@ -60,17 +63,20 @@
 	if err := do(l.base, req.WithContext(ctx), &answer); err != nil {
 		return 0, err
 	}
-	return answer.Offset, nil
+	return logera.Position(answer.Era, answer.Offset), nil
 }
 
-// Read returns records of the stream starting at offset from. If there are none,
-// it waits up to wait for the first one.
+// Read returns records of the stream starting at a position. If there are none, it waits
+// up to wait for the first one. All offsets of the returned page are positions. If the
+// position belongs to an era of the log that has ended, the page has no records and
+// begins at the first position of the current era.
 func (l *Log) Read(ctx context.Context, stream string, from int64, limit int, wait time.Duration) (*wire.LogPage, error) {
+	era, offset := logera.Split(from)
 	query := struct {
 		From   int64 `url:"from"`
 		Limit  int   `url:"limit"`
 		WaitMS int64 `url:"wait_ms"`
-	}{from, limit, wait.Milliseconds()}
+	}{offset, limit, wait.Milliseconds()}
 	req, err := l.base.New().Get("/v1/streams/" + stream + "/records").QueryStruct(&query).Request()
 	if err != nil {
 		return nil, eris.Wrap(err, "building a log read")
@@ -79,6 +85,16 @@
 	if err := do(l.base, req.WithContext(ctx), &page); err != nil {
 		return nil, err
 	}
+	if page.Era < era {
+		return nil, eris.Wrapf(ErrOldEra, "era %d, read before: %d", page.Era, era)
+	}
+	if page.Era > era {
+		page.Records = nil
+	}
+	page.Oldest, page.Next = logera.Position(page.Era, page.Oldest), logera.Position(page.Era, page.Next)
+	for i, r := range page.Records {
+		page.Records[i].Offset = logera.Position(page.Era, r.Offset)
+	}
 	return &page, nil
 }
 
--- a/node/lib/wire/wire.go
+++ b/node/lib/wire/wire.go
@@ -263,6 +263,8 @@
 // LogAppend is the response to an append.
 type LogAppend struct {
 	Offset int64 `json:"offset"`
+	// Era is the number of the log's era.
+	Era int64 `json:"era,omitempty"`
 }
 
 // LogRecord is one record of a log stream. Data is the JSON that was appended.
@@ -279,4 +281,9 @@
 	Oldest int64 `json:"oldest"`
 	// Next is the offset after the last record of the log.
 	Next int64 `json:"next"`
+	// Era is the number of the log's era, which rises when the log comes back from a
+	// copy and gives offsets out again. EraBeganMS is the time of that on the log's
+	// clock, in Unix milliseconds; records of later times have not been lost.
+	Era        int64 `json:"era,omitempty"`
+	EraBeganMS int64 `json:"era_began_ms,omitempty"`
 }
--- a/standin/logservice/control.go
+++ b/standin/logservice/control.go
@@ -57,6 +57,29 @@
 	wire.WriteJSON(w, http.StatusOK, request)
 }
 
+// handleRestore makes the log come back from a copy that holds only the first records of
+// some streams. Offsets are given out again in the next era.
+func (s *Service) handleRestore(w http.ResponseWriter, r *http.Request) {
+	var request struct {
+		// Ends maps streams to the offset after their last record in the copy.
+		Ends map[string]int64 `json:"ends"`
+	}
+	if failure := wire.ReadJSON(r, maxControlBytes, &request); failure != nil {
+		wire.WriteError(w, *failure)
+		return
+	}
+	s.mu.Lock()
+	s.era++
+	s.eraBegan = time.Now()
+	for name, end := range request.Ends {
+		st := s.get(name)
+		kept := max(0, min(end-st.oldest, int64(len(st.records))))
+		st.records = st.records[:kept:kept]
+	}
+	s.mu.Unlock()
+	wire.WriteJSON(w, http.StatusOK, request)
+}
+
 // expire drops the records that the retention does not cover.
 func (st *stream) expire(c Control, now time.Time) {
 	if c.MaxRecords > 0 {
--- a/standin/logservice/logservice.go
+++ b/standin/logservice/logservice.go
@@ -28,6 +28,9 @@
 	control Control
 	streams map[string]*stream
 	reads   int
+	// era counts the restores, and eraBegan is the time of the last one.
+	era      int64
+	eraBegan time.Time
 	// tokens are the appends that the rate limit allows at the time refilled.
 	tokens   float64
 	refilled time.Time
@@ -45,6 +48,7 @@
 	mux.HandleFunc("GET /v1/streams/{name}/records", s.handleRead)
 	mux.HandleFunc("POST /v1/control", s.handleControl)
 	mux.HandleFunc("POST /v1/expire", s.handleExpire)
+	mux.HandleFunc("POST /v1/restore", s.handleRestore)
 	return mux
 }
 
@@ -73,8 +77,9 @@
 	st.records = append(st.records, wire.LogRecord{Offset: offset, TimeMS: time.Now().UnixMilli(), Data: data})
 	close(st.changed)
 	st.changed = make(chan struct{})
+	era := s.era
 	s.mu.Unlock()
-	wire.WriteJSON(w, http.StatusOK, wire.LogAppend{Offset: offset})
+	wire.WriteJSON(w, http.StatusOK, wire.LogAppend{Offset: offset, Era: era})
 }
 
 func (s *Service) handleRead(w http.ResponseWriter, r *http.Request) {
@@ -106,7 +111,10 @@
 	defer s.mu.Unlock()
 	st := s.get(name)
 	st.expire(s.control, time.Now())
-	page := wire.LogPage{Oldest: st.oldest, Next: st.oldest + int64(len(st.records)), Records: []wire.LogRecord{}}
+	page := wire.LogPage{Oldest: st.oldest, Next: st.oldest + int64(len(st.records)), Records: []wire.LogRecord{}, Era: s.era}
+	if s.era > 0 {
+		page.EraBeganMS = s.eraBegan.UnixMilli()
+	}
 	start := max(from-st.oldest, 0)
 	for _, rec := range st.records[min(start, int64(len(st.records))):] {
 		if len(page.Records) == limit {
