--- a/node/decision/explain.go
+++ b/node/decision/explain.go
@@ -32,17 +32,23 @@
 	"server_limit_named", "server_limit_changed", "server_limit_withdrawn", "server_leaving", "server_quiet",
 }
 
+// restoreEvents are the events that show what a restore of the store from a copy did to
+// what the processes knew.
+var restoreEvents = []string{
+	"store_era_changed", "store_era_went_back", "operator_read_anew", "configuration_older", "registry_copy_older", "own_records_checked",
+}
+
 // maxSuspects bounds the log lines on engine crashes that are kept.
 const maxSuspects = 256
 
 // Explain reads the log lines of any number of processes and explains one
 // request. It writes the last state events of the servers, the configuration and
 // the quarantine involved in the request, with the crashes that led to the
-// quarantine, then the lines of the request in order. It reports whether the
+// quarantine, and the last restore of the store, then the lines of the request in order. It reports whether the
 // request was found.
 func Explain(in io.Reader, out io.Writer, requestID string) (found bool, err error) {
 	var requestLines []logLine
-	known := knowledge{states: map[string]logLine{}, configurations: map[float64]logLine{}, verdicts: map[string]logLine{}}
+	known := knowledge{states: map[string]logLine{}, restores: map[string]logLine{}, configurations: map[float64]logLine{}, verdicts: map[string]logLine{}}
 	scanner := bufio.NewScanner(in)
 	scanner.Buffer(nil, maxLineBytes)
 	for scanner.Scan() {
@@ -75,7 +81,9 @@
 // knowledge holds the log lines on what the processes knew.
 type knowledge struct {
 	// states are the last state events by server and event.
-	states         map[string]logLine
+	states map[string]logLine
+	// restores are the last lines of restoreEvents of all processes, by event.
+	restores       map[string]logLine
 	configurations map[float64]logLine
 	// verdicts are the last quarantines by id; suspects are the requests under
 	// which engines crashed.
@@ -88,6 +96,8 @@
 	case event == "configuration_taken":
 		version, _ := line.fields["version"].(float64)
 		k.configurations[version] = line
+	case slices.Contains(restoreEvents, event):
+		k.restores[event] = line
 	case slices.Contains(stateEvents, event):
 		k.states[line.stringField("server")+" "+event] = line
 	default:
@@ -160,6 +170,11 @@
 			}
 		}
 	}
+	for _, event := range restoreEvents {
+		if line, ok := known.restores[event]; ok {
+			stateLines = append(stateLines, render(line))
+		}
+	}
 	if len(stateLines) > 0 {
 		if _, err := fmt.Fprintf(out, "believed before:\n  %s\n", strings.Join(stateLines, "\n  ")); err != nil {
 			return err
--- a/node/decision/explain_test.go
+++ b/node/decision/explain_test.go
@@ -87,3 +87,27 @@
   10:00:00.400 edge-1 request_ended limited_servers=i-1,i-2 reason=servers_limited
 `)
 }
+
+// For a request after a restore of the store, Explain must show the era of the
+// configuration that decided it and what the restore changed.
+func TestExplainAfterARestore(t *testing.T) {
+	c := qt.New(t)
+	lines := strings.Join([]string{
+		`edge-1 {"@message":"configuration_taken","at":"10:00:00.000","version":7,"store_era":1}`,
+		`edge-2 {"@message":"store_era_changed","at":"10:00:01.000","era":"2","before":"1"}`,
+		`edge-2 {"@message":"configuration_older","at":"10:00:01.100","version":6,"active":7,"store_era":2}`,
+		`edge-1 {"@message":"request_ended","at":"10:00:02.000","request":"r1","reason":"no_route","configuration":7}`,
+		`edge-2 {"@message":"store_era_changed","at":"10:00:03.000","era":"3","before":"2"}`,
+	}, "\n")
+	var out bytes.Buffer
+	found, err := Explain(strings.NewReader(lines), &out, "r1")
+	c.Assert(err, qt.IsNil)
+	c.Assert(found, qt.IsTrue)
+	c.Assert(out.String(), qt.Equals, `believed before:
+  10:00:00.000 edge-1 configuration_taken store_era=1 version=7
+  10:00:01.000 edge-2 store_era_changed before=1 era=2
+  10:00:01.100 edge-2 configuration_older active=7 store_era=2 version=6
+decided:
+  10:00:02.000 edge-1 request_ended configuration=7 reason=no_route
+`)
+}
