--- a/bench/fleet/restore_test.go
+++ b/bench/fleet/restore_test.go
@@ -256,6 +256,27 @@
 	f.within(onEnginesWithin, "weights on the engines after the loss of all processes", f.onVersion)
 }
 
+// Processes that start when the store holds no members must learn of the others, or they
+// get neither configurations nor weights.
+func TestStartWithoutMembers(t *testing.T) {
+	c := qt.New(t)
+	f := start(c)
+	f.eventually("own records in the store", f.holdsOwnRecords)
+	empty := f.store.Mark()
+	delete(empty, "keyed.members")
+	for n := range 3 {
+		f.restore(empty, 0)
+		f.restart(f.entries, 1+n%2, syscall.SIGKILL)
+		f.restart(f.agents, n, syscall.SIGKILL)
+		f.eventually("the entry that started is ready", func() bool { return f.ready(1 + n%2) })
+		f.configure()
+		f.within(inForceWithin, "configuration in force at all", f.inForceAtAll)
+		f.nameWeights()
+		f.within(onEnginesWithin, "weights on all engines", f.onVersion)
+		f.within(rewrittenWithin, "own records in the store", f.holdsOwnRecords)
+	}
+}
+
 // A verdict that the store forgot must be there for entries that start when all that
 // knew it are gone, also if its writer ended before the others.
 func TestVerdictIsWrittenAgain(t *testing.T) {
--- a/node/configsync/syncer_test.go
+++ b/node/configsync/syncer_test.go
@@ -167,3 +167,16 @@
 	c.Assert(err, qt.IsNil)
 	c.Assert(members, qt.HasLen, 3)
 }
+
+// An entry that starts on a restored store must get the newer configuration of another
+// one before it uses its copy.
+func TestNewerConfigurationBeforeACopy(t *testing.T) {
+	c := qt.New(t)
+	other, starting := newTestEntry(c, "a", "r"), newTestEntry(c, "b", "s")
+	starting.mesh.Put(other.member)
+	other.gateway.Configure(route.Configuration{Version: 5, StoreEra: 1}, "test")
+	starting.FetchNewer(4)
+	c.Assert(starting.gateway.Table().Version(), qt.Equals, int64(5))
+	c.Assert(starting.gateway.Table().Configuration().StoreEra, qt.Equals, int64(1))
+	c.Assert(starting.gateway.Configure(route.Configuration{Version: 4}, "store"), qt.IsFalse)
+}
