--- a/bench/fleet/restore_test.go
+++ b/bench/fleet/restore_test.go
@@ -231,8 +231,14 @@
 	// The writer of one record is gone when the store comes back.
 	_ = f.agents[0].Process.Kill()
 	_ = f.agents[0].Wait()
+	appends, reads := f.store.Calls("keyed.members")
 	f.restore(empty, 50*time.Millisecond)
 	f.within(rewrittenWithin, "own records in the store after a restore", f.holdsOwnRecords)
+	// All readers of the region have checked after this time.
+	<-time.After(2 * time.Second)
+	appendsAfter, readsAfter := f.store.Calls("keyed.members")
+	c.Check(appendsAfter-appends <= readers, qt.IsTrue, qt.Commentf("%d appends for one restore", appendsAfter-appends))
+	c.Check(readsAfter-reads <= 2*readers, qt.IsTrue, qt.Commentf("%d reads for one restore", readsAfter-reads))
 	f.restart(f.agents, 0, syscall.SIGKILL)
 
 	f.restore(empty, 0)
