--- a/core/storeera/storeera.go
+++ b/core/storeera/storeera.go
@@ -94,8 +94,12 @@
 		t.fault, event = Unchanged, Readable
 	}
 	switch {
-	case !t.current.Known && t.current.generation == 0:
+	case !t.current.Known:
 		t.advance(number)
+		if event == Readable {
+			// Earlier answers may have been made in another era.
+			return Answer{Era: t.current, Usable: true, Event: Advanced}
+		}
 		return Answer{Era: t.current, Usable: true, Event: First}
 	case number == t.current.Number:
 		return Answer{Era: t.current, Usable: true, Event: event}
--- a/core/storeera/storeera_test.go
+++ b/core/storeera/storeera_test.go
@@ -57,6 +57,11 @@
 	var tracker Tracker
 	c.Assert(tracker.Observe(Era{}, ""), qt.Equals, Answer{Usable: true, Event: Missing})
 	c.Assert(tracker.Observe(Era{}, ""), qt.Equals, Answer{Usable: true})
+	// One that begins to name it may have been restored meanwhile.
+	named := tracker.Observe(Era{}, "1")
+	c.Assert(named.Event, qt.Equals, Advanced)
+	c.Assert(named.Usable, qt.IsTrue)
+	c.Assert(tracker.Observe(Era{}, "").Usable, qt.IsFalse)
 }
 
 // In any order of answers of a store whose era only rises, no answer of an earlier era
--- a/node/registry/sync.go
+++ b/node/registry/sync.go
@@ -415,11 +415,12 @@
 	kept, ignored := 0, 0
 	for _, r := range records {
 		listed[r.Key] = true
-		switch s.handleSnapshotRecord(r) {
-		case storeera.Keep:
-			kept++
-		case storeera.Ignore:
+		older, belief := s.handleSnapshotRecord(r)
+		switch {
+		case belief == storeera.Ignore:
 			ignored++
+		case older:
+			kept++
 		}
 	}
 	if kept+ignored > 0 {
@@ -432,16 +433,17 @@
 	}
 }
 
-// handleSnapshotRecord handles a record that may be from before what is known.
-func (s *Sync) handleSnapshotRecord(r keyedlog.Record) storeera.Belief {
+// handleSnapshotRecord handles a record that may be from before what is known. It
+// reports whether the record differs from what is known and was not used.
+func (s *Sync) handleSnapshotRecord(r keyedlog.Record) (older bool, belief storeera.Belief) {
 	if r.Value == nil {
 		s.removeOrHold(r.Key)
-		return storeera.Use
+		return false, storeera.Use
 	}
 	record, ok := s.cfg.Decode(r)
 	if !ok {
 		s.remove(r.Key, "unreadable")
-		return storeera.Use
+		return false, storeera.Use
 	}
 	var known *placement.Server
 	if server, listed := s.cfg.List.Get(r.Key); listed {
@@ -451,7 +453,7 @@
 	if belief == storeera.Use {
 		s.put(server)
 	}
-	return belief
+	return belief == storeera.Keep && record != server, belief
 }
 
 // handleWritten handles a record that was written after the last read.
