agent: looking at a limited server uses no permit; ends are not counted as refusals

Cause: load reports and the queue looked whether the server takes a request by asking for a permit, which ran out after 0.5 s unused; and the counter of refusals was raised for each event of a request. Change: a look asks only when the next permit is there (Tracker.Available, TokenBucket.Wait, of which Take is now made); only new requests can be refused. The platform's path calls neither new function; TokenBucket.Take gives the same results (core tests).

--- a/core/backpressure/permits.go
+++ b/core/backpressure/permits.go
@@ -147,6 +147,16 @@
 	return id, PermitRequest{ID: w.askID, Want: want, Notice: t.NoticeOf(server, m, now)}
 }
 
+// Available returns the time until a member that shares its servers with nobody gets a
+// permit. It neither asks for one nor uses one.
+func (t *Tracker) Available(server Server, now time.Time) time.Duration {
+	s := t.servers[server]
+	if s == nil || !s.limited {
+		return 0
+	}
+	return t.coordinated.supply(server, effectiveRate(s.rate), now).bucket.Wait(now, 1)
+}
+
 // settle ends an ask with its result.
 func (w *wallet) settle(granted int, retry time.Duration, now time.Time) {
 	w.askID = 0
@@ -229,8 +239,8 @@
 
 func (a *allocator) remove(server Server) { delete(a.supplies, server) }
 
-// grant returns up to want permits, or the time after which to ask again.
-func (a *allocator) grant(server Server, rate float64, want int, now time.Time) (granted int, retry time.Duration) {
+// supply returns what there is for a server at a rate.
+func (a *allocator) supply(server Server, rate float64, now time.Time) *supply {
 	s := a.supplies[server]
 	if s == nil {
 		// It starts empty: another entry may have handed out permits until now.
@@ -238,6 +248,12 @@
 		a.supplies[server] = s
 	}
 	s.bucket.SetRate(now, rate, minBurst+rate*burstTime.Seconds())
+	return s
+}
+
+// grant returns up to want permits, or the time after which to ask again.
+func (a *allocator) grant(server Server, rate float64, want int, now time.Time) (granted int, retry time.Duration) {
+	s := a.supply(server, rate, now)
 	for granted < want {
 		wait, ok := s.bucket.Take(now, 1)
 		if !ok && granted == 0 {
--- a/core/limits/budget.go
+++ b/core/limits/budget.go
@@ -23,15 +23,24 @@
 // n exceeds the burst or the rate is 0, because the tokens never become
 // available.
 func (b *TokenBucket) Take(now time.Time, n float64) (wait time.Duration, ok bool) {
-	b.refill(now)
-	if n <= b.level {
-		b.level -= n
-		return 0, true
+	if wait := b.Wait(now, n); wait != 0 {
+		return wait, false
 	}
-	if n > b.burst || b.rate <= 0 {
-		return -1, false
+	b.level -= n
+	return 0, true
+}
+
+// Wait returns the time until n tokens are available, as Take does, and removes none.
+func (b *TokenBucket) Wait(now time.Time, n float64) time.Duration {
+	b.refill(now)
+	switch {
+	case n <= b.level:
+		return 0
+	case n > b.burst || b.rate <= 0:
+		return -1
+	default:
+		return time.Duration((n - b.level) / b.rate * float64(time.Second))
 	}
-	return time.Duration((n - b.level) / b.rate * float64(time.Second)), false
 }
 
 // SetRate changes the rate and the burst; tokens above the burst are lost.
--- a/node/agent/backpressure.go
+++ b/node/agent/backpressure.go
@@ -65,24 +65,18 @@
 }
 
 // wait returns the time until the backend server takes the next request: 0 if it takes
-// one now, and a negative time if it is leaving.
+// one now, and a negative time if it is leaving. It uses no permit.
 func (g *backendGate) wait(now time.Time) time.Duration {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.waitLocked(now)
-}
-
-func (g *backendGate) waitLocked(now time.Time) time.Duration {
 	standing, until := g.tracker.Standing(g.server, now)
-	if standing == backpressure.PermitNeeded {
-		g.tracker.Ask(g.server, soleMembership, now)
-		standing, until = g.tracker.Standing(g.server, now)
-	}
 	switch standing {
 	case backpressure.Leaving:
 		return -1
 	case backpressure.Paused:
 		return max(until.Sub(now), 1)
+	case backpressure.PermitNeeded:
+		return g.tracker.Available(g.server, now)
 	default:
 		return 0
 	}
@@ -92,7 +86,12 @@
 func (g *backendGate) take(now time.Time) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.waitLocked(now) != 0 {
+	standing, _ := g.tracker.Standing(g.server, now)
+	if standing == backpressure.PermitNeeded {
+		g.tracker.Ask(g.server, soleMembership, now)
+		standing, _ = g.tracker.Standing(g.server, now)
+	}
+	if standing == backpressure.Leaving || standing == backpressure.Paused {
 		return false
 	}
 	_, ok := g.tracker.TakePermit(g.server, now)
--- a/node/agent/backpressure_test.go
+++ b/node/agent/backpressure_test.go
@@ -10,7 +10,9 @@
 	qt "github.com/frankban/quicktest"
 	"github.com/hashicorp/go-hclog"
 
+	"github.com/laburnumloft/laburnumloft/core/limits"
 	"github.com/laburnumloft/laburnumloft/core/operation"
+	"github.com/laburnumloft/laburnumloft/node/lib/bootclock"
 	"github.com/laburnumloft/laburnumloft/node/lib/wire"
 )
 
@@ -68,3 +70,47 @@
 	gate.observe(answer(""), time.Now())
 	c.Check(gate.wait(time.Now()), qt.Equals, time.Duration(0))
 }
+
+// Looking whether a limited server takes a request must not use up its permits: load
+// reports and the queue look many times a second.
+func TestLookingUsesNoPermit(t *testing.T) {
+	c := qt.New(t)
+	gate := newBackendGate("http://engine", hclog.NewNullLogger())
+	now := bootclock.Now()
+	gate.observe(&http.Response{StatusCode: http.StatusOK, Header: http.Header{http.CanonicalHeaderKey(wire.RateLimitHeader): {"1"}}}, now)
+	const look, requests = 50 * time.Millisecond, 1100 * time.Millisecond
+	refused := 0
+	for sent := range 10 {
+		for end := now.Add(requests); now.Before(end); now = now.Add(look) {
+			gate.wait(now)
+		}
+		if !gate.take(now) {
+			refused++
+			t.Logf("request %d refused, %v after the one before", sent, requests)
+		}
+	}
+	c.Assert(refused, qt.Equals, 0)
+}
+
+// Requests that end while their server wants none must not count as refused.
+func TestEndsOfRequestsAreNotRefusals(t *testing.T) {
+	c := qt.New(t)
+	gate := newBackendGate("http://engine", hclog.NewNullLogger())
+	header := http.Header{http.CanonicalHeaderKey(wire.RetryAfterHeader): {"20"}}
+	gate.observe(&http.Response{StatusCode: http.StatusServiceUnavailable, Header: header}, bootclock.Now())
+	a := newAdmission(gate)
+	defer a.stop()
+	refused := func() string {
+		if v := agentBackpressure.Get("refused"); v != nil {
+			return v.String()
+		}
+		return "0"
+	}
+	before := refused()
+	a.handle(time.Now(), admissionEvent{leave: 7})
+	c.Assert(refused(), qt.Equals, before)
+	reply := make(chan *wire.Error, 1)
+	a.handle(time.Now(), admissionEvent{item: &limits.Item{ID: 8}, reply: reply})
+	c.Assert((<-reply).Kind, qt.Equals, wire.ErrorUnavailable)
+	c.Assert(refused(), qt.Not(qt.Equals), before)
+}
--- a/node/agent/requests_admission.go
+++ b/node/agent/requests_admission.go
@@ -149,9 +149,12 @@
 }
 
 func (a *admission) handle(now time.Time, event admissionEvent) {
-	if failure := a.gate.refusal(); event.item != nil && failure != nil {
-		event.reply <- failure
-	} else if event.item != nil {
+	if event.item != nil {
+		if failure := a.gate.refusal(); failure != nil {
+			event.reply <- failure
+			a.dispatch(now)
+			return
+		}
 		result := a.queue.Push(now, *event.item)
 		if result.Refused != "" {
 			event.reply <- refusal(result.Refused, result.RetryAfter)
