core/settings: a test of a fold whose log continues in another era

Cause: the decision to keep settings until an operator recovers the log had a test with processes only. Conclusion: done.

--- a/core/settings/fold_test.go
+++ b/core/settings/fold_test.go
@@ -1,12 +1,14 @@
 package settings_test
 
 import (
+	"encoding/json"
 	"strings"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/laburnumloft/laburnumloft/core/logera"
 	"github.com/laburnumloft/laburnumloft/core/settings"
 )
 
@@ -250,3 +252,29 @@
 	got, _ := inForce.Current()
 	c.Assert(got, qt.Equals, state)
 }
+
+// A log that came back from a copy, whose positions continue in another era, must not
+// change a state, nor give one to a fold that starts on the copy, until a snapshot at its
+// end declares one.
+func TestFoldKeepsItsStateInANewEra(t *testing.T) {
+	c := qt.New(t)
+	first := logera.Position(1, 1)
+	fold := settings.NewFold()
+	c.Assert(fold.ApplyPage(settings.Page{Records: []settings.LogRecord{{Offset: 1, Data: []byte("x")}}, Oldest: 1, Next: 2}).Status, qt.Equals, settings.StatusCurrent)
+	known, _ := fold.State()
+	copied := settings.Page{Records: []settings.LogRecord{{Offset: first, Data: []byte("x")}, {Offset: first + 1, Data: []byte("y")}}, Oldest: first, Next: first + 2}
+	for _, f := range []*settings.Fold{fold, settings.NewFold()} {
+		before, _ := f.State()
+		c.Assert(f.ApplyPage(settings.Page{Oldest: first, Next: first + 2}).Status, qt.Equals, settings.StatusBehind)
+		c.Assert(f.Next(), qt.Equals, first)
+		c.Assert(f.ApplyPage(copied).Status, qt.Equals, settings.StatusGap)
+		after, _ := f.State()
+		c.Assert(after, qt.Equals, before)
+		snapshot, err := json.Marshal(settings.NewSnapshot(known.AtOffset(first + 1)))
+		c.Assert(err, qt.IsNil)
+		page := settings.Page{Records: []settings.LogRecord{{Offset: first + 2, Data: snapshot}}, Oldest: first, Next: first + 3}
+		f.ApplyPage(page)
+		state, _ := f.State()
+		c.Assert(state.Offset >= first+1, qt.IsTrue)
+	}
+}
