--- a/bench/fleet/restore_soak_test.go
+++ b/bench/fleet/restore_soak_test.go
@@ -37,16 +37,9 @@
 type timedMark struct {
 	at   time.Time
 	mark platform.Mark
-	// configuration is the newest version then.
-	configuration int64
 }
 
-func (r *restorer) mark() {
-	r.f.mu.Lock()
-	version := r.f.config
-	r.f.mu.Unlock()
-	r.marks = append(r.marks, timedMark{time.Now(), r.f.store.Mark(), version})
-}
+func (r *restorer) mark() { r.marks = append(r.marks, timedMark{time.Now(), r.f.store.Mark()}) }
 
 // restore plays one restore to a random mark and writes the operator's records again,
 // under their numbers.
--- a/bench/fleet/restore_test.go
+++ b/bench/fleet/restore_test.go
@@ -56,7 +56,7 @@
 	return true
 }
 
-// awaits are the times for which the store is away in the tests.
+// awayTimes are the times for which the store is away in the tests.
 var awayTimes = []time.Duration{0, 50 * time.Millisecond, 400 * time.Millisecond, 2 * time.Second}
 
 // A configuration that is written at an offset which the store had given out before a
