--- a/review/standin/fleet.go
+++ b/review/standin/fleet.go
@@ -67,6 +67,8 @@
 	arrivals []Arrival
 	broken   []string
 	nextID   int
+	// onPlainArrival sees each request that reaches a plain server; may be nil.
+	onPlainArrival func(p *Plain, id string)
 	// extraRoutes returns routes beside the usual ones; may be nil.
 	extraRoutes func() []any
 	// crashTimes are the times at which engines crashed.
@@ -197,8 +199,8 @@
 		f.engines = append(f.engines, e)
 	}
 	for i := range f.shape.plains {
-		p := &Plain{f: f, id: fmt.Sprintf("i-%04x", 0x5000+i), address: f.at(f.plainIP(i), portPlain), zone: f.zone(i), service: plainService, born: time.Now().UnixMilli(), work: 15 * time.Millisecond}
-		if err := f.serve(p.address, p); err != nil {
+		p := f.newPlain(i)
+		if err := p.listen(); err != nil {
 			return err
 		}
 		f.plains = append(f.plains, p)
@@ -209,7 +211,10 @@
 			for _, e := range f.engines {
 				e.beat()
 			}
-			for _, p := range f.plains {
+			f.mu.Lock()
+			plains := f.plains
+			f.mu.Unlock()
+			for _, p := range plains {
 				p.beat()
 			}
 			time.Sleep(beatEvery)
@@ -460,6 +465,11 @@
 	born              int64
 	seq               int
 	work              time.Duration
+	server            *http.Server
+	// drained is when the store accepted that the server is draining.
+	mu      sync.Mutex
+	drained time.Time
+	ended   bool
 	// targets are the request targets of the requests that ran, by id.
 	targets sync.Map
 }
@@ -471,10 +481,58 @@
 	return text
 }
 
+func (f *Fleet) newPlain(i int) *Plain {
+	return &Plain{f: f, id: fmt.Sprintf("i-%04x", 0x5000+i), address: f.at(f.plainIP(i), portPlain), zone: f.zone(i), service: plainService, born: time.Now().UnixMilli(), work: 15 * time.Millisecond}
+}
+
+func (p *Plain) listen() error {
+	listener, err := net.Listen("tcp4", p.address)
+	if err != nil {
+		return err
+	}
+	p.server = &http.Server{Handler: p}
+	go func() { _ = p.server.Serve(listener) }()
+	return nil
+}
+
+// drain says that the server is draining.
+func (p *Plain) drain() {
+	p.mu.Lock()
+	p.drained = time.Now()
+	p.mu.Unlock()
+	p.beat()
+	p.f.note("draining", "server", p.id)
+}
+
+func (p *Plain) drainedAt() time.Time {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.drained
+}
+
+// end ends the server and removes its record.
+func (p *Plain) end() {
+	p.mu.Lock()
+	p.ended = true
+	p.mu.Unlock()
+	p.f.store.Put("keyed.servers", p.id, nil)
+	_ = p.server.Close()
+	p.f.note("server_ended", "server", p.id)
+}
+
 func (p *Plain) beat() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.ended {
+		return
+	}
+	state := "ready"
+	if !p.drained.IsZero() {
+		state = "draining"
+	}
 	p.seq++
 	p.f.store.Put("keyed.servers", p.id, map[string]any{
-		"service": p.service, "address": p.address, "zone": p.zone, "version": "v1", "slots": 6, "state": "ready", "coldRemainingMs": 0, "seq": p.seq, "born": p.born,
+		"service": p.service, "address": p.address, "zone": p.zone, "version": "v1", "slots": 6, "state": state, "coldRemainingMs": 0, "seq": p.seq, "born": p.born,
 	})
 }
 
@@ -493,6 +551,9 @@
 	if err != nil {
 		return
 	}
+	if p.f.onPlainArrival != nil {
+		p.f.onPlainArrival(p, id)
+	}
 	p.f.mu.Lock()
 	if q := p.f.requests[id]; q != nil {
 		q.Runs++
