--- a/review/standin/engine.go
+++ b/review/standin/engine.go
@@ -86,6 +86,8 @@
 	// headerFirst sends the header of an answer before its first event is ready, not
 	// together with it.
 	headerFirst bool
+	// eventFirst calls onRun after the first event has left, not before.
+	eventFirst bool
 	// onStagedRead is called after a staged piece was read back.
 	onStagedRead func(e *Engine, number int)
 	// onRun is called when a request begins to run; it returns true if the engine
@@ -402,7 +404,7 @@
 	if e.headerFirst && flush.Flush() != nil {
 		return
 	}
-	if e.onRun != nil && e.onRun(e, r) {
+	if !e.eventFirst && e.onRun != nil && e.onRun(e, r) {
 		panic(http.ErrAbortHandler)
 	}
 	first := 1
@@ -413,6 +415,9 @@
 		if _, err := fmt.Fprintf(w, "id: %d\ndata: %s %d\n\n", n, id, n); err != nil || flush.Flush() != nil {
 			return
 		}
+		if e.eventFirst && n == first && e.onRun != nil && e.onRun(e, r) {
+			panic(http.ErrAbortHandler)
+		}
 		e.mu.Lock()
 		same := e.up && !e.busy
 		e.mu.Unlock()
--- a/review/standin/poison.go
+++ b/review/standin/poison.go
@@ -10,8 +10,9 @@
 	"time"
 )
 
-// poison: a part of a prompt crashes each engine that begins to write an answer on it.
-// The engine crashes before the first bytes of the answer have left it.
+// poison: a part of a prompt crashes each engine that begins to write an answer on it. The
+// engine crashes right after its first event has left it, or with POINT=none before the
+// first byte.
 func init() {
 	shapes["poison"] = Shape{regions: 1, entriesPerRegion: 3, enginesPerRegion: 8, plains: 0}
 	cases["poison"] = func(f *Fleet, trouble bool) error {
@@ -25,11 +26,11 @@
 				return true
 			}
 		}
-		// With HEADER=first the header of an answer leaves the engine before the crash, as
-		// at the project's own stand-in. That is no case; it shows what differs.
-		headerFirst := os.Getenv("HEADER") == "first"
+		// With POINT=header the engine crashes after the header, as the project's own
+		// stand-in does. That is no case; it shows what differs.
+		point := os.Getenv("POINT")
 		for _, e := range f.engines {
-			e.headerFirst = headerFirst
+			e.headerFirst, e.eventFirst = point == "header", point == ""
 		}
 		const contact = 3 * time.Second
 		poisonFrom := time.Now().Add(6 * time.Second)
