--- a/review/standin/fleet.go
+++ b/review/standin/fleet.go
@@ -109,6 +109,8 @@
 	mu  sync.Mutex
 	cmd *exec.Cmd
 	log *os.File
+	// ended is closed when the process has ended; nil before its first start.
+	ended chan struct{}
 }
 
 func newFleet(folder string, shape Shape) (*Fleet, error) {
@@ -375,7 +377,14 @@
 	p.mu.Lock()
 	p.cmd = cmd
 	p.mu.Unlock()
-	go func() { _ = cmd.Wait() }()
+	ended := make(chan struct{})
+	p.mu.Lock()
+	p.ended = ended
+	p.mu.Unlock()
+	go func() {
+		_ = cmd.Wait()
+		close(ended)
+	}()
 	p.f.note("process_started", "name", p.name, "pid", cmd.Process.Pid)
 	return nil
 }
@@ -400,6 +409,20 @@
 	}
 }
 
+// awaitEnd waits until the process has ended, for a time at most.
+func (p *Proc) awaitEnd(limit time.Duration) {
+	p.mu.Lock()
+	ended := p.ended
+	p.mu.Unlock()
+	if ended == nil {
+		return
+	}
+	select {
+	case <-ended:
+	case <-time.After(limit):
+	}
+}
+
 func (p *Proc) pid() int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -425,7 +448,9 @@
 	for _, p := range append(append([]*Proc{}, f.entries...), f.agents...) {
 		p.kill()
 	}
-	time.Sleep(200 * time.Millisecond)
+	for _, p := range append(append([]*Proc{}, f.entries...), f.agents...) {
+		p.awaitEnd(2 * time.Second)
+	}
 	f.recMu.Lock()
 	_ = f.record.Flush()
 	_ = f.file.Close()
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 	"time"
 )
 
@@ -22,17 +24,25 @@
 		fmt.Fprintln(os.Stderr, "unknown case")
 		os.Exit(2)
 	}
-	// A case that hangs could not run.
-	time.AfterFunc(115*time.Second, func() {
-		fmt.Println("could not run: no end within 115 s")
-		os.Exit(2)
-	})
 	trouble := os.Getenv("TROUBLE") != "0"
 	f, err := newFleet(os.Args[2], shapes[os.Args[1]])
 	if err != nil {
 		fmt.Println("could not run:", err)
 		os.Exit(2)
 	}
+	// A case that hangs, or is ended from outside, could not run. It leaves nothing behind.
+	ended := make(chan os.Signal, 1)
+	signal.Notify(ended, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	go func() {
+		select {
+		case <-ended:
+			fmt.Println("could not run: ended from outside")
+		case <-time.After(115 * time.Second):
+			fmt.Println("could not run: no end within 115 s")
+		}
+		f.close()
+		os.Exit(2)
+	}()
 	f.note("case", "name", os.Args[1], "trouble", trouble)
 	if err = f.start(); err == nil {
 		f.note("system_ready")
