--- a/node/stager/loader.go
+++ b/node/stager/loader.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"crypto/sha256"
-	"encoding/hex"
 	"errors"
 	"strconv"
 	"time"
@@ -45,6 +43,9 @@
 			if err := s.loadInTurn(ctx, m); err != nil && !errors.Is(err, ErrSuperseded) && ctx.Err() == nil {
 				s.cfg.Log.Event("load_failed", "version", m.Version, "cause", err.Error())
 				pause = failureDelay
+				if errors.Is(err, ErrChecksExpired) {
+					pause = checksExpiredDelay
+				}
 			}
 		}
 		// awaitWork fails only if ctx ended.
@@ -124,27 +125,6 @@
 	return nil
 }
 
-// verifyStaged reads the staged pieces back immediately before the load order,
-// because staged data can become corrupt, and replaces corrupt pieces.
-func (s *Stager) verifyStaged(ctx context.Context, m *Manifest) error {
-	for n := range m.Digests {
-		for {
-			_, err := s.readStaged(ctx, m, n)
-			if err == nil {
-				break
-			}
-			if !errors.Is(err, ErrDigestMismatch) && !errors.Is(err, ErrNoPiece) {
-				return err
-			}
-			s.cfg.Log.Event("staged_piece_spoilt", "number", n, "version", m.Version)
-			if err := s.stagePiece(ctx, m, n); err != nil {
-				return err
-			}
-		}
-	}
-	return nil
-}
-
 // drain waits until the engine's requests have ended, at most drainTimeout and
 // not beyond drainReserve before the adoption deadline. Entries send the engine
 // no new requests during the drain.
@@ -183,20 +163,17 @@
 	return s.cfg.Engine.Put(ctx, m.Model, n, data)
 }
 
-// readStaged reads a staged piece back and verifies its digest.
-func (s *Stager) readStaged(ctx context.Context, m *Manifest, n int) ([]byte, error) {
-	ctx, cancel := context.WithTimeout(ctx, engineTimeout)
-	defer cancel()
-	data, err := s.cfg.Engine.Get(ctx, m.Model, n)
-	if err != nil {
-		return nil, err
-	}
-	return data, verifyPiece(m, n, data)
-}
-
 // load drains the engine, orders the load and waits until the engine reports
 // that it runs the version.
+//
+// After a load that was withheld it first checks the staged pieces while the engine
+// serves, so that the engine isn't drained for nothing.
 func (s *Stager) load(ctx context.Context, m *Manifest) error {
+	if s.checksExpired {
+		if _, err := s.checkStaged(ctx, m); err != nil {
+			return err
+		}
+	}
 	start := time.Now()
 	s.setLoading(true)
 	defer s.setLoading(false)
@@ -228,19 +205,21 @@
 	return ErrLoadFailed
 }
 
-// orderLoad verifies the staged pieces and orders the engine to load them. While
-// the engine is busy it repeats both, because staged data can become corrupt at
-// any time.
+// orderLoad checks the staged pieces and orders the engine to load them. While the
+// engine is busy it repeats both, because staged data can become corrupt at any time.
 func (s *Stager) orderLoad(ctx context.Context, m *Manifest) error {
 	for range maxLoadAttempts {
-		if err := s.verifyStaged(ctx, m); err != nil {
+		checks, err := s.checkStaged(ctx, m)
+		if err != nil {
 			return err
 		}
-		callCtx, cancel := context.WithTimeout(ctx, engineTimeout)
-		err := s.cfg.Engine.Load(callCtx, m.Model, m.Version)
+		now := bootclock.Now()
+		callCtx, cancel := context.WithTimeout(ctx, rollout.LoadOrderTimeout)
+		err = s.cfg.Engine.Load(callCtx, m.Model, m.Version, checks.OrderBefore(now))
 		cancel()
 		if err == nil {
-			s.cfg.Log.Event("load_ordered", "model", m.Model, "version", m.Version)
+			s.cfg.Log.Event("load_ordered", "model", m.Model, "version", m.Version, "oldest_check_ms", checks.OldestAge(now).Milliseconds(),
+				"order_ms", bootclock.Since(now).Milliseconds())
 			return nil
 		}
 		if !errors.Is(err, ErrEngineBusy) {
@@ -268,12 +247,3 @@
 		return ctx.Err()
 	}
 }
-
-// verifyPiece compares a piece with its digest in the manifest.
-func verifyPiece(m *Manifest, n int, data []byte) error {
-	sum := sha256.Sum256(data)
-	if n >= len(m.Digests) || hex.EncodeToString(sum[:]) != m.Digests[n] {
-		return ErrDigestMismatch
-	}
-	return nil
-}
--- a/node/stager/quiet.go
+++ b/node/stager/quiet.go
@@ -100,11 +100,11 @@
 }
 
 // Load implements Engine.
-func (e quietEngine) Load(ctx context.Context, model string, version int64) error {
+func (e quietEngine) Load(ctx context.Context, model string, version int64, before time.Time) error {
 	if err := e.quiet.begin(); err != nil {
 		return err
 	}
-	return e.quiet.end(e.Engine.Load(ctx, model, version))
+	return e.quiet.end(e.Engine.Load(ctx, model, version, before))
 }
 
 // quietOrigin is an Origin to which no calls are sent in its quiet times.
--- a/node/stager/stager.go
+++ b/node/stager/stager.go
@@ -33,6 +33,12 @@
 	// ErrDigestMismatch means that a piece does not match its digest, or that a
 	// manifest is malformed.
 	ErrDigestMismatch = eris.New("the bytes do not match the digest")
+	// ErrChecksExpired means that the engine reads staged pieces back too slowly: the
+	// first checks expired before the last ones were done.
+	ErrChecksExpired = eris.New("checks of staged pieces expired before all were done")
+	// ErrOrderTooLate means that a load order was not sent because the checks that it
+	// rests on had expired.
+	ErrOrderTooLate = eris.New("the checks of the staged pieces expired before the order was sent")
 	// ErrSuperseded means that another version became loadable, or that the
 	// pieces of the version were evicted.
 	ErrSuperseded = eris.New("the version was superseded by another one")
@@ -72,8 +78,9 @@
 	// Put stages a piece; Get reads a staged piece back.
 	Put(ctx context.Context, model string, number int, data []byte) error
 	Get(ctx context.Context, model string, number int) ([]byte, error)
-	// Load orders the engine to load the staged pieces.
-	Load(ctx context.Context, model string, version int64) error
+	// Load orders the engine to load the staged pieces. It must not send the order
+	// after a time on the boot-time clock, and returns ErrOrderTooLate instead.
+	Load(ctx context.Context, model string, version int64, before time.Time) error
 }
 
 // Origin is the origin of weights. Version 0 means the newest.
@@ -202,6 +209,9 @@
 	// nextManifestFetch is the time of the next attempt to fetch the manifest of
 	// a version that the engine was already running.
 	nextManifestFetch time.Time
+	// checksExpired means that the last load was withheld because of slow checks. Only
+	// the loader goroutine uses it.
+	checksExpired bool
 	// signals is what the engine said about itself; notifiedAt is when the entries
 	// were last told. Only the monitor goroutine uses them.
 	signals    *backpressure.Tracker
