--- a/node/registry/registry_test.go
+++ b/node/registry/registry_test.go
@@ -379,3 +379,91 @@
 	list.RecordRead(0)
 	c.Assert((<-updates).StoreEra, qt.Equals, int64(4))
 }
+
+// silentRelay returns the address of a relay that accepts requests and never answers,
+// like an entry that is frozen.
+func silentRelay(c *qt.C) string {
+	ended := make(chan struct{})
+	server := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		select {
+		case <-r.Context().Done():
+		case <-ended:
+		}
+	}))
+	c.Cleanup(server.Close)
+	c.Cleanup(func() { close(ended) })
+	return server.Listener.Addr().String()
+}
+
+// A draining server must be known within the bound of 2 s although all relays that an
+// entry knows are silent (review/3). They were asked one after the other, for a second
+// each, before the store was read.
+func TestSilentRelaysDoNotDelayTheList(t *testing.T) {
+	c := qt.New(t)
+	for silent := 1; silent <= 4; silent++ {
+		store := &fakeStore{}
+		store.put("a", "ready")
+		s, list := newSync(store, "")
+		c.Assert(s.readStore(t.Context()), qt.IsNil)
+		var relays []relay.Source
+		for i := range silent {
+			relays = append(relays, relay.Source{Address: silentRelay(c), OtherRegion: i >= 2})
+		}
+		s.cfg.Relays = func() []relay.Source { return relays }
+		store.put("a", "draining")
+		start := time.Now()
+		for range 10 {
+			s.syncOnce(t.Context())
+			if server, _ := list.Get("a"); server.Address == "draining" {
+				break
+			}
+		}
+		c.Check(time.Since(start) < 1600*time.Millisecond, qt.IsTrue, qt.Commentf("%d silent relays: the change was known after %v", silent, time.Since(start)))
+		server, _ := list.Get("a")
+		c.Check(server.Address, qt.Equals, "draining")
+		c.Check(s.usableRelays(), qt.HasLen, 0, qt.Commentf("silent relays are asked again at once"))
+	}
+}
+
+// While one relay is silent, another one must be asked, not the store, and followed from
+// then on.
+func TestSilentRelayIsReplaced(t *testing.T) {
+	c := qt.New(t)
+	store := &fakeStore{down: true}
+	live := NewList()
+	live.Put(placement.Server{ID: "a", Address: "draining"})
+	live.RecordRead(0)
+	server := httptest.NewServer(Handler(live))
+	defer server.Close()
+	s, list := newSync(store, "")
+	list.RecordRead(0)
+	relays := []relay.Source{{Address: silentRelay(c)}, {Address: silentRelay(c)}, {Address: server.Listener.Addr().String(), OtherRegion: true}}
+	s.cfg.Relays = func() []relay.Source { return relays }
+	start := time.Now()
+	s.syncOnce(t.Context())
+	c.Check(time.Since(start) < 1200*time.Millisecond, qt.IsTrue, qt.Commentf("the list came after %v", time.Since(start)))
+	c.Check(ids(list), qt.DeepEquals, map[string]bool{"a": true})
+	c.Check(s.relayAddress, qt.Equals, relays[2].Address)
+	c.Check(s.usableRelays()[0], qt.Equals, relays[2])
+}
+
+// A relay whose answer stops in its middle is silent, too.
+func TestRelayThatStopsInItsAnswerIsSilent(t *testing.T) {
+	c := qt.New(t)
+	ended := make(chan struct{})
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, `{"epoch":1,`)
+		_ = http.NewResponseController(w).Flush()
+		<-ended
+	}))
+	defer server.Close()
+	defer close(ended)
+	store := &fakeStore{}
+	store.put("a", "ready")
+	s, list := newSync(store, server.Listener.Addr().String())
+	list.RecordRead(0)
+	start := time.Now()
+	s.syncOnce(t.Context())
+	c.Check(time.Since(start) < 1600*time.Millisecond, qt.IsTrue)
+	c.Check(ids(list), qt.DeepEquals, map[string]bool{"a": true})
+}
--- a/node/registry/sync.go
+++ b/node/registry/sync.go
@@ -19,6 +19,7 @@
 	"github.com/laburnumloft/laburnumloft/core/storeera"
 	"github.com/laburnumloft/laburnumloft/node/decision"
 	"github.com/laburnumloft/laburnumloft/node/keyedlog"
+	"github.com/laburnumloft/laburnumloft/node/lib/inquiry"
 )
 
 const (
@@ -41,6 +42,21 @@
 	// maxRelayListAge is the age of a relay's list from which the relay is
 	// treated as disconnected from the store.
 	maxRelayListAge = 1200 * time.Millisecond
+	// minPollWait is the shortest duration of a long poll to a relay.
+	minPollWait = 100 * time.Millisecond
+	// pollSlack is how much longer than its long poll a relay may be silent before
+	// others are asked; relayPatience is how long each of those may be silent. Round
+	// trips between regions take under 10 ms, a lost packet is sent again after 200 ms.
+	pollSlack     = 150 * time.Millisecond
+	relayPatience = 250 * time.Millisecond
+	// relaysAskedAtOnce is how many further relays are asked together.
+	relaysAskedAtOnce = 2
+	// maxPolledListAge is the age of the list that a long poll should not let it exceed.
+	// On a quiet day a list is 650 ms old at most when a poll of 700 ms begins.
+	maxPolledListAge = 1350 * time.Millisecond
+	// maxListAge is the age of the list at which the store is read although relays may
+	// still answer. A read takes under 100 ms; removals must be in force after 2 s.
+	maxListAge = 1500 * time.Millisecond
 	// startupRetryInterval is the time between two requests to a relay while
 	// this entry is starting.
 	startupRetryInterval = 80 * time.Millisecond
@@ -80,8 +96,8 @@
 	// Decode decodes a record as a server. It returns false if the record is
 	// invalid.
 	Decode func(keyedlog.Record) (placement.Server, bool)
-	// Relays returns the entries to fetch the list from, in order of
-	// preference. When all of them have failed, this entry reads the store.
+	// Relays returns the entries to fetch the list from, in order of preference.
+	// When none of them answers in time, this entry reads the store.
 	Relays func() []relay.Source
 	// DeferStoreReads reports whether this entry is starting and should not read the
 	// store yet because other entries do; nil means never.
@@ -144,26 +160,15 @@
 	}
 }
 
-// syncOnce polls the relay or reads the store once and returns the time to wait
-// before the next call.
+// syncOnce asks the relays or reads the store once and returns the time to wait before
+// the next call.
 func (s *Sync) syncOnce(ctx context.Context) time.Duration {
-	if source, ok := s.pickRelay(); ok {
-		wait := pollWait
-		if source.OtherRegion {
-			wait = otherRegionPollWait
-		}
-		err := s.pollEntry(ctx, source.Address, wait, maxRelayListAge)
+	if sources := s.usableRelays(); len(sources) > 0 {
+		err := s.askRelays(ctx, sources)
 		s.logContactChange(&s.relayLost, "relay", err)
 		if err == nil {
 			return 0
 		}
-		if s.defersStoreReads() {
-			return startupRetryInterval
-		}
-		s.avoidUntil[source.Address] = time.Now().Add(relayAvoidTime)
-		if _, ok := s.pickRelay(); ok {
-			return 0
-		}
 	}
 	if s.defersStoreReads() {
 		return startupRetryInterval
@@ -212,14 +217,79 @@
 	return s.cfg.DeferStoreReads != nil && s.cfg.DeferStoreReads()
 }
 
-// pickRelay returns the first relay that has not failed within relayAvoidTime.
-func (s *Sync) pickRelay() (source relay.Source, ok bool) {
+// usableRelays returns the relays that have not failed within relayAvoidTime.
+func (s *Sync) usableRelays() (sources []relay.Source) {
 	for _, source := range s.cfg.Relays() {
 		if until, avoided := s.avoidUntil[source.Address]; !avoided || time.Now().After(until) {
-			return source, true
+			sources = append(sources, source)
 		}
 	}
-	return relay.Source{}, false
+	return sources
+}
+
+// askRelays fetches the changes from one of the relays. The first one is polled; others
+// are asked when it is silent for longer than the poll lasts. It gives up in time for a
+// read of the store before the list is older than maxListAge.
+func (s *Sync) askRelays(ctx context.Context, sources []relay.Source) error {
+	age := s.cfg.List.Age()
+	wait := pollDuration(sources[0], age)
+	cfg := relay.InquiryConfig{
+		Sources: len(sources), FirstPatience: wait + pollSlack, Patience: relayPatience, AtOnce: relaysAskedAtOnce,
+		Timeout: max(wait+pollSlack, maxListAge-age),
+	}
+	polls := make([]poll, len(sources))
+	for i, source := range sources {
+		polls[i] = s.newPoll(source.Address)
+	}
+	polls[0].wait = wait
+	result, err := inquiry.Run(ctx, cfg, func(ctx context.Context, i int) (Update, error) {
+		return s.fetch(ctx, polls[i], maxRelayListAge)
+	})
+	if ctx.Err() != nil {
+		return ctx.Err()
+	}
+	s.avoidFailed(sources, result)
+	if err == nil {
+		s.adopt(sources[result.Source].Address, result.Answer)
+		return nil
+	}
+	for _, cause := range result.Failed {
+		err = errors.Join(err, cause)
+	}
+	return err
+}
+
+// avoidFailed avoids the relays that failed or were silent for a while, and logs the
+// silent ones.
+func (s *Sync) avoidFailed(sources []relay.Source, result inquiry.Result[Update]) {
+	var silent []string
+	for _, i := range result.Silent {
+		silent = append(silent, sources[i].Address)
+	}
+	if len(silent) > 0 {
+		s.cfg.Log.Event("relays_silent", "feed", "registry", "relays", silent, "ms", result.Duration.Milliseconds(), "age_ms", s.cfg.List.Age().Milliseconds())
+	}
+	if s.defersStoreReads() {
+		// An entry that starts has nothing else to ask.
+		return
+	}
+	until := time.Now().Add(relayAvoidTime)
+	for _, address := range silent {
+		s.avoidUntil[address] = until
+	}
+	for i := range result.Failed {
+		s.avoidUntil[sources[i].Address] = until
+	}
+}
+
+// pollDuration returns how long a relay may wait for a change. It is shorter if the list
+// is old, because one of the entries between this one and the store is silent then.
+func pollDuration(source relay.Source, age time.Duration) time.Duration {
+	wait := pollWait
+	if source.OtherRegion {
+		wait = otherRegionPollWait
+	}
+	return max(minPollWait, min(wait, maxPolledListAge-age))
 }
 
 // logContactChange logs when a source becomes unreachable or reachable again.
@@ -235,37 +305,66 @@
 	}
 }
 
+// poll is a request for the changes of another entry's list.
+type poll struct {
+	address  string
+	epoch    uint64
+	revision int64
+	wait     time.Duration
+}
+
+// newPoll returns a request for the changes since the last answer of an entry, or for
+// the full list if another entry answered last.
+func (s *Sync) newPoll(address string) poll {
+	if address == s.relayAddress {
+		return poll{address: address, epoch: s.relayEpoch, revision: s.relayRevision}
+	}
+	return poll{address: address, revision: -1}
+}
+
 // pollEntry fetches the changes from another entry and applies them. It returns
 // ErrStale if the list of that entry is older than maxAge.
 func (s *Sync) pollEntry(ctx context.Context, address string, wait, maxAge time.Duration) error {
-	if address != s.relayAddress {
-		s.relayAddress, s.relayEpoch, s.relayRevision = address, 0, -1
+	p := s.newPoll(address)
+	p.wait = wait
+	u, err := s.fetch(ctx, p, maxAge)
+	if err != nil {
+		return err
 	}
+	s.adopt(address, u)
+	return nil
+}
+
+// adopt applies the changes of another entry's list.
+func (s *Sync) adopt(address string, u Update) {
+	s.applyUpdate(u)
+	s.cfg.List.RecordRead(time.Duration(u.AgeMS) * time.Millisecond)
+	s.relayAddress, s.relayEpoch, s.relayRevision = address, u.Epoch, u.Revision
+}
+
+// fetch fetches the changes of another entry's list. It is safe for concurrent use.
+func (s *Sync) fetch(ctx context.Context, p poll, maxAge time.Duration) (Update, error) {
 	ctx, cancel := context.WithTimeout(ctx, requestTimeout)
 	defer cancel()
 	query := struct {
 		Epoch    uint64 `url:"epoch"`
 		Revision int64  `url:"revision"`
 		WaitMS   int64  `url:"wait_ms"`
-	}{s.relayEpoch, s.relayRevision, wait.Milliseconds()}
-	req, err := sling.New().Base("http://" + address).Get(Path).QueryStruct(&query).Request()
+	}{p.epoch, p.revision, p.wait.Milliseconds()}
+	req, err := sling.New().Base("http://" + p.address).Get(Path).QueryStruct(&query).Request()
 	if err != nil {
-		return eris.Wrap(err, "building the registry request to a relay")
+		return Update{}, eris.Wrap(err, "building the registry request to a relay")
 	}
 	u, err := fetchUpdate(s.cfg.Client, req.WithContext(ctx))
-	if err != nil {
-		return err
-	}
-	if age := time.Duration(u.AgeMS) * time.Millisecond; age > maxAge {
-		return ErrStale
+	switch {
+	case err != nil:
+		return Update{}, err
+	case time.Duration(u.AgeMS)*time.Millisecond > maxAge:
+		return Update{}, ErrStale
+	case u.StoreEra > 0 && u.StoreEra < s.cfg.List.Era():
+		return Update{}, ErrOldEra
 	}
-	if u.StoreEra > 0 && u.StoreEra < s.cfg.List.Era() {
-		return ErrOldEra
-	}
-	s.applyUpdate(u)
-	s.cfg.List.RecordRead(time.Duration(u.AgeMS) * time.Millisecond)
-	s.relayEpoch, s.relayRevision = u.Epoch, u.Revision
-	return nil
+	return u, nil
 }
 
 // maxUpdateBytes limits the size of a response. A full list of 20,000 servers
