--- a/node/configsync/client.go
+++ b/node/configsync/client.go
@@ -11,7 +11,9 @@
 	"github.com/dghubble/sling"
 	"github.com/rotisserie/eris"
 
+	"github.com/laburnumloft/laburnumloft/core/relay"
 	"github.com/laburnumloft/laburnumloft/core/route"
+	"github.com/laburnumloft/laburnumloft/node/lib/inquiry"
 	"github.com/laburnumloft/laburnumloft/node/mesh"
 )
 
@@ -61,28 +63,50 @@
 	NewerThan int64 `url:"newer_than"`
 }
 
-// fetchConfiguration fetches an entry's configuration if it is newer than the
-// current version, and applies it. It reports whether there was one.
-func (s *Syncer) fetchConfiguration(ctx context.Context, address string, current int64) bool {
-	var cfg route.Configuration
-	err := fetchJSON(ctx, s.cfg.Client, address, ConfigurationPath, configurationQuery{current}, &cfg)
+// inquiryConfig returns how the given number of entries are asked for a record.
+func inquiryConfig(sources int) relay.InquiryConfig {
+	return relay.InquiryConfig{Sources: sources, FirstPatience: entryPatience, Patience: entryPatience, Timeout: inquiryTimeout}
+}
+
+// askEntries asks entries for a record until one has it, and logs the entries that were
+// silent.
+func askEntries[T any](ctx context.Context, s *Syncer, feed string, addresses []string, path string, query any) (answer T, from string, ok bool) {
+	result, err := inquiry.Run(ctx, inquiryConfig(len(addresses)), func(ctx context.Context, i int) (answer T, err error) {
+		err = fetchJSON(ctx, s.cfg.Client, addresses[i], path, query, &answer)
+		return answer, err
+	})
+	if ctx.Err() != nil {
+		return answer, "", false
+	}
+	var silent []string
+	for _, i := range result.Silent {
+		silent = append(silent, addresses[i])
+	}
 	if err == nil {
-		return s.cfg.Gateway.Configure(cfg, "entry "+address)
-	} else if ctx.Err() == nil && !eris.Is(err, ErrNoContent) {
-		s.cfg.Log.Event("configuration_unread", "from", address, "version", current, "cause", err.Error())
+		from = addresses[result.Source]
+	}
+	if len(silent) > 0 {
+		s.cfg.Log.Event("entries_silent", "feed", feed, "entries", silent, "ms", result.Duration.Milliseconds(), "answered", from)
 	}
-	return false
+	for i, cause := range result.Failed {
+		if !eris.Is(cause, ErrNoContent) {
+			s.cfg.Log.Event("entry_unread", "feed", feed, "from", addresses[i], "cause", cause.Error())
+		}
+	}
+	return result.Answer, from, err == nil
 }
 
-// fetchWeights fetches and applies an entry's published weight versions, and
-// reports whether the entry answered.
-func (s *Syncer) fetchWeights(ctx context.Context, address string) bool {
-	var published PublishedWeights
-	if err := fetchJSON(ctx, s.cfg.Client, address, WeightsPath, struct{}{}, &published); err != nil {
-		// The error needs no handling: entries that start retry until one
-		// answers, and heartbeats show which entries are live.
-		return false
-	}
+// fetchConfiguration fetches a configuration that is newer than the current version from
+// one of the entries, and applies it. It reports whether there was one.
+func (s *Syncer) fetchConfiguration(ctx context.Context, addresses []string, current int64) bool {
+	cfg, from, ok := askEntries[route.Configuration](ctx, s, "configuration", addresses, ConfigurationPath, configurationQuery{current})
+	return ok && s.cfg.Gateway.Configure(cfg, "entry "+from)
+}
+
+// fetchWeights fetches and applies the published weight versions of one of the entries,
+// and reports whether one answered.
+func (s *Syncer) fetchWeights(ctx context.Context, addresses []string) bool {
+	published, _, ok := askEntries[PublishedWeights](ctx, s, "weights", addresses, WeightsPath, struct{}{})
 	for model, versions := range published {
 		for version, n := range versions {
 			if n.Exact {
@@ -92,19 +116,23 @@
 			}
 		}
 	}
-	return true
+	return ok
 }
 
-// FetchTarget fetches the data that an agent needs from an entry.
-func FetchTarget(ctx context.Context, client *http.Client, address string) (Target, error) {
-	var target Target
-	err := fetchJSON(ctx, client, address, TargetPath, struct{}{}, &target)
-	return target, err
+// FetchTarget fetches the data that an agent needs from one of the entries.
+func FetchTarget(ctx context.Context, client *http.Client, addresses []string) (Target, error) {
+	result, err := inquiry.Run(ctx, inquiryConfig(len(addresses)), func(ctx context.Context, i int) (target Target, err error) {
+		err = fetchJSON(ctx, client, addresses[i], TargetPath, struct{}{}, &target)
+		return target, err
+	})
+	return result.Answer, err
 }
 
-// FetchMembers fetches the list of known members from an entry.
-func FetchMembers(ctx context.Context, client *http.Client, address string) ([]mesh.Member, error) {
-	var members []mesh.Member
-	err := fetchJSON(ctx, client, address, MembersPath, struct{}{}, &members)
-	return members, err
+// FetchMembers fetches the list of known members from one of the entries.
+func FetchMembers(ctx context.Context, client *http.Client, addresses []string) ([]mesh.Member, error) {
+	result, err := inquiry.Run(ctx, inquiryConfig(len(addresses)), func(ctx context.Context, i int) (members []mesh.Member, err error) {
+		err = fetchJSON(ctx, client, addresses[i], MembersPath, struct{}{}, &members)
+		return members, err
+	})
+	return result.Answer, err
 }
--- a/node/configsync/syncer.go
+++ b/node/configsync/syncer.go
@@ -15,6 +15,7 @@
 	"net/http"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/laburnumloft/laburnumloft/core/relay"
@@ -44,6 +45,17 @@
 	weightAgesTimeout = 3 * time.Second
 	// requestTimeout is the timeout of a request to another entry.
 	requestTimeout = 700 * time.Millisecond
+	// entryPatience is how long an entry may be silent before another one is asked as
+	// well. Entries answer within 10 ms, a lost packet is sent again after 200 ms.
+	entryPatience = 200 * time.Millisecond
+	// maxSources is how many entries are asked for one record, and inquiryTimeout how
+	// long that may take.
+	maxSources     = 4
+	inquiryTimeout = 1200 * time.Millisecond
+	// maxLag is the time for which a configuration may be missing that no entry
+	// answers for, before this entry reads the store. Configurations must be in force
+	// after 2 s.
+	maxLag = 800 * time.Millisecond
 )
 
 // Config sets up a Syncer.
@@ -73,6 +85,9 @@
 	membersKnown chan struct{}
 	membersOnce  sync.Once
 
+	// unanswered is set while a configuration is missing and no entry answers for it.
+	unanswered atomic.Bool
+
 	mu         sync.Mutex
 	compressed compressedConfiguration
 }
@@ -120,7 +135,7 @@
 			return false
 		}
 	}
-	return s.cfg.StoreUnreachable() || slices.Contains(s.storeReaders(), s.cfg.Self.ID)
+	return s.cfg.StoreUnreachable() || s.unanswered.Load() || slices.Contains(s.storeReaders(), s.cfg.Self.ID)
 }
 
 // InitialRelays returns the addresses of the region's store readers during the
@@ -152,7 +167,7 @@
 	live := map[string]bool{}
 	for _, l := range s.cfg.Mesh.LiveEntriesInRegion() {
 		live[l.ID] = true
-		entries = append(entries, relay.Entry{ID: l.ID, Region: l.Region, StoreUnreachable: l.Hello.StoreFailed})
+		entries = append(entries, relay.Entry{ID: l.ID, Region: l.Region, StoreUnreachable: l.Hello.StoreFailed, Silent: l.Age > relay.MaxReaderSilence})
 	}
 	if s.starting() {
 		for _, m := range s.cfg.Mesh.Members(mesh.Entry) {
@@ -169,6 +184,17 @@
 	if !s.cfg.Bootstrap {
 		go s.fetchWeightAges(ctx)
 	}
+	// An entry that does not answer for one record must not hold up the other.
+	go s.repeat(ctx, s.catchUpWithWeights)
+	var lag relay.Lag
+	s.repeat(ctx, func(ctx context.Context, live []mesh.LiveEntry) {
+		s.cfg.Gateway.SetEntryCount(len(live) + 1)
+		s.catchUpWithConfiguration(ctx, live, &lag)
+	})
+}
+
+// repeat calls catchUp with the live entries until ctx ends.
+func (s *Syncer) repeat(ctx context.Context, catchUp func(ctx context.Context, live []mesh.LiveEntry)) {
 	for {
 		pause := pollInterval
 		if s.cfg.Gateway.Table() == nil {
@@ -179,45 +205,61 @@
 		case <-ctx.Done():
 			return
 		}
-		live := s.cfg.Mesh.LiveEntries()
-		s.cfg.Gateway.SetEntryCount(len(live) + 1)
-		s.catchUp(ctx, live)
+		catchUp(ctx, s.cfg.Mesh.LiveEntries())
 	}
 }
 
-// catchUp requests newer data from an entry that has it. This covers a lost
-// connection to the store, and a long poll that gets no answer although there is
-// newer data.
-func (s *Syncer) catchUp(ctx context.Context, live []mesh.LiveEntry) {
+// catchUpWithConfiguration requests a newer configuration from entries that have one.
+// This covers a lost connection to the store, and a long poll that gets no answer
+// although there is a newer one.
+func (s *Syncer) catchUpWithConfiguration(ctx context.Context, live []mesh.LiveEntry, lag *relay.Lag) {
 	table := s.cfg.Gateway.Table()
 	if table == nil {
-		if address := s.initialSource(live); address != "" {
-			s.fetchConfiguration(ctx, address, 0)
-			s.fetchWeights(ctx, address)
-		}
+		s.fetchConfiguration(ctx, s.initialSources(live), 0)
 		return
 	}
-	version, weights := table.Version(), s.cfg.Gateway.NewestWeightsSum()
-	if address := s.pickEntry(live, func(h mesh.Hello) bool { return h.ConfigurationVersion > version }); address != "" {
-		s.fetchConfiguration(ctx, address, version)
+	version, newest := table.Version(), table.Version()
+	for _, l := range live {
+		newest = max(newest, l.Hello.ConfigurationVersion)
 	}
-	if address := s.pickEntry(live, func(h mesh.Hello) bool { return h.WeightsSum > weights }); address != "" {
-		s.fetchWeights(ctx, address)
+	s.cfg.Gateway.RecordNewestConfiguration(newest)
+	lag.Update(version, newest, time.Now())
+	if newest == version {
+		s.unanswered.Store(false)
+		return
+	}
+	answered := s.fetchConfiguration(ctx, s.sources(live, func(h mesh.Hello) bool { return h.ConfigurationVersion > version }), version)
+	missing := lag.Update(s.cfg.Gateway.Table().Version(), newest, time.Now())
+	if unanswered := !answered && missing >= maxLag; s.unanswered.Swap(unanswered) != unanswered {
+		s.cfg.Log.Event("configuration_missing", "version", version, "newest", newest, "ms", missing.Milliseconds(), "reads_store", unanswered)
 	}
 }
 
-// initialSource returns the address of the entry from which an entry without
-// configuration requests one: an entry that has a configuration, else a store
-// reader of the region, else a seed.
-func (s *Syncer) initialSource(live []mesh.LiveEntry) string {
-	if address := s.pickEntry(live, func(h mesh.Hello) bool { return h.ConfigurationVersion > 0 }); address != "" {
-		return address
+// catchUpWithWeights requests newer published weight versions from entries that have
+// them.
+func (s *Syncer) catchUpWithWeights(ctx context.Context, live []mesh.LiveEntry) {
+	if s.cfg.Gateway.Table() == nil {
+		s.fetchWeights(ctx, s.initialSources(live))
+		return
+	}
+	weights := s.cfg.Gateway.NewestWeightsSum()
+	if addresses := s.sources(live, func(h mesh.Hello) bool { return h.WeightsSum > weights }); len(addresses) > 0 {
+		s.fetchWeights(ctx, addresses)
+	}
+}
+
+// initialSources returns the addresses of the entries from which an entry without
+// configuration requests one: entries that have a configuration, else the store readers
+// of the region, else the seeds.
+func (s *Syncer) initialSources(live []mesh.LiveEntry) []string {
+	if addresses := s.sources(live, func(h mesh.Hello) bool { return h.ConfigurationVersion > 0 }); len(addresses) > 0 {
+		return addresses
 	}
 	addresses := s.addresses(s.storeReaders())
 	if len(addresses) == 0 {
 		addresses = s.cfg.Seeds()
 	}
-	return randomAddress(addresses)
+	return randomAddresses(addresses, maxSources)
 }
 
 // maxEntriesAsked is how many entries are asked for a newer configuration before one
@@ -227,12 +269,7 @@
 // FetchNewer asks other entries for a configuration that is newer than a version, until
 // one has one or maxEntriesAsked did not.
 func (s *Syncer) FetchNewer(version int64) {
-	addresses := s.KnownEntries()
-	for _, i := range rand.Perm(len(addresses))[:min(maxEntriesAsked, len(addresses))] {
-		if s.fetchConfiguration(context.Background(), addresses[i], version) {
-			return
-		}
-	}
+	s.fetchConfiguration(context.Background(), randomAddresses(s.KnownEntries(), maxEntriesAsked), version)
 }
 
 // KnownEntries returns the addresses of the live other entries, or, if there are none,
@@ -250,31 +287,33 @@
 	return append(addresses, s.cfg.Seeds()...)
 }
 
-// pickEntry returns the address of a random entry that fits, from the own region
-// if possible, or "" if none fits.
-func (s *Syncer) pickEntry(live []mesh.LiveEntry, fits func(mesh.Hello) bool) string {
-	var sameRegion, otherRegions []string
+// sources returns the addresses of the entries to ask for a record, or nil if no hello
+// announces it.
+func (s *Syncer) sources(live []mesh.LiveEntry, announces func(mesh.Hello) bool) (addresses []string) {
+	var candidates []relay.Candidate
+	announced := false
 	for _, l := range live {
-		switch {
-		case !fits(l.Hello):
-		case l.Region == s.cfg.Self.Region:
-			sameRegion = append(sameRegion, l.Address)
-		default:
-			otherRegions = append(otherRegions, l.Address)
-		}
+		has := announces(l.Hello)
+		announced = announced || has
+		candidates = append(candidates, relay.Candidate{Address: l.Address, Region: l.Region, HeardAge: l.Age, Unannounced: !has})
+	}
+	if !announced {
+		return nil
 	}
-	if len(sameRegion) == 0 {
-		sameRegion = otherRegions
+	// Equally good entries share the requests.
+	rand.Shuffle(len(candidates), func(i, j int) { candidates[i], candidates[j] = candidates[j], candidates[i] })
+	for _, c := range relay.RecordSources(s.cfg.Self.Region, candidates, maxSources) {
+		addresses = append(addresses, c.Address)
 	}
-	return randomAddress(sameRegion)
+	return addresses
 }
 
-// randomAddress returns one of the addresses, or "" if there is none.
-func randomAddress(addresses []string) string {
-	if len(addresses) == 0 {
-		return ""
+// randomAddresses returns some of the addresses, limit at most, in random order.
+func randomAddresses(addresses []string, limit int) (chosen []string) {
+	for _, i := range rand.Perm(len(addresses))[:min(limit, len(addresses))] {
+		chosen = append(chosen, addresses[i])
 	}
-	return addresses[rand.N(len(addresses))]
+	return chosen
 }
 
 // fetchWeightAges requests the ages of the weight versions from other entries
@@ -283,8 +322,11 @@
 // was published know its age.
 func (s *Syncer) fetchWeightAges(ctx context.Context) {
 	for start := time.Now(); time.Since(start) < weightAgesTimeout && ctx.Err() == nil; {
-		members := s.cfg.Mesh.Members(mesh.Entry)
-		if len(members) > 0 && s.fetchWeights(ctx, members[rand.N(len(members))].Address) {
+		var addresses []string
+		for _, m := range s.cfg.Mesh.Members(mesh.Entry) {
+			addresses = append(addresses, m.Address)
+		}
+		if s.fetchWeights(ctx, randomAddresses(addresses, maxSources)) {
 			return
 		}
 		select {
--- a/node/configsync/syncer_test.go
+++ b/node/configsync/syncer_test.go
@@ -19,6 +19,13 @@
 	"github.com/laburnumloft/laburnumloft/node/mesh"
 )
 
+// noCodec reads no headers.
+type noCodec struct{}
+
+func (noCodec) Call(http.Header) gateway.Call            { return gateway.Call{} }
+func (noCodec) Prepare(http.Header, gateway.AttemptInfo) {}
+func (noCodec) Answer(*http.Response) gateway.Answer     { return gateway.Answer{} }
+
 // testEntry is an entry with a real mesh and a real server on loopback.
 type testEntry struct {
 	*Syncer
@@ -26,6 +33,7 @@
 	mesh     *mesh.Mesh
 	member   mesh.Member
 	cut      atomic.Bool
+	hanging  atomic.Bool
 	requests atomic.Int32
 }
 
@@ -35,7 +43,7 @@
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	c.Assert(err, qt.IsNil)
 	n.member = mesh.Member{ID: id, Role: mesh.Entry, Address: listener.Addr().String(), Region: region}
-	n.gateway = gateway.New(gateway.Config{ID: id, Log: log, WeightsDeadline: 8 * time.Second})
+	n.gateway = gateway.New(gateway.Config{ID: id, Codec: noCodec{}, Log: log, WeightsDeadline: 8 * time.Second})
 	n.mesh, err = mesh.Open(mesh.Config{Self: n.member, Log: log, Status: func() mesh.Hello {
 		h := mesh.Hello{StoreFailed: n.cut.Load(), WeightsSum: n.gateway.NewestWeightsSum()}
 		if table := n.gateway.Table(); table != nil {
@@ -51,6 +59,10 @@
 	handler := n.Handler()
 	server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		n.requests.Add(1)
+		if n.hanging.Load() {
+			<-r.Context().Done()
+			return
+		}
 		handler.ServeHTTP(w, r)
 	}))
 	_ = server.Listener.Close()
@@ -159,11 +171,11 @@
 	c.Assert(published.Exact, qt.IsTrue)
 	c.Assert(published.AgeMS >= 3000 && published.AgeMS < 5000, qt.IsTrue, qt.Commentf("the follower has a version with an age of %d ms, want 3000 to 4999 ms", published.AgeMS))
 	c.Assert(follower.gateway.Configure(route.Configuration{Version: 1}, "test"), qt.IsFalse)
-	target, err := FetchTarget(t.Context(), http.DefaultClient, follower.member.Address)
+	target, err := FetchTarget(t.Context(), http.DefaultClient, []string{follower.member.Address})
 	c.Assert(err, qt.IsNil)
 	c.Assert(target.Services[0].Name, qt.Equals, "llm")
 	c.Assert(target.Weights["m"][2].Exact, qt.IsTrue)
-	members, err := FetchMembers(t.Context(), http.DefaultClient, follower.member.Address)
+	members, err := FetchMembers(t.Context(), http.DefaultClient, []string{follower.member.Address})
 	c.Assert(err, qt.IsNil)
 	c.Assert(members, qt.HasLen, 3)
 }
@@ -180,3 +192,63 @@
 	c.Assert(starting.gateway.Table().Configuration().StoreEra, qt.Equals, int64(1))
 	c.Assert(starting.gateway.Configure(route.Configuration{Version: 4}, "store"), qt.IsFalse)
 }
+
+// hang makes an entry accept requests and answer none, like one that is frozen. Its last
+// hello stays.
+func (n *testEntry) hang() { n.hanging.Store(true) }
+
+// Readers of the own region that hang must not keep a configuration away that a live entry
+// of another region has (review/4): both of them count as live for 2 s, and were asked in
+// turn, for 0.7 s each.
+func TestSilentReadersDoNotKeepAConfigurationAway(t *testing.T) {
+	c := qt.New(t)
+	first, second := newTestEntry(c, "a", "r"), newTestEntry(c, "b", "r")
+	follower, remote := newTestEntry(c, "c", "r"), newTestEntry(c, "0", "s")
+	connect(first, second, follower, remote)
+	entries := []*testEntry{first, second, follower, remote}
+	configure := func(version int64, on ...*testEntry) {
+		for _, n := range on {
+			n.gateway.Configure(route.Configuration{Version: version, Services: []route.Service{{Name: "llm"}}}, "test")
+		}
+		for _, n := range on {
+			n.mesh.SendHello()
+		}
+	}
+	configure(1, entries...)
+	eventually(c, "the follower did not hear of all entries within 5 s", func() bool { return len(follower.mesh.LiveEntries()) == 3 })
+	first.hang()
+	second.hang()
+	// The readers announce version 2 and hang before they pass it on.
+	configure(2, first, second, remote)
+	start := time.Now()
+	eventually(c, "the follower did not get configuration 2 within 5 s", func() bool { return follower.gateway.Table().Version() == 2 })
+	c.Check(time.Since(start) < 1500*time.Millisecond, qt.IsTrue, qt.Commentf("configuration 2 came after %v", time.Since(start)))
+}
+
+// If no entry answers for a configuration that others have announced, this entry must read
+// the store, and until it has the configuration it must not say that a request is unknown.
+func TestConfigurationThatNoEntryPassesOn(t *testing.T) {
+	c := qt.New(t)
+	first, second, follower := newTestEntry(c, "a", "r"), newTestEntry(c, "b", "r"), newTestEntry(c, "c", "r")
+	connect(first, second, follower)
+	for _, n := range []*testEntry{first, second, follower} {
+		n.gateway.Configure(route.Configuration{Version: 1}, "test")
+	}
+	first.hang()
+	second.hang()
+	for _, n := range []*testEntry{first, second} {
+		n.gateway.Configure(route.Configuration{Version: 2}, "test")
+		n.mesh.SendHello()
+	}
+	start := time.Now()
+	eventually(c, "the follower did not read the store within 5 s", follower.ReadsStore)
+	c.Check(time.Since(start) < 1800*time.Millisecond, qt.IsTrue, qt.Commentf("the follower read the store after %v", time.Since(start)))
+	response := httptest.NewRecorder()
+	follower.gateway.ServeHTTP(response, httptest.NewRequest(http.MethodGet, "/new/", nil))
+	c.Check(response.Code, qt.Equals, http.StatusServiceUnavailable)
+	follower.gateway.Configure(route.Configuration{Version: 2}, "store")
+	response = httptest.NewRecorder()
+	follower.gateway.ServeHTTP(response, httptest.NewRequest(http.MethodGet, "/new/", nil))
+	c.Check(response.Code, qt.Equals, http.StatusNotFound)
+	eventually(c, "the follower went on reading the store for 5 s", func() bool { return !follower.unanswered.Load() })
+}
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -120,6 +120,8 @@
 	cfg    Config
 	client *http.Transport
 	table  atomic.Pointer[route.Table]
+	// newestConfiguration is the newest version that any entry is known to have.
+	newestConfiguration atomic.Int64
 	// draining is set when a stop is requested; closing is set later, when the
 	// gateway starts to refuse new requests.
 	closing, draining atomic.Bool
@@ -180,6 +182,16 @@
 	}
 }
 
+// RecordNewestConfiguration records the newest version of the configuration that any entry
+// is known to have.
+func (g *Gateway) RecordNewestConfiguration(version int64) { g.newestConfiguration.Store(version) }
+
+// configurationMissing reports whether another entry has a newer configuration than the
+// given table.
+func (g *Gateway) configurationMissing(table *route.Table) bool {
+	return g.newestConfiguration.Load() > table.Version()
+}
+
 // Table returns the active configuration, or nil.
 func (g *Gateway) Table() *route.Table { return g.table.Load() }
 
--- a/node/gateway/handler.go
+++ b/node/gateway/handler.go
@@ -37,6 +37,9 @@
 	ReasonStopping        Reason = "stopping"
 	ReasonClientLeft      Reason = "client_left"
 	ReasonNoID            Reason = "no_request_id"
+	// ReasonConfigurationMissing means that the active configuration doesn't allow the
+	// request, but that another entry has a newer one.
+	ReasonConfigurationMissing Reason = "configuration_missing"
 	// ReasonQuarantined means that a part of the prompt crashes engines.
 	ReasonQuarantined Reason = "prompt_quarantined"
 )
@@ -133,11 +136,11 @@
 		return req, ReasonStopping
 	}
 	if req.route = table.Match(r.Host, r.URL.Path); req.route == nil {
-		return req, ReasonNoRoute
+		return req, g.unlessConfigurationMissing(table, ReasonNoRoute)
 	}
 	workspace, ok := table.Authenticate(req.route, req.call.Key)
 	if !ok {
-		return req, ReasonUnknownKey
+		return req, g.unlessConfigurationMissing(table, ReasonUnknownKey)
 	}
 	req.priority = req.route.Priority
 	if workspace != nil {
@@ -159,6 +162,16 @@
 	return req, g.readBody(w, req, table.Limits())
 }
 
+// unlessConfigurationMissing returns the reason to refuse a request that the active
+// configuration doesn't allow. A newer one may allow it, and callers don't come back after
+// a final refusal.
+func (g *Gateway) unlessConfigurationMissing(table *route.Table, reason Reason) Reason {
+	if g.configurationMissing(table) {
+		return ReasonConfigurationMissing
+	}
+	return reason
+}
+
 func (r *request) setDeadline() {
 	timeout := r.route.Timeout
 	if timeout <= 0 {
--- a/node/keyedlog/follower.go
+++ b/node/keyedlog/follower.go
@@ -95,7 +95,7 @@
 	minLongPollDuration = 50 * time.Millisecond
 	// inactivePollInterval is the time between two calls of Active while it
 	// returns false.
-	inactivePollInterval = 250 * time.Millisecond
+	inactivePollInterval = 100 * time.Millisecond
 	// callTimeout is the timeout of a call in addition to the time for which it
 	// may wait.
 	callTimeout = 1500 * time.Millisecond
