--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -21,6 +21,10 @@
 	// newPartCrashes is the number of crashes after which a part without a sound
 	// answer is quarantined. One crash may have another cause.
 	newPartCrashes = 2
+	// weakCrashes is how many more crashes it takes if some of the suspects are weak:
+	// requests that waited at the engine, or whose answer it was writing, share the
+	// blame with all others there.
+	weakCrashes = 1
 	// coldPartCrashes replaces newPartCrashes while only entries that have just
 	// started saw the crashes: to them every part is new.
 	coldPartCrashes = 3
@@ -47,14 +51,14 @@
 	releaseJitter = 0.5
 
 	// maxSoundParts, maxCrashes, maxRequestsPerCrash and maxVerdicts bound the
-	// memory, to about 1 MB.
+	// memory, to about 2 MB.
 	maxSoundParts       = 8192
 	maxCrashes          = 128
-	maxRequestsPerCrash = 16
+	maxRequestsPerCrash = 48
 	maxVerdicts         = 128
 )
 
-// Suspect is a request that an engine had begun to answer when it crashed.
+// Suspect is a request at an engine that crashed before its answer counted as sound.
 type Suspect struct {
 	// Engine identifies one start of an engine.
 	Engine string `json:"engine"`
@@ -64,6 +68,9 @@
 	Known []prompt.Part `json:"known,omitempty"`
 	// Cold means that the entry had just started.
 	Cold bool `json:"cold,omitempty"`
+	// Weak means that the engine had not begun to answer the request, or had already
+	// written a part of the answer.
+	Weak bool `json:"weak,omitempty"`
 }
 
 // Verdict is the decision to keep requests that contain all of the parts away
@@ -92,8 +99,9 @@
 	engine   string
 	at       time.Time
 	suspects []Suspect
-	// local lists the known parts of this entry's own suspects.
-	local []prompt.Part
+	// local lists the known parts of this entry's own suspects, localWeak those of the
+	// weak ones.
+	local, localWeak []prompt.Part
 	// attributed lists the verdicts that the crash counts for.
 	attributed []*verdict
 }
@@ -230,7 +238,11 @@
 		return nil
 	}
 	c.suspects = append(c.suspects, s)
-	if by == ThisEntry {
+	switch {
+	case by == OtherEntry:
+	case s.Weak:
+		c.localWeak = append(c.localWeak, s.Known...)
+	default:
 		c.local = append(c.local, s.Known...)
 	}
 	changed := t.attribute(c, now)
@@ -348,34 +360,50 @@
 // worstPart returns the part with most crashes among those that have enough, and
 // the evidence for it.
 func (t *Tracker) worstPart(crashes []*crash, now time.Time) (prompt.Part, basis) {
-	seenWarm, seen, local := map[prompt.Part]int{}, map[prompt.Part]int{}, map[prompt.Part]int{}
-	for _, c := range crashes {
-		count(seenWarm, t.candidates(c, now, func(s Suspect) bool { return !s.Cold }))
-		count(seen, t.candidates(c, now, func(Suspect) bool { return true }))
-		for _, p := range dedupe(c.local) {
-			// Answers that began after the crash show that engines work, so
-			// that the lack of one for this part means something.
-			if t.sound[p].Before(c.at) && t.lastSound.After(c.at) {
-				local[p]++
+	kinds := []struct {
+		basis    basis
+		atLeast  int
+		accepted func(c *crash) []prompt.Part
+	}{
+		{newCrashes, newPartCrashes, func(c *crash) []prompt.Part {
+			return t.candidates(c, now, func(s Suspect) bool { return !s.Cold && !s.Weak })
+		}},
+		{newCrashes, newPartCrashes + weakCrashes, func(c *crash) []prompt.Part {
+			return t.candidates(c, now, func(s Suspect) bool { return !s.Cold })
+		}},
+		{coldCrashes, coldPartCrashes, func(c *crash) []prompt.Part {
+			return t.candidates(c, now, func(s Suspect) bool { return !s.Weak })
+		}},
+		{coldCrashes, coldPartCrashes + weakCrashes, func(c *crash) []prompt.Part {
+			return t.candidates(c, now, func(Suspect) bool { return true })
+		}},
+		{localCrashes, knownPartCrashes, func(c *crash) []prompt.Part { return t.unproven(c, c.local) }},
+		{localCrashes, knownPartCrashes + weakCrashes, func(c *crash) []prompt.Part {
+			return t.unproven(c, slices.Concat(c.local, c.localWeak))
+		}},
+	}
+	for _, kind := range kinds {
+		counts := map[prompt.Part]int{}
+		for _, c := range crashes {
+			for _, p := range kind.accepted(c) {
+				counts[p]++
 			}
 		}
-	}
-	if part, found := most(seenWarm, newPartCrashes); found {
-		return part, newCrashes
-	}
-	if part, found := most(seen, coldPartCrashes); found {
-		return part, coldCrashes
-	}
-	if part, found := most(local, knownPartCrashes); found {
-		return part, localCrashes
+		if part, found := most(counts, kind.atLeast); found {
+			return part, kind.basis
+		}
 	}
 	return 0, noBasis
 }
 
-func count(counts map[prompt.Part]int, parts []prompt.Part) {
-	for _, p := range parts {
-		counts[p]++
+// unproven returns those of the known parts without a sound answer that began after the
+// crash. Other answers since then show that engines work, so that the lack of one for
+// these parts means something.
+func (t *Tracker) unproven(c *crash, known []prompt.Part) []prompt.Part {
+	if !t.lastSound.After(c.at) {
+		return nil
 	}
+	return slices.DeleteFunc(dedupe(slices.Clone(known)), func(p prompt.Part) bool { return !t.sound[p].Before(c.at) })
 }
 
 // most returns the part with the highest count if that is at least atLeast; of
--- a/core/quarantine/quarantine_test.go
+++ b/core/quarantine/quarantine_test.go
@@ -245,6 +245,45 @@
 	}
 }
 
+// weakCrash records a crash at this entry under requests that only waited at the engine
+// or had a part of their answer.
+func (t *Tracker) weakCrash(engine string, now time.Time, requests ...[]prompt.Part) {
+	for _, parts := range requests {
+		s := t.Suspect(engine, parts, now)
+		s.Weak = true
+		t.RecordCrash(s, ThisEntry, now)
+	}
+}
+
+// A part whose engines crash after the first event, or before the header, must be found,
+// later than one whose engines crash at the beginning of an answer (review/5). Known parts
+// of the requests that share these engines must not be blamed.
+func TestWeakSuspects(t *testing.T) {
+	c := qt.New(t)
+	tr := warmTracker()
+	tr.RecordSound([]prompt.Part{rare}, start, start)
+	for i := range 3 {
+		c.Check(tr.blocks(at(100*i), common, deadly), qt.IsFalse, qt.Commentf("after %d crashes", i))
+		tr.weakCrash(fmt.Sprint("e", i), at(100*i), []prompt.Part{common}, []prompt.Part{common, deadly}, []prompt.Part{rare})
+		tr.RecordSound([]prompt.Part{common}, at(100*i+10), at(100*i+50))
+	}
+	c.Assert(tr.blocks(at(300), common, deadly), qt.IsTrue)
+	c.Assert(tr.blocks(at(300), common), qt.IsFalse)
+	c.Assert(tr.blocks(at(300), rare), qt.IsFalse)
+}
+
+// A new sound part that is at two crashing engines by chance must not be quarantined with
+// the deadly one.
+func TestNewPartBesideWeakSuspects(t *testing.T) {
+	c := qt.New(t)
+	tr := warmTracker()
+	tr.weakCrash("e1", at(0), []prompt.Part{deadly}, []prompt.Part{other})
+	tr.weakCrash("e2", at(100), []prompt.Part{deadly}, []prompt.Part{other})
+	tr.weakCrash("e3", at(200), []prompt.Part{deadly})
+	c.Assert(tr.blocks(at(300), deadly), qt.IsTrue)
+	c.Assert(tr.blocks(at(300), other), qt.IsFalse)
+}
+
 // Randomised: entries that hear of each other's suspects, in any order and with
 // losses, must find a deadly part after few crashes, and take no part away that
 // has sound answers all the time.
--- a/node/gateway/buffered.go
+++ b/node/gateway/buffered.go
@@ -61,8 +61,8 @@
 	switch {
 	case e.err == nil && e.outcome() == placement.Succeeded:
 		g.recordSound(req, time.Now().Add(-e.duration))
-	case e.err != nil && e.sent && ctx.Err() == nil:
-		g.checkCrash(req, e)
+	case e.err != nil && ctx.Err() == nil:
+		g.checkCrash(req, e, false)
 	}
 	if e.mayHaveRun() {
 		req.runs++
--- a/node/gateway/containment.go
+++ b/node/gateway/containment.go
@@ -35,6 +35,7 @@
 	tracker *quarantine.Tracker
 	// waiting holds the attempts whose engine has sent no event yet.
 	waiting map[*waitingAttempt]struct{}
+	probes  crashProbes
 }
 
 // waitingAttempt is an attempt that has no event yet.
@@ -46,7 +47,7 @@
 }
 
 func newContainment(seed uint64) *containment {
-	return &containment{tracker: quarantine.NewTracker(seed), waiting: map[*waitingAttempt]struct{}{}}
+	return &containment{tracker: quarantine.NewTracker(seed), waiting: map[*waitingAttempt]struct{}{}, probes: crashProbes{recent: map[string]*crashProbe{}}}
 }
 
 // quarantined returns the verdict that keeps a request away from the engines.
@@ -99,18 +100,25 @@
 	}
 }
 
-// checkCrash finds out whether an engine crashed under a request that it had begun
-// to answer, and records the request as a suspect if so.
-func (g *Gateway) checkCrash(req *request, e *exchange) {
-	if len(req.call.PromptParts) == 0 || !engineCrashed(req.in.Context(), e.choice.Server.Address) {
+// checkCrash finds out whether an engine crashed under a request before its answer counted
+// as sound, and records the request as a suspect if so. At whatever point the attempt
+// broke, an engine that refuses connections directly afterwards has crashed. Weak tells
+// that the point speaks less against this request than against others.
+func (g *Gateway) checkCrash(req *request, e *exchange, weak bool) {
+	if len(req.call.PromptParts) == 0 || !e.sent || errors.Is(e.err, errWrongRequestID) || errors.Is(e.err, errInvalidHeader) {
+		return
+	}
+	e.crash = g.containment.probes.state(e.choice.Server)
+	if e.crash != engineRefuses {
 		return
 	}
 	now := bootclock.Now()
 	g.containment.mu.Lock()
 	suspect := g.containment.tracker.Suspect(incarnation(e.choice.Server), req.call.PromptParts, now)
+	suspect.Weak = weak
 	g.containment.mu.Unlock()
 	containmentTotal.Add("suspects", 1)
-	g.cfg.Log.Event("crash_suspect", "request", req.call.RequestID, "server", e.choice.Server.ID,
+	g.cfg.Log.Event("crash_suspect", "request", req.call.RequestID, "server", e.choice.Server.ID, "weak", weak, "events", e.events,
 		"incarnation", suspect.Engine, "new_parts", prompt.Format(suspect.New), "known_parts", prompt.Format(suspect.Known))
 	verdicts := g.recordCrash(suspect, quarantine.ThisEntry, now)
 	if g.cfg.OnSuspect != nil {
@@ -123,15 +131,71 @@
 	return s.ID + "@" + strconv.FormatInt(s.Born, 10)
 }
 
-// engineCrashed reports whether the machine at an address refuses connections.
-func engineCrashed(ctx context.Context, address string) bool {
-	ctx, cancel := context.WithTimeout(ctx, crashProbeTimeout)
-	defer cancel()
-	conn, err := (&net.Dialer{KeepAlive: -1}).DialContext(ctx, "tcp4", address)
-	if err == nil {
+// engineState is what a connection attempt tells about an engine. It is empty if none was
+// made.
+type engineState string
+
+const (
+	// engineRefuses means that the engine's machine refuses connections.
+	engineRefuses engineState = "refuses"
+	engineAccepts engineState = "accepts"
+	// engineSilent means that the machine doesn't answer.
+	engineSilent engineState = "silent"
+)
+
+// crashProbes tells crashed engines from broken connections. The requests that break at the
+// same time share one connection attempt.
+type crashProbes struct {
+	mu     sync.Mutex
+	recent map[string]*crashProbe
+}
+
+// crashProbe is a connection attempt; state is valid once done is closed.
+type crashProbe struct {
+	begun time.Time
+	done  chan struct{}
+	state engineState
+}
+
+// crashProbeSharing is how long after the begin of a connection attempt requests of the
+// same incarnation use its result. All connections to an engine that crashes break within
+// milliseconds.
+const crashProbeSharing = 50 * time.Millisecond
+
+func (p *crashProbes) state(s placement.Server) engineState {
+	id, now := incarnation(s), time.Now()
+	p.mu.Lock()
+	for other, probe := range p.recent {
+		if now.Sub(probe.begun) > crashProbeSharing {
+			delete(p.recent, other)
+		}
+	}
+	probe, shared := p.recent[id]
+	if !shared {
+		probe = &crashProbe{begun: now, done: make(chan struct{})}
+		p.recent[id] = probe
+	}
+	p.mu.Unlock()
+	if !shared {
+		probe.state = probeEngine(s.Address)
+		close(probe.done)
+	}
+	<-probe.done
+	return probe.state
+}
+
+// probeEngine opens a connection to an engine, for crashProbeTimeout at most.
+func probeEngine(address string) engineState {
+	conn, err := (&net.Dialer{Timeout: crashProbeTimeout, KeepAlive: -1}).Dial("tcp4", address)
+	switch {
+	case err == nil:
 		_ = conn.Close()
+		return engineAccepts
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return engineRefuses
+	default:
+		return engineSilent
 	}
-	return errors.Is(err, syscall.ECONNREFUSED)
 }
 
 // RecordCrash records a suspect that another entry saw.
--- a/node/gateway/containment_test.go
+++ b/node/gateway/containment_test.go
@@ -18,9 +18,19 @@
 // deadlyPart crashes each engine that begins to answer a prompt with it.
 const deadlyPart = "dead"
 
+// crashPoint is the point of an answer at which an engine crashes.
+type crashPoint int
+
+const (
+	afterHeader crashPoint = iota
+	beforeHeader
+	afterFirstEvent
+)
+
 // crashingEngine answers prompts, but crashes when it begins to answer one with
-// the deadly part: it has sent a header, its connections end and its port closes.
+// the deadly part: its connections end and its port closes.
 type crashingEngine struct {
+	point   crashPoint
 	server  *httptest.Server
 	address string
 	crashed atomic.Bool
@@ -35,7 +45,15 @@
 		}
 		w.Header().Set("Id", r.Header.Get("Id"))
 		w.Header().Set("Signature", "s")
-		_ = http.NewResponseController(w).Flush()
+		switch e.point {
+		case afterFirstEvent:
+			_, _ = io.WriteString(w, "id: 1\ndata: token\n\n")
+			fallthrough
+		case afterHeader:
+			_ = http.NewResponseController(w).Flush()
+			// The bytes must leave before the connection is reset.
+			<-time.After(20 * time.Millisecond)
+		}
 		e.crash()
 		panic(http.ErrAbortHandler)
 	}))
@@ -102,6 +120,30 @@
 	c.Assert(countCrashed(engines) <= maxEnginesLost, qt.IsTrue, qt.Commentf("%d engines crashed, want at most %d", countCrashed(engines), maxEnginesLost))
 }
 
+// An engine that crashes before its header or after its first event must be taken for
+// crashed, too (review/5): such requests were sent to engine after engine.
+func TestEnginesThatCrashAtOtherPoints(t *testing.T) {
+	for name, point := range map[string]crashPoint{"before the header": beforeHeader, "after the first event": afterFirstEvent} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			r := newTestGateway(c)
+			engines := addEngines(c, r, 14)
+			for _, e := range engines {
+				e.point = point
+			}
+			for n := range 10 {
+				c.Assert(r.ask(c, fmt.Sprint("before-", n), "a1"), qt.Equals, http.StatusOK)
+			}
+			<-time.After(warmUpForTests)
+			for n := range 14 {
+				c.Check(r.ask(c, fmt.Sprint("deadly-", n), "a1,"+deadlyPart), qt.Not(qt.Equals), http.StatusOK)
+				c.Check(r.ask(c, fmt.Sprint("sound-", n), "a1"), qt.Equals, http.StatusOK, qt.Commentf("after %d deadly requests", n+1))
+			}
+			c.Assert(countCrashed(engines) <= maxEnginesLost, qt.IsTrue, qt.Commentf("%d engines crashed, want at most %d", countCrashed(engines), maxEnginesLost))
+		})
+	}
+}
+
 const (
 	// maxEnginesLost is the users' bound on engines lost to one part.
 	maxEnginesLost = 5
--- a/node/gateway/exchange.go
+++ b/node/gateway/exchange.go
@@ -34,6 +34,8 @@
 	// first one arrived, zero if there was none.
 	events       int64
 	firstEventAt time.Time
+	// crash is what a connection attempt after the exchange told about the engine.
+	crash engineState
 	// onSound is called once when the answer counts as sound; nil afterwards.
 	onSound func()
 }
@@ -137,7 +139,7 @@
 	g.cfg.Log.Event("attempt_failed", "request", req.call.RequestID, "server", e.choice.Server.ID, "result", result,
 		"status", status, "cause", cause, "load", e.choice.Load, "report_age_ms", e.choice.ReportAge.Milliseconds(),
 		"weights", e.choice.Version, "ms", e.duration.Milliseconds(),
-		"events", e.events, "writing_ms", e.writingTime().Milliseconds(), "parts", prompt.Format(req.call.PromptParts))
+		"events", e.events, "writing_ms", e.writingTime().Milliseconds(), "engine", string(e.crash), "parts", prompt.Format(req.call.PromptParts))
 }
 
 // recordEvent records an event of the server's stream.
--- a/node/gateway/stream.go
+++ b/node/gateway/stream.go
@@ -88,8 +88,9 @@
 		e.err, req.verdict = errQuarantined, *waiting.verdict.Load()
 	case e.err != nil && watch.cancelled.Load():
 		e.err = errNoProgress
-	case e.err != nil && ctx.Err() == nil && e.resp != nil && e.resp.StatusCode == http.StatusOK && e.events == 0:
-		g.checkCrash(req, e)
+	case e.err != nil && ctx.Err() == nil && e.writingTime() < soundAfter:
+		beginning := e.resp != nil && e.resp.StatusCode == http.StatusOK && e.events == 0
+		g.checkCrash(req, e, !beginning)
 	}
 	if e.mayHaveRun() {
 		req.runs++
