--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -1,5 +1,5 @@
-// Package quarantine finds prompt parts that crash engines, and decides which
-// requests are kept away from the engines because of them.
+// Package quarantine finds prompt parts and whole requests that crash engines, and
+// decides which requests are kept away from the engines because of them.
 //
 // Each entry has a Tracker. It is told of sound answers and of the requests that
 // engines had just begun to answer when they crashed, at this entry and at others.
@@ -58,6 +58,25 @@
 	maxVerdicts         = 128
 )
 
+// Request is what is known of a request. Its parts are shared with other requests; Whole
+// identifies the request itself, whoever sends it again under another id, and is 0 if that
+// is not known.
+type Request struct {
+	Parts []prompt.Part
+	Whole prompt.Part
+}
+
+// IsZero reports whether nothing is known that a quarantine could match.
+func (r Request) IsZero() bool { return len(r.Parts) == 0 && r.Whole == 0 }
+
+// all returns the parts and, if known, the whole request.
+func (r Request) all() []prompt.Part {
+	if r.Whole == 0 {
+		return r.Parts
+	}
+	return append(slices.Clone(r.Parts), r.Whole)
+}
+
 // Suspect is a request at an engine that crashed before its answer counted as sound.
 type Suspect struct {
 	// Engine identifies one start of an engine.
@@ -66,6 +85,8 @@
 	// at the entry that sent the request, Known the others.
 	New   []prompt.Part `json:"new,omitempty"`
 	Known []prompt.Part `json:"known,omitempty"`
+	// Whole identifies the whole request; 0 if not known.
+	Whole prompt.Part `json:"whole,omitempty"`
 	// Cold means that the entry had just started.
 	Cold bool `json:"cold,omitempty"`
 	// Weak means that the engine had not begun to answer the request, or had already
@@ -73,11 +94,23 @@
 	Weak bool `json:"weak,omitempty"`
 }
 
+// has reports whether the suspect has all of the parts, one of which may be the whole.
+func (s Suspect) has(parts []prompt.Part) bool {
+	for _, p := range parts {
+		if p != s.Whole && !slices.Contains(s.New, p) && !slices.Contains(s.Known, p) {
+			return false
+		}
+	}
+	return true
+}
+
 // Verdict is the decision to keep requests that contain all of the parts away
 // from the engines.
 type Verdict struct {
 	// Parts is sorted. It has several parts if all suspects had these in common.
 	Parts []prompt.Part `json:"parts"`
+	// Whole means that the only part is a whole request.
+	Whole bool `json:"whole,omitempty"`
 	// Crashes is the number of engine crashes attributed to the parts.
 	Crashes int `json:"crashes"`
 	// Remaining is the time until requests with the parts are admitted again.
@@ -91,8 +124,8 @@
 // ID identifies the verdict in log lines.
 func (v Verdict) ID() string { return prompt.Format(v.Parts) }
 
-// Matches reports whether the verdict keeps a request with these parts away.
-func (v Verdict) Matches(parts []prompt.Part) bool { return containsAll(parts, nil, v.Parts) }
+// Matches reports whether the verdict keeps a request away.
+func (v Verdict) Matches(r Request) bool { return containsAll(r.all(), v.Parts) }
 
 // crash is what all entries saw of one engine's crash.
 type crash struct {
@@ -108,22 +141,16 @@
 
 // contains reports whether a suspect of the crash has all of the parts.
 func (c *crash) contains(parts []prompt.Part) bool {
-	return slices.ContainsFunc(c.suspects, func(s Suspect) bool {
-		return containsAll(s.New, s.Known, parts)
-	})
+	return slices.ContainsFunc(c.suspects, func(s Suspect) bool { return s.has(parts) })
 }
 
-func containsAll(first, second, parts []prompt.Part) bool {
-	for _, p := range parts {
-		if !slices.Contains(first, p) && !slices.Contains(second, p) {
-			return false
-		}
-	}
-	return true
+func containsAll(all, parts []prompt.Part) bool {
+	return !slices.ContainsFunc(parts, func(p prompt.Part) bool { return !slices.Contains(all, p) })
 }
 
 type verdict struct {
 	parts                 []prompt.Part
+	whole                 bool
 	crashes               int
 	firstCrash, lastCrash time.Time
 	until                 time.Time
@@ -131,12 +158,12 @@
 }
 
 func (v *verdict) export(now time.Time) Verdict {
-	return Verdict{Parts: v.parts, Crashes: v.crashes, Remaining: v.until.Sub(now), SinceFirst: now.Sub(v.firstCrash), HadSound: v.hadSound}
+	return Verdict{Parts: v.parts, Whole: v.whole, Crashes: v.crashes, Remaining: v.until.Sub(now), SinceFirst: now.Sub(v.firstCrash), HadSound: v.hadSound}
 }
 
 // adopt copies another entry's verdict, which that entry sent just before now.
 func (v *verdict) adopt(from Verdict, now time.Time) {
-	v.crashes, v.hadSound = from.Crashes, from.HadSound
+	v.crashes, v.hadSound, v.whole = from.Crashes, from.HadSound, from.Whole
 	v.firstCrash, v.lastCrash = now.Add(-from.SinceFirst), now
 	v.until = now.Add(min(from.Remaining, maxDuration+time.Duration(releaseJitter*float64(maxDuration))))
 }
@@ -158,10 +185,14 @@
 	return &Tracker{rng: rand.New(rand.NewPCG(seed, ^seed)), sound: map[prompt.Part]time.Time{}}
 }
 
-// RecordSound records that an engine began to answer a prompt with these parts at
-// the given time and did not crash. It ends the quarantines that the answer
-// refutes and returns them.
-func (t *Tracker) RecordSound(parts []prompt.Part, began, now time.Time) (released []Verdict) {
+// RecordSound records that an engine began to answer a request at the given time and
+// did not crash. It ends the quarantines that the answer refutes and returns them.
+func (t *Tracker) RecordSound(r Request, began, now time.Time) (released []Verdict) {
+	parts := r.Parts
+	if t.isSuspect(r.Whole) {
+		// Other requests are not remembered one by one.
+		parts = r.all()
+	}
 	if t.firstSound.IsZero() {
 		t.firstSound = now
 	}
@@ -174,7 +205,7 @@
 		}
 	}
 	t.verdicts = slices.DeleteFunc(t.verdicts, func(v *verdict) bool {
-		refuted := containsAll(parts, nil, v.parts) && began.After(v.lastCrash)
+		refuted := containsAll(parts, v.parts) && began.After(v.lastCrash)
 		if refuted && now.Before(v.until) {
 			released = append(released, v.export(now))
 		}
@@ -204,9 +235,9 @@
 }
 
 // Suspect describes a request that this entry had at an engine when it crashed.
-func (t *Tracker) Suspect(engine string, parts []prompt.Part, now time.Time) Suspect {
-	s := Suspect{Engine: engine, Cold: t.firstSound.IsZero() || now.Sub(t.firstSound) < warmUp}
-	for _, p := range parts {
+func (t *Tracker) Suspect(engine string, r Request, now time.Time) Suspect {
+	s := Suspect{Engine: engine, Whole: r.Whole, Cold: t.firstSound.IsZero() || now.Sub(t.firstSound) < warmUp}
+	for _, p := range r.Parts {
 		if t.isKnown(p, now) {
 			s.Known = append(s.Known, p)
 		} else {
@@ -305,25 +336,28 @@
 	return duration
 }
 
-// judge looks for parts that explain several crashes that no verdict explains yet.
-// It takes those that explain most crashes first, so that a sound part is not
-// blamed for crashes at which another part was present each time.
+// judge looks for requests and parts that explain several crashes that no verdict explains
+// yet. It takes those that explain most crashes first, so that a sound part is not
+// blamed for crashes at which another part was present each time. Whole requests come
+// before their parts, because a verdict on them keeps nothing else away.
 func (t *Tracker) judge(now time.Time) (added []*verdict) {
 	for {
-		unexplained := t.unexplained()
-		part, basis := t.worstPart(unexplained, now)
-		if basis == noBasis {
+		v, basis := t.judgeWhole(now)
+		if v == nil {
+			v, basis = t.judgeParts(now)
+		}
+		if v == nil {
 			return added
 		}
-		v := t.addVerdict(commonParts(part, unexplained))
 		v.hadSound, v.firstCrash = basis == localCrashes, now
-		for _, c := range unexplained {
-			if c.contains(v.parts) {
-				c.attributed = append(c.attributed, v)
-				v.crashes++
-				if c.at.Before(v.firstCrash) {
-					v.firstCrash = c.at
-				}
+		for _, c := range t.crashes {
+			if t.explained(c) || !c.contains(v.parts) {
+				continue
+			}
+			c.attributed = append(c.attributed, v)
+			v.crashes++
+			if c.at.Before(v.firstCrash) {
+				v.firstCrash = c.at
 			}
 		}
 		duration := quarantineDuration(v.crashes)
@@ -335,13 +369,19 @@
 	}
 }
 
-func (t *Tracker) unexplained() (out []*crash) {
-	for _, c := range t.crashes {
-		if len(c.attributed) == 0 {
-			out = append(out, c)
-		}
+// judgeParts returns a verdict on parts, or nil.
+func (t *Tracker) judgeParts(now time.Time) (*verdict, basis) {
+	evidence := t.partEvidence()
+	part, basis := t.worstPart(evidence, now)
+	if basis == noBasis {
+		return nil, noBasis
 	}
-	return out
+	return t.addVerdict(commonParts(part, evidence)), basis
+}
+
+// explained reports whether a verdict on parts explains a crash.
+func (t *Tracker) explained(c *crash) bool {
+	return slices.ContainsFunc(c.attributed, func(v *verdict) bool { return !v.whole })
 }
 
 // basis is the kind of evidence for a verdict.
@@ -517,11 +557,11 @@
 	})
 }
 
-// Match returns the verdict, if any, that keeps a request with these parts away
-// from the engines.
-func (t *Tracker) Match(parts []prompt.Part, now time.Time) (Verdict, bool) {
+// Match returns the verdict, if any, that keeps a request away from the engines.
+func (t *Tracker) Match(r Request, now time.Time) (Verdict, bool) {
+	all := r.all()
 	for _, v := range t.verdicts {
-		if now.Before(v.until) && containsAll(parts, nil, v.parts) {
+		if now.Before(v.until) && containsAll(all, v.parts) {
 			return v.export(now), true
 		}
 	}
--- a/core/quarantine/quarantine_test.go
+++ b/core/quarantine/quarantine_test.go
@@ -26,17 +26,17 @@
 // warmTracker has had sound answers to prompts with the common part.
 func warmTracker() *Tracker {
 	t := NewTracker(1)
-	t.RecordSound([]prompt.Part{common}, start, start)
+	t.RecordSound(Request{Parts: []prompt.Part{common}}, start, start)
 	return t
 }
 
 // crash records a crash at this entry under a request with the parts.
 func (t *Tracker) crash(engine string, now time.Time, parts ...prompt.Part) []Verdict {
-	return t.RecordCrash(t.Suspect(engine, parts, now), ThisEntry, now)
+	return t.RecordCrash(t.Suspect(engine, Request{Parts: parts}, now), ThisEntry, now)
 }
 
 func (t *Tracker) blocks(now time.Time, parts ...prompt.Part) bool {
-	_, found := t.Match(parts, now)
+	_, found := t.Match(Request{Parts: parts}, now)
 	return found
 }
 
@@ -108,7 +108,7 @@
 		tr.crash(fmt.Sprint("e", i), at(i), common)
 	}
 	c.Assert(tr.blocks(at(20), common), qt.IsFalse)
-	tr.RecordSound([]prompt.Part{common}, at(4000), at(4500))
+	tr.RecordSound(Request{Parts: []prompt.Part{common}}, at(4000), at(4500))
 	tr.crash("f1", at(5000), common)
 	c.Assert(tr.blocks(at(5000), common), qt.IsFalse)
 }
@@ -120,16 +120,16 @@
 	tr := warmTracker()
 	for i := range knownPartCrashes + 1 {
 		tr.crash(fmt.Sprint("e", i), at(1000*i), common)
-		tr.RecordSound([]prompt.Part{other}, at(1000*i+100), at(1000*i+600))
+		tr.RecordSound(Request{Parts: []prompt.Part{other}}, at(1000*i+100), at(1000*i+600))
 	}
 	now := at(1000 * (knownPartCrashes + 1))
 	c.Assert(tr.blocks(now, common), qt.IsTrue)
 	c.Assert(tr.blocks(now, other), qt.IsFalse)
-	verdict, _ := tr.Match([]prompt.Part{common}, now)
+	verdict, _ := tr.Match(Request{Parts: []prompt.Part{common}}, now)
 	c.Assert(verdict.HadSound, qt.IsTrue)
 	// Another entry takes the verdict over unless it had a sound answer since.
 	silent, serving := warmTracker(), warmTracker()
-	serving.RecordSound([]prompt.Part{common}, at(2500), at(3000))
+	serving.RecordSound(Request{Parts: []prompt.Part{common}}, at(2500), at(3000))
 	c.Assert(silent.Adopt(verdict, now), qt.IsTrue)
 	c.Assert(serving.Adopt(verdict, now), qt.IsFalse)
 }
@@ -141,8 +141,8 @@
 	tr.crash("e1", at(0), rare)
 	tr.crash("e2", at(100), rare)
 	c.Assert(tr.blocks(at(100), rare), qt.IsTrue)
-	c.Assert(tr.RecordSound([]prompt.Part{rare}, at(50), at(600)), qt.HasLen, 0, qt.Commentf("began before the last crash"))
-	c.Assert(tr.RecordSound([]prompt.Part{rare, other}, at(150), at(650)), qt.HasLen, 1)
+	c.Assert(tr.RecordSound(Request{Parts: []prompt.Part{rare}}, at(50), at(600)), qt.HasLen, 0, qt.Commentf("began before the last crash"))
+	c.Assert(tr.RecordSound(Request{Parts: []prompt.Part{rare, other}}, at(150), at(650)), qt.HasLen, 1)
 	c.Assert(tr.blocks(at(650), rare), qt.IsFalse)
 }
 
@@ -201,7 +201,7 @@
 	c.Assert(tr.blocks(at(200), common, deadly), qt.IsTrue)
 	c.Assert(tr.blocks(at(200), common), qt.IsFalse)
 	// The next crash, when the entry has warmed up, keeps the part away for long.
-	tr.RecordSound([]prompt.Part{common}, at(300), at(300))
+	tr.RecordSound(Request{Parts: []prompt.Part{common}}, at(300), at(300))
 	later := at(200).Add(verdicts[0].Remaining)
 	c.Assert(tr.blocks(later, common, deadly), qt.IsFalse)
 	verdicts = tr.crash("e4", later, common, deadly)
@@ -215,7 +215,7 @@
 	c := qt.New(t)
 	cold, warm := NewTracker(1), warmTracker()
 	for i := range 4 {
-		s := cold.Suspect(fmt.Sprint("e", i), []prompt.Part{common}, at(i))
+		s := cold.Suspect(fmt.Sprint("e", i), Request{Parts: []prompt.Part{common}}, at(i))
 		cold.RecordCrash(s, ThisEntry, at(i))
 		warm.RecordCrash(s, OtherEntry, at(i))
 	}
@@ -227,7 +227,7 @@
 	c := qt.New(t)
 	tr := warmTracker()
 	for i := range 3 * maxSoundParts {
-		tr.RecordSound([]prompt.Part{prompt.Part(i)}, at(i), at(i))
+		tr.RecordSound(Request{Parts: []prompt.Part{prompt.Part(i)}}, at(i), at(i))
 	}
 	for i := range 3 * maxCrashes {
 		now := at(i)
@@ -249,7 +249,7 @@
 // or had a part of their answer.
 func (t *Tracker) weakCrash(engine string, now time.Time, requests ...[]prompt.Part) {
 	for _, parts := range requests {
-		s := t.Suspect(engine, parts, now)
+		s := t.Suspect(engine, Request{Parts: parts}, now)
 		s.Weak = true
 		t.RecordCrash(s, ThisEntry, now)
 	}
@@ -261,11 +261,11 @@
 func TestWeakSuspects(t *testing.T) {
 	c := qt.New(t)
 	tr := warmTracker()
-	tr.RecordSound([]prompt.Part{rare}, start, start)
+	tr.RecordSound(Request{Parts: []prompt.Part{rare}}, start, start)
 	for i := range 3 {
 		c.Check(tr.blocks(at(100*i), common, deadly), qt.IsFalse, qt.Commentf("after %d crashes", i))
 		tr.weakCrash(fmt.Sprint("e", i), at(100*i), []prompt.Part{common}, []prompt.Part{common, deadly}, []prompt.Part{rare})
-		tr.RecordSound([]prompt.Part{common}, at(100*i+10), at(100*i+50))
+		tr.RecordSound(Request{Parts: []prompt.Part{common}}, at(100*i+10), at(100*i+50))
 	}
 	c.Assert(tr.blocks(at(300), common, deadly), qt.IsTrue)
 	c.Assert(tr.blocks(at(300), common), qt.IsFalse)
@@ -296,7 +296,7 @@
 		}
 		for i := range entries {
 			entries[i] = NewTracker(uint64(i))
-			entries[i].RecordSound(shared, start, start)
+			entries[i].RecordSound(Request{Parts: shared}, start, start)
 		}
 		lossPercent := rapid.IntRange(0, 30).Draw(rt, "loss percent")
 		engine, now, crashes := 0, at(0), 0
@@ -305,7 +305,7 @@
 			e := rapid.IntRange(0, len(entries)-1).Draw(rt, "entry")
 			first := rapid.SampledFrom(shared).Draw(rt, "first part")
 			parts := []prompt.Part{first, deadly}
-			entries[rapid.IntRange(0, len(entries)-1).Draw(rt, "sound at")].RecordSound([]prompt.Part{first}, now.Add(-time.Millisecond), now)
+			entries[rapid.IntRange(0, len(entries)-1).Draw(rt, "sound at")].RecordSound(Request{Parts: []prompt.Part{first}}, now.Add(-time.Millisecond), now)
 			if entries[e].blocks(now, parts...) {
 				// Verdicts reach entries that missed the crashes.
 				to := entries[rapid.IntRange(0, len(entries)-1).Draw(rt, "gossip to")]
@@ -316,8 +316,8 @@
 			}
 			crashes++
 			engine++
-			suspect := entries[e].Suspect(fmt.Sprint(engine), parts, now)
-			bystander := entries[e].Suspect(fmt.Sprint(engine), []prompt.Part{rapid.SampledFrom(shared).Draw(rt, "bystander")}, now)
+			suspect := entries[e].Suspect(fmt.Sprint(engine), Request{Parts: parts}, now)
+			bystander := entries[e].Suspect(fmt.Sprint(engine), Request{Parts: []prompt.Part{rapid.SampledFrom(shared).Draw(rt, "bystander")}}, now)
 			verdicts := entries[e].RecordCrash(suspect, ThisEntry, now)
 			for i, o := range entries {
 				if i == e || rapid.IntRange(0, 99).Draw(rt, "lost") < lossPercent {
--- a/node/gateway/buffered.go
+++ b/node/gateway/buffered.go
@@ -113,7 +113,7 @@
 		reason, retry = g.allowRetry(req, ReasonNoServer)
 	case e.err != nil:
 		g.logAttempt(req, e, "broken")
-		if verdict, found := g.quarantined(req.call.PromptParts); found {
+		if verdict, found := g.quarantined(req.identity); found {
 			req.verdict = verdict
 			return ReasonQuarantined, false, true
 		}
--- a/node/gateway/containment.go
+++ b/node/gateway/containment.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"crypto/sha256"
+	"encoding/binary"
 	"errors"
 	"expvar"
+	"io"
 	"net"
 	"strconv"
 	"sync"
@@ -29,6 +32,24 @@
 
 var containmentTotal = expvar.NewMap("gateway_containment_total")
 
+// identify sets what a quarantine may match. A request is the same as an earlier one if all
+// that determines its answer is, whoever sends it. Requests without a prompt have no
+// identity: they are short, and many are equal.
+func (r *request) identify() {
+	r.identity.Parts = r.call.PromptParts
+	if r.call.OwnPart == 0 && len(r.call.PromptParts) == 0 {
+		return
+	}
+	h := sha256.New()
+	for _, field := range []string{
+		r.in.Method, r.in.Host, r.in.URL.RequestURI(), r.call.Model, prompt.Format(r.call.PromptParts), r.call.OwnPart.String(),
+	} {
+		_, _ = io.WriteString(h, strconv.Quote(field))
+	}
+	_, _ = h.Write(r.body)
+	r.identity.Whole = prompt.Part(binary.BigEndian.Uint64(h.Sum(nil)))
+}
+
 // containment keeps prompts that crash engines away from them.
 type containment struct {
 	mu      sync.Mutex
@@ -40,8 +61,8 @@
 
 // waitingAttempt is an attempt that has no event yet.
 type waitingAttempt struct {
-	parts  []prompt.Part
-	cancel context.CancelFunc
+	request quarantine.Request
+	cancel  context.CancelFunc
 	// verdict is the reason why the attempt was cancelled; nil if it wasn't.
 	verdict atomic.Pointer[quarantine.Verdict]
 }
@@ -51,19 +72,19 @@
 }
 
 // quarantined returns the verdict that keeps a request away from the engines.
-func (g *Gateway) quarantined(parts []prompt.Part) (quarantine.Verdict, bool) {
-	if len(parts) == 0 {
+func (g *Gateway) quarantined(r quarantine.Request) (quarantine.Verdict, bool) {
+	if r.IsZero() {
 		return quarantine.Verdict{}, false
 	}
 	g.containment.mu.Lock()
 	defer g.containment.mu.Unlock()
-	return g.containment.tracker.Match(parts, bootclock.Now())
+	return g.containment.tracker.Match(r, bootclock.Now())
 }
 
 // addWaiting registers an attempt, which a verdict cancels until removeWaiting.
-func (g *Gateway) addWaiting(parts []prompt.Part, cancel context.CancelFunc) *waitingAttempt {
-	a := &waitingAttempt{parts: parts, cancel: cancel}
-	if len(parts) == 0 {
+func (g *Gateway) addWaiting(r quarantine.Request, cancel context.CancelFunc) *waitingAttempt {
+	a := &waitingAttempt{request: r, cancel: cancel}
+	if r.IsZero() {
 		return a
 	}
 	g.containment.mu.Lock()
@@ -73,7 +94,7 @@
 }
 
 func (g *Gateway) removeWaiting(a *waitingAttempt) {
-	if len(a.parts) == 0 {
+	if a.request.IsZero() {
 		return
 	}
 	g.containment.mu.Lock()
@@ -84,7 +105,7 @@
 // recordSound records that an engine wrote an answer, or a good part of one, that
 // it began at the given time.
 func (g *Gateway) recordSound(req *request, began time.Time) {
-	if len(req.call.PromptParts) == 0 {
+	if req.identity.IsZero() {
 		return
 	}
 	now := bootclock.Now()
@@ -92,7 +113,7 @@
 	// suspended.
 	began = now.Add(-time.Since(began))
 	g.containment.mu.Lock()
-	released := g.containment.tracker.RecordSound(req.call.PromptParts, began, now)
+	released := g.containment.tracker.RecordSound(req.identity, began, now)
 	g.containment.mu.Unlock()
 	for _, v := range released {
 		containmentTotal.Add("released", 1)
@@ -105,7 +126,7 @@
 // broke, an engine that refuses connections directly afterwards has crashed. Weak tells
 // that the point speaks less against this request than against others.
 func (g *Gateway) checkCrash(req *request, e *exchange, weak bool) {
-	if len(req.call.PromptParts) == 0 || !e.sent || errors.Is(e.err, errWrongRequestID) || errors.Is(e.err, errInvalidHeader) {
+	if req.identity.IsZero() || !e.sent || errors.Is(e.err, errWrongRequestID) || errors.Is(e.err, errInvalidHeader) {
 		return
 	}
 	e.crash = g.containment.probes.state(e.choice.Server)
@@ -114,12 +135,13 @@
 	}
 	now := bootclock.Now()
 	g.containment.mu.Lock()
-	suspect := g.containment.tracker.Suspect(incarnation(e.choice.Server), req.call.PromptParts, now)
+	suspect := g.containment.tracker.Suspect(incarnation(e.choice.Server), req.identity, now)
 	suspect.Weak = weak
 	g.containment.mu.Unlock()
 	containmentTotal.Add("suspects", 1)
 	g.cfg.Log.Event("crash_suspect", "request", req.call.RequestID, "server", e.choice.Server.ID, "weak", weak, "events", e.events,
-		"incarnation", suspect.Engine, "new_parts", prompt.Format(suspect.New), "known_parts", prompt.Format(suspect.Known))
+		"incarnation", suspect.Engine, "new_parts", prompt.Format(suspect.New), "known_parts", prompt.Format(suspect.Known),
+		"whole", suspect.Whole.String())
 	verdicts := g.recordCrash(suspect, quarantine.ThisEntry, now)
 	if g.cfg.OnSuspect != nil {
 		g.cfg.OnSuspect(suspect, verdicts)
@@ -244,7 +266,7 @@
 func (c *containment) cancelMatching(verdicts []quarantine.Verdict) {
 	for a := range c.waiting {
 		for _, v := range verdicts {
-			if v.Matches(a.parts) {
+			if v.Matches(a.request) {
 				a.verdict.Store(&v)
 				a.cancel()
 			}
@@ -254,6 +276,6 @@
 
 func (g *Gateway) logVerdict(v quarantine.Verdict, source, engine string) {
 	containmentTotal.Add("verdicts", 1)
-	g.cfg.Log.Event("prompt_quarantined", "quarantine", v.ID(), "crashes", v.Crashes, "remaining_ms", v.Remaining.Milliseconds(),
+	g.cfg.Log.Event("prompt_quarantined", "quarantine", v.ID(), "whole_request", v.Whole, "crashes", v.Crashes, "remaining_ms", v.Remaining.Milliseconds(),
 		"had_sound", v.HadSound, "source", source, "incarnation", engine)
 }
--- a/node/gateway/containment_test.go
+++ b/node/gateway/containment_test.go
@@ -39,7 +39,7 @@
 func newCrashingEngine(c *qt.C) *crashingEngine {
 	e := &crashingEngine{}
 	e.server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if !strings.Contains(r.Header.Get("Parts"), deadlyPart) {
+		if !strings.Contains(r.Header.Get("Parts"), deadlyPart) && r.Header.Get("Own") != deadlyPart {
 			events(3, false)(w, r)
 			return
 		}
@@ -87,11 +87,17 @@
 	return n
 }
 
-// ask sends a streaming request whose prompt has the given shared parts.
-func (r *testGateway) ask(c *qt.C, id, parts string) int {
+// ask sends a streaming request that differs from all others and whose prompt has the given
+// shared parts.
+func (r *testGateway) ask(c *qt.C, id, parts string) int { return r.askWhole(c, id, parts, "own-"+id) }
+
+// askWhole sends a streaming request whose prompt has the given shared parts and a part of
+// its own.
+func (r *testGateway) askWhole(c *qt.C, id, parts, own string) int {
 	req := r.request(c, http.MethodPost, "/stream/1", "x")
 	req.Header.Set("Id", id)
 	req.Header.Set("Parts", parts)
+	req.Header.Set("Own", own)
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
 		return 0
@@ -120,6 +126,24 @@
 	c.Assert(countCrashed(engines) <= maxEnginesLost, qt.IsTrue, qt.Commentf("%d engines crashed, want at most %d", countCrashed(engines), maxEnginesLost))
 }
 
+// A request that crashes engines and is sent again under new ids must be kept away, though
+// its shared parts are sound. Requests of the same caller that share its parts must be
+// served, also if they are sent again (day deadly: 24 engines lost to one request).
+func TestDeadlyRequestIsContained(t *testing.T) {
+	c := qt.New(t)
+	r := newTestGateway(c)
+	engines := addEngines(c, r, 12)
+	for n := range 10 {
+		c.Assert(r.askWhole(c, fmt.Sprint("before-", n), "a1", "b1"), qt.Equals, http.StatusOK)
+	}
+	<-time.After(warmUpForTests)
+	for n := range 12 {
+		c.Check(r.askWhole(c, fmt.Sprint("deadly-", n), "a1", deadlyPart), qt.Not(qt.Equals), http.StatusOK)
+		c.Check(r.askWhole(c, fmt.Sprint("sound-", n), "a1", "b1"), qt.Equals, http.StatusOK, qt.Commentf("after %d deadly requests", n+1))
+	}
+	c.Assert(countCrashed(engines) <= 3, qt.IsTrue, qt.Commentf("%d engines crashed, want at most 3", countCrashed(engines)))
+}
+
 // An engine that crashes before its header or after its first event must be taken for
 // crashed, too (review/5): such requests were sent to engine after engine.
 func TestEnginesThatCrashAtOtherPoints(t *testing.T) {
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -40,6 +40,9 @@
 	PromptTokens, OutputTokens int
 	// PromptParts lists the parts of the prompt that other requests may share.
 	PromptParts []prompt.Part
+	// OwnPart is the part of the prompt that only this request or its session has; 0 if
+	// unknown.
+	OwnPart prompt.Part
 }
 
 // AttemptInfo holds the header fields that the gateway sets on a request to a server.
--- a/node/gateway/gateway_test.go
+++ b/node/gateway/gateway_test.go
@@ -37,6 +37,9 @@
 			c.PromptParts = append(c.PromptParts, prompt.ParsePart(id))
 		}
 	}
+	if own := h.Get("Own"); own != "" {
+		c.OwnPart = prompt.ParsePart(own)
+	}
 	if ms, err := strconv.Atoi(h.Get("Left")); err == nil {
 		c.Deadline = time.Duration(ms) * time.Millisecond
 	}
--- a/node/gateway/handler.go
+++ b/node/gateway/handler.go
@@ -74,6 +74,8 @@
 	tried         []string
 	runs          int
 	configVersion int64
+	// identity is what a quarantine may match.
+	identity quarantine.Request
 	// verdict is the quarantine that ended the request.
 	verdict quarantine.Verdict
 	// availableIn is the time until a limited server may take a request, if that
@@ -159,7 +161,9 @@
 	if plan := g.stopPlan.Load(); plan != nil && !plan.Takes(req.start, req.deadline) {
 		return req, ReasonStopping
 	}
-	return req, g.readBody(w, req, table.Limits())
+	reason := g.readBody(w, req, table.Limits())
+	req.identify()
+	return req, reason
 }
 
 // unlessConfigurationMissing returns the reason to refuse a request that the active
@@ -233,7 +237,7 @@
 	args := []any{
 		"request", req.call.RequestID, "reason", string(reason), "status", status, "configuration", req.configVersion,
 		"service", req.service, "workspace", req.workspace, "offers", len(req.tried), "runs", req.runs,
-		"ms", time.Since(req.start).Milliseconds(), "late", req.pastTarget, "parts", prompt.Format(req.call.PromptParts),
+		"ms", time.Since(req.start).Milliseconds(), "late", req.pastTarget, "parts", prompt.Format(req.call.PromptParts), "whole", req.identity.Whole.String(),
 	}
 	if reason == ReasonQuarantined {
 		args = append(args, "quarantine", req.verdict.ID(), "crashes", req.verdict.Crashes)
--- a/node/gateway/place.go
+++ b/node/gateway/place.go
@@ -27,7 +27,7 @@
 		}
 	}()
 	for {
-		if verdict, found := g.quarantined(req.call.PromptParts); found {
+		if verdict, found := g.quarantined(req.identity); found {
 			req.verdict = verdict
 			return placement.Choice{}, ReasonQuarantined
 		}
--- a/node/gateway/stream.go
+++ b/node/gateway/stream.go
@@ -74,7 +74,7 @@
 	defer watch.stop()
 	info := AttemptInfo{}
 	info.LastEvent, info.Resumes = s.sequence.Last()
-	waiting := g.addWaiting(req.call.PromptParts, func() { cancel(errQuarantined) })
+	waiting := g.addWaiting(req.identity, func() { cancel(errQuarantined) })
 	defer g.removeWaiting(waiting)
 	e := g.send(ctx, req, choice, info)
 	e.onSound = func() { g.recordSound(req, e.firstEventAt) }
