platform, lifecycle: heads without end don't fill the memory

Cause: all clients but the one on the request path had net/http's limit of 10 MB for a head. 20 calls at once to a server that never ends its head allocated 1.2 to 1.5 GB, 73 MB a call.

--- a/node/agent/operations_backend.go
+++ b/node/agent/operations_backend.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/laburnumloft/laburnumloft/core/operation"
+	"github.com/laburnumloft/laburnumloft/node/lib/lifecycle"
 	"github.com/laburnumloft/laburnumloft/node/lib/telemetry"
 	"github.com/laburnumloft/laburnumloft/node/lib/wire"
 )
@@ -36,6 +37,8 @@
 	transport := &http.Transport{
 		DisableKeepAlives: true,
 		DialContext:       (&net.Dialer{Timeout: backendDialTimeout}).DialContext,
+
+		MaxResponseHeaderBytes: lifecycle.MaxResponseHeaderBytes,
 	}
 	return &operationBackend{url: baseURL, gate: gate, client: &http.Client{
 		Transport:     &telemetry.Transport{Base: signalTransport{transport, gate}},
--- a/node/gateway/transport.go
+++ b/node/gateway/transport.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"github.com/laburnumloft/laburnumloft/node/lib/lifecycle"
 )
 
 const (
@@ -24,8 +26,6 @@
 	keepAliveIdle     = time.Second
 	keepAliveInterval = time.Second
 	keepAliveCount    = 3
-	// maxAnswerHeaderBytes limits the size of the header of a server's answer.
-	maxAnswerHeaderBytes = 64 << 10
 )
 
 // newTransport returns the transport to backend servers. Every request uses a
@@ -55,7 +55,7 @@
 		DialContext:            dial,
 		DisableKeepAlives:      true,
 		DisableCompression:     true,
-		MaxResponseHeaderBytes: maxAnswerHeaderBytes,
+		MaxResponseHeaderBytes: lifecycle.MaxResponseHeaderBytes,
 		WriteBufferSize:        4 << 10,
 		ReadBufferSize:         4 << 10,
 	}
--- a/node/lib/lifecycle/transport.go
+++ b/node/lib/lifecycle/transport.go
@@ -32,6 +32,8 @@
 		IdleConnTimeout:    controlIdleTimeout,
 		DisableCompression: true,
 		DialContext:        dial,
+
+		MaxResponseHeaderBytes: MaxResponseHeaderBytes,
 	}
 	if !channel.TLS() {
 		transport.Protocols = new(http.Protocols)
@@ -50,6 +52,11 @@
 	return protocols
 }
 
+// MaxResponseHeaderBytes limits the head of any response. A faulty server may send one
+// without end, and net/http keeps up to 10 MB of each by default: dozens at once would
+// exceed the memory of a small VM.
+const MaxResponseHeaderBytes = 64 << 10
+
 // Limits of data connections.
 const (
 	dataDialTimeout = 2 * time.Second
@@ -63,6 +70,8 @@
 		MaxIdleConnsPerHost: idlePerHost,
 		IdleConnTimeout:     dataIdleTimeout,
 		DialContext:         (&net.Dialer{Timeout: dataDialTimeout}).DialContext,
+
+		MaxResponseHeaderBytes: MaxResponseHeaderBytes,
 	}
 }
 
--- a/node/operator/operator.go
+++ b/node/operator/operator.go
@@ -13,6 +13,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/laburnumloft/laburnumloft/core/settings"
+	"github.com/laburnumloft/laburnumloft/node/lib/lifecycle"
 	"github.com/laburnumloft/laburnumloft/node/lib/platform"
 	"github.com/laburnumloft/laburnumloft/node/lib/wire"
 )
@@ -51,7 +52,7 @@
 // New returns a client of the log at logURL and the entry at entryURL. Either URL
 // may be empty.
 func New(logURL, entryURL string) *Client {
-	client := &http.Client{Transport: &http.Transport{DialContext: (&net.Dialer{Timeout: 2 * time.Second}).DialContext}}
+	client := &http.Client{Transport: &http.Transport{DialContext: (&net.Dialer{Timeout: 2 * time.Second}).DialContext, MaxResponseHeaderBytes: lifecycle.MaxResponseHeaderBytes}}
 	c := &Client{http: client, entry: entryURL, fold: settings.NewFold()}
 	if logURL != "" {
 		c.log = platform.NewLog(logURL, client)
--- a/node/stager/peers.go
+++ b/node/stager/peers.go
@@ -17,6 +17,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/laburnumloft/laburnumloft/core/rollout"
+	"github.com/laburnumloft/laburnumloft/node/lib/lifecycle"
 )
 
 // Paths of the requests between agents.
@@ -58,8 +59,11 @@
 func newPeerClient() *peerClient {
 	dialer := &net.Dialer{Timeout: peerDialTimeout}
 	return &peerClient{backoffUntil: map[string]time.Time{}, client: &http.Client{
-		Timeout:   pieceTimeout,
-		Transport: &http.Transport{DialContext: dialer.DialContext, DisableCompression: true, MaxIdleConnsPerHost: 4, IdleConnTimeout: 5 * time.Second},
+		Timeout: pieceTimeout,
+		Transport: &http.Transport{
+			DialContext: dialer.DialContext, DisableCompression: true, MaxIdleConnsPerHost: 4, IdleConnTimeout: 5 * time.Second,
+			MaxResponseHeaderBytes: lifecycle.MaxResponseHeaderBytes,
+		},
 	}}
 }
 
