route: prefixes are compared with the path as it is passed on (ROUTE)

Cause: prefixes were compared with the decoded path, and the path was forwarded as the caller wrote it. Change: both use the encoded path. Only encoded letters, digits and "-._~" count as plain ones. Before: TestEncodedPathsSelectRoutes, 200 for /read%2F1.

--- a/core/route/route.go
+++ b/core/route/route.go
@@ -169,21 +169,27 @@
 // Table is an index for lookups in one configuration.
 type Table struct {
 	cfg             Configuration
-	routesByHost    map[string][]*Route
+	routesByHost    map[string][]hostRoute
 	workspacesByKey map[string]*Workspace
 	servicesByName  map[string]*Service
 }
 
+// hostRoute is a route with its prefix in the form in which paths are compared.
+type hostRoute struct {
+	prefix string
+	route  *Route
+}
+
 // NewTable returns a table of the configuration.
 func NewTable(cfg Configuration) *Table {
-	t := &Table{cfg: cfg, routesByHost: map[string][]*Route{}, workspacesByKey: map[string]*Workspace{}, servicesByName: map[string]*Service{}}
+	t := &Table{cfg: cfg, routesByHost: map[string][]hostRoute{}, workspacesByKey: map[string]*Workspace{}, servicesByName: map[string]*Service{}}
 	for i := range t.cfg.Routes {
 		r := &t.cfg.Routes[i]
 		host := normalizeHost(r.Host)
-		t.routesByHost[host] = append(t.routesByHost[host], r)
+		t.routesByHost[host] = append(t.routesByHost[host], hostRoute{NormalizePath(r.Prefix), r})
 	}
 	for _, routes := range t.routesByHost {
-		sort.SliceStable(routes, func(i, j int) bool { return len(routes[i].Prefix) > len(routes[j].Prefix) })
+		sort.SliceStable(routes, func(i, j int) bool { return len(routes[i].prefix) > len(routes[j].prefix) })
 	}
 	for i := range t.cfg.Workspaces {
 		w := &t.cfg.Workspaces[i]
@@ -210,11 +216,12 @@
 func (t *Table) Service(name string) *Service { return t.servicesByName[name] }
 
 // Match returns the route of the host whose prefix is the longest that matches
-// the path, or nil.
-func (t *Table) Match(host, path string) *Route {
+// the path, or nil. The path is encoded, as the caller wrote it.
+func (t *Table) Match(host, encodedPath string) *Route {
+	path := NormalizePath(encodedPath)
 	for _, r := range t.routesByHost[normalizeHost(host)] {
-		if strings.HasPrefix(path, r.Prefix) {
-			return r
+		if strings.HasPrefix(path, r.prefix) {
+			return r.route
 		}
 	}
 	return nil
--- a/node/gateway/gateway_test.go
+++ b/node/gateway/gateway_test.go
@@ -653,3 +653,15 @@
 func serverAt(s *server, id string, born int64) placement.Server {
 	return placement.Server{ID: id, Address: strings.TrimPrefix(s.URL, "http://"), Service: "svc", Zone: "z", Born: born}
 }
+
+// A path with an encoded slash must not be taken for the route of the decoded path, and an
+// encoded letter must not hide a route.
+func TestEncodedPathsSelectRoutes(t *testing.T) {
+	c := qt.New(t)
+	r := newTestGateway(c, newServer(c, answerWith(http.StatusOK)))
+	for path, want := range map[string]int{"/read/1": http.StatusOK, "/re%61d/1": http.StatusOK, "/read%2F1": http.StatusNotFound} {
+		resp, _, err := r.do(c, http.MethodGet, path, "")
+		c.Assert(err, qt.IsNil)
+		c.Check(resp.StatusCode, qt.Equals, want, qt.Commentf("%s", path))
+	}
+}
