--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -69,6 +69,14 @@
 // IsZero reports whether nothing is known that a quarantine could match.
 func (r Request) IsZero() bool { return len(r.Parts) == 0 && r.Whole == 0 }
 
+// WholeID identifies the whole request in log lines; it is empty if that is not known.
+func (r Request) WholeID() string {
+	if r.Whole == 0 {
+		return ""
+	}
+	return r.Whole.String()
+}
+
 // all returns the parts and, if known, the whole request.
 func (r Request) all() []prompt.Part {
 	if r.Whole == 0 {
--- a/node/gateway/containment.go
+++ b/node/gateway/containment.go
@@ -141,7 +141,7 @@
 	containmentTotal.Add("suspects", 1)
 	g.cfg.Log.Event("crash_suspect", "request", req.call.RequestID, "server", e.choice.Server.ID, "weak", weak, "events", e.events,
 		"incarnation", suspect.Engine, "new_parts", prompt.Format(suspect.New), "known_parts", prompt.Format(suspect.Known),
-		"whole", suspect.Whole.String())
+		"whole", req.identity.WholeID())
 	verdicts := g.recordCrash(suspect, quarantine.ThisEntry, now)
 	if g.cfg.OnSuspect != nil {
 		g.cfg.OnSuspect(suspect, verdicts)
--- a/node/gateway/exchange.go
+++ b/node/gateway/exchange.go
@@ -139,7 +139,7 @@
 	g.cfg.Log.Event("attempt_failed", "request", req.call.RequestID, "server", e.choice.Server.ID, "result", result,
 		"status", status, "cause", cause, "load", e.choice.Load, "report_age_ms", e.choice.ReportAge.Milliseconds(),
 		"weights", e.choice.Version, "ms", e.duration.Milliseconds(),
-		"events", e.events, "writing_ms", e.writingTime().Milliseconds(), "engine", string(e.crash), "parts", prompt.Format(req.call.PromptParts), "whole", req.identity.Whole.String())
+		"events", e.events, "writing_ms", e.writingTime().Milliseconds(), "engine", string(e.crash), "parts", prompt.Format(req.call.PromptParts), "whole", req.identity.WholeID())
 }
 
 // recordEvent records an event of the server's stream.
--- a/node/stager/fetch.go
+++ b/node/stager/fetch.go
@@ -9,6 +9,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"github.com/laburnumloft/laburnumloft/core/rollout"
 	"github.com/laburnumloft/laburnumloft/node/lib/bootclock"
 )
@@ -48,18 +50,26 @@
 	// delivered one.
 	originDown atomic.Bool
 	swarm      *rollout.Swarm
+	doubt      rollout.ListDoubt
+	// replacement means that the manifest replaces one that the pieces did not match.
+	replacement bool
 	// recordedSequence is the sequence number of the last announcement that was
 	// passed to the swarm.
 	recordedSequence uint64
 	results          chan pullResult
 }
 
+// errManifestReplaced means that the fetch begins anew with another manifest.
+var errManifestReplaced = eris.New("the manifest did not match the pieces and was replaced")
+
 // pullResult is the outcome of one pull. feed means that the piece came from
 // outside the region.
 type pullResult struct {
 	pull    rollout.Pull
 	feed    bool
 	outcome rollout.Outcome
+	// digest is the digest of the bytes if they do not match the manifest.
+	digest string
 }
 
 // runFetcher fetches the pieces of the target version that the engine needs
@@ -149,7 +159,13 @@
 // fetchAndLog fetches the version. If that fails, it logs the error and waits
 // failureDelay.
 func (f *fetch) fetchAndLog(ctx context.Context) {
-	if err := f.fetchAll(ctx); err != nil && ctx.Err() == nil {
+	err := f.fetchAll(ctx)
+	for errors.Is(err, errManifestReplaced) {
+		f.replacement, f.recordedSequence = true, 0
+		f.results = make(chan pullResult, maxFeedPulls+maxExchangePulls)
+		err = f.fetchAll(ctx)
+	}
+	if err != nil && ctx.Err() == nil {
 		f.cfg.Log.Event("fetch_failed", "model", f.target.Model, "version", f.target.Version, "cause", err.Error())
 		// sleep fails only if ctx ended.
 		_ = sleep(ctx, failureDelay)
@@ -160,10 +176,11 @@
 func (f *fetch) fetchAll(ctx context.Context) error {
 	start := time.Now()
 	var err error
-	if f.manifest, err = f.findManifest(ctx, f.originClient, f.target.Model, f.target.Version); err != nil {
+	var fromOrigin bool
+	if f.manifest, fromOrigin, err = f.findManifest(ctx, f.originClient, f.target.Model, f.target.Version); err != nil {
 		return err
 	}
-	f.store.begin(f.manifest)
+	f.manifest = f.store.begin(f.manifest)
 	copyTime := f.target.copyTime(f.manifest)
 	timeouts := rollout.NewFeederTimeouts(copyTime)
 	f.swarm = rollout.NewSwarm(rollout.SwarmConfig{
@@ -180,6 +197,9 @@
 	if err := f.pullMissing(ctx, &wait); err != nil {
 		return err
 	}
+	if fromOrigin || f.replacement {
+		f.publish(f.manifest)
+	}
 	f.cfg.Log.Event("pieces_fetched", "model", f.manifest.Model, "version", f.manifest.Version, "ms", time.Since(start).Milliseconds())
 	return nil
 }
@@ -256,6 +276,10 @@
 				exchanging--
 			}
 			f.swarm.RecordResult(result.pull, result.outcome, time.Now())
+			if result.digest != "" && f.doubt.RecordMismatch(result.pull.Piece, result.digest, time.Now()) &&
+				f.replaceManifest(ctx, f.originClient, f.manifest, result.pull.Piece, result.digest) {
+				return errManifestReplaced
+			}
 			if result.feed && result.outcome == rollout.Delivered {
 				f.notifyFeeders(result.pull.Piece)
 			}
@@ -290,6 +314,9 @@
 		err = verifyPiece(f.manifest, p.Piece, data)
 	}
 	result := pullResult{pull: p, feed: feed, outcome: outcomeOf(err)}
+	if result.outcome == rollout.Corrupt {
+		result.digest = pieceDigest(data)
+	}
 	if err == nil {
 		f.incoming.recordPiece()
 		f.store.put(f.manifest, p.Piece, data)
--- a/node/stager/manifest.go
+++ b/node/stager/manifest.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"crypto/sha256"
+	"encoding/hex"
 	"math/rand/v2"
+	"strings"
 	"time"
 
 	"github.com/laburnumloft/laburnumloft/core/rollout"
@@ -24,37 +27,66 @@
 )
 
 // findManifest returns a manifest from memory, from an agent that announced the
-// version, from the origin, or from other agents if the origin fails. Version 0
-// means the newest.
-func (s *Stager) findManifest(ctx context.Context, origin Origin, model string, version int64) (*Manifest, error) {
+// version, from the origin, or from other agents if the origin fails, and whether
+// it came from the origin. Version 0 means the newest.
+func (s *Stager) findManifest(ctx context.Context, origin Origin, model string, version int64) (m *Manifest, fromOrigin bool, err error) {
 	if m := s.store.manifestOf(model, version); m != nil {
-		return m, nil
+		return m, false, nil
 	}
 	if m := s.publishedManifest(model, version); m != nil {
-		return m, nil
+		return m, false, nil
 	}
 	peers := s.cfg.Peers()
 	if version > 0 {
 		if m := s.manifestFromAnnouncer(ctx, peers, model, version); m != nil {
-			return m, nil
+			return m, false, nil
 		}
 	}
-	m, err := origin.Manifest(ctx, model, version)
+	m, err = origin.Manifest(ctx, model, version)
 	if err == nil {
 		err = validateManifest(m, model, version)
 	}
 	if err == nil {
-		s.publish(m, peers)
-		return m, nil
+		return m, true, nil
 	}
 	if ctx.Err() != nil {
-		return nil, err
+		return nil, false, err
 	}
 	s.cfg.Log.Event("manifest_failed", "from", "origin", "version", version, "cause", err.Error())
 	if m := s.manifestFromPeers(ctx, peers, model, version); m != nil {
-		return m, nil
+		return m, false, nil
 	}
-	return nil, err
+	return nil, false, err
+}
+
+// replaceManifest reads a manifest again because a piece does not match it, from the origin
+// and, if that one does not fit either, from other agents. It replaces the manifest by one
+// that has the digest with which the piece arrived, and reports whether it found one.
+func (s *Stager) replaceManifest(ctx context.Context, origin Origin, m *Manifest, piece int, digest string) bool {
+	fits := func(other *Manifest) bool {
+		return len(other.Digests) > piece && other.Digests[piece] == digest
+	}
+	found, err := origin.Manifest(ctx, m.Model, m.Version)
+	if err == nil {
+		err = validateManifest(found, m.Model, m.Version)
+	}
+	from := "origin"
+	if err != nil || !fits(found) {
+		from = "agent"
+		found = s.selectManifest(ctx, s.cfg.Peers(), m.Model, m.Version, fits)
+	}
+	if found == nil || !fits(found) {
+		s.cfg.Log.Event("manifest_doubted", "model", m.Model, "version", m.Version, "number", piece, "replaced", false)
+		return false
+	}
+	kept := s.store.replace(m, found)
+	s.mu.Lock()
+	if published := s.publishedManifests[m.Model]; published != nil && published.Version == m.Version {
+		delete(s.publishedManifests, m.Model)
+	}
+	s.mu.Unlock()
+	s.cfg.Log.Event("manifest_doubted", "model", m.Model, "version", m.Version, "number", piece, "replaced", true, "from", from, "pieces_kept", kept)
+	return true
 }
 
 // HandleManifest handles a manifest that another agent published. It ignores a
@@ -85,13 +117,25 @@
 // publish makes a manifest available to agents that start later. When all VMs
 // lose power at once, no agent holds the manifest, and the origin refuses most
 // agents of a large fleet for seconds. Only the manifestOriginAgents of a region
-// publish.
-func (s *Stager) publish(m *Manifest, peers []rollout.Peer) {
-	if s.cfg.Publish != nil && s.regionRank(peers) < manifestOriginAgents {
+// publish, and only a manifest that all pieces match: the origin's answer may be
+// corrupt.
+func (s *Stager) publish(m *Manifest) {
+	if s.cfg.Publish != nil && s.regionRank(s.cfg.Peers()) < manifestOriginAgents {
 		s.cfg.Publish(m)
 	}
 }
 
+// matchesStaged reports whether all pieces that are staged at the engine match a manifest.
+func (s *Stager) matchesStaged(ctx context.Context, m *Manifest) bool {
+	for n := range m.Digests {
+		if _, err := s.readStaged(ctx, m, n); err != nil {
+			s.cfg.Log.Event("manifest_unpublished", "model", m.Model, "version", m.Version, "number", n, "cause", err.Error())
+			return false
+		}
+	}
+	return true
+}
+
 // regionRank returns the number of agents of the region with a smaller ID.
 func (s *Stager) regionRank(peers []rollout.Peer) int {
 	rank := 0
@@ -122,9 +166,14 @@
 	}
 }
 
-// manifestFromPeers asks up to maxManifestPeers agents, those of the own region
-// first.
+// manifestFromPeers asks agents for a manifest.
 func (s *Stager) manifestFromPeers(ctx context.Context, peers []rollout.Peer, model string, version int64) *Manifest {
+	return s.selectManifest(ctx, peers, model, version, func(*Manifest) bool { return true })
+}
+
+// selectManifest asks up to maxManifestPeers agents, those of the own region first, for a
+// manifest that fits.
+func (s *Stager) selectManifest(ctx context.Context, peers []rollout.Peer, model string, version int64, fits func(*Manifest) bool) *Manifest {
 	var sameRegion, otherRegions []rollout.Peer
 	for _, i := range rand.Perm(len(peers)) {
 		if peers[i].Region == s.cfg.Self.Region {
@@ -138,7 +187,7 @@
 			break
 		}
 		m, err := s.peers.manifest(ctx, peer, model, version)
-		if err == nil && validateManifest(m, model, version) == nil {
+		if err == nil && validateManifest(m, model, version) == nil && fits(m) {
 			return m
 		}
 	}
@@ -164,6 +213,11 @@
 	if m.Model != model || version > 0 && m.Version != version || m.Version < 1 || len(m.Digests) == 0 {
 		return ErrDigestMismatch
 	}
+	for _, digest := range m.Digests {
+		if raw, err := hex.DecodeString(digest); err != nil || len(raw) != sha256.Size || strings.ToLower(digest) != digest {
+			return ErrDigestMismatch
+		}
+	}
 	return nil
 }
 
@@ -181,9 +235,13 @@
 		return
 	}
 	go func() {
-		m, err := s.findManifest(ctx, origin, target.Model, version)
-		if err == nil {
-			s.store.begin(m)
+		m, fromOrigin, err := s.findManifest(ctx, origin, target.Model, version)
+		if err != nil {
+			return
+		}
+		s.store.begin(m)
+		if fromOrigin && s.matchesStaged(ctx, m) {
+			s.publish(m)
 		}
 	}()
 }
--- a/node/stager/pieces.go
+++ b/node/stager/pieces.go
@@ -28,18 +28,40 @@
 	return &pieceStore{}
 }
 
-// begin adds a version without pieces. If that exceeds keptVersions, it evicts
-// the version that was added first.
-func (s *pieceStore) begin(m *Manifest) {
+// begin adds a version without pieces and returns its manifest, which is the earlier one if
+// the store already has the version. If that exceeds keptVersions, it evicts the version
+// that was added first.
+func (s *pieceStore) begin(m *Manifest) *Manifest {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.find(m.Model, m.Version) != nil {
-		return
+	if set := s.find(m.Model, m.Version); set != nil {
+		return set.manifest
 	}
 	s.versions = append(s.versions, &pieceSet{manifest: m, pieces: make([][]byte, len(m.Digests)), missing: len(m.Digests)})
 	if len(s.versions) > keptVersions {
 		s.versions = s.versions[len(s.versions)-keptVersions:]
 	}
+	return m
+}
+
+// replace replaces a manifest by another one of the same version. It keeps the pieces whose
+// digests are the same, and returns their number.
+func (s *pieceStore) replace(old, m *Manifest) (kept int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	set := s.find(old.Model, old.Version)
+	if set == nil || set.manifest != old {
+		return 0
+	}
+	pieces := make([][]byte, len(m.Digests))
+	for n := range pieces {
+		if n < len(old.Digests) && old.Digests[n] == m.Digests[n] && set.pieces[n] != nil {
+			pieces[n] = set.pieces[n]
+			kept++
+		}
+	}
+	set.manifest, set.pieces, set.missing = m, pieces, len(pieces)-kept
+	return kept
 }
 
 // evictBefore evicts the versions older than the given one.
@@ -97,7 +119,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	set := s.find(m.Model, m.Version)
-	if set == nil || n < 0 || n >= len(set.pieces) {
+	if set == nil || n < 0 || n >= len(set.pieces) || n >= len(m.Digests) || set.manifest.Digests[n] != m.Digests[n] {
 		return nil
 	}
 	return set.pieces[n]
@@ -108,7 +130,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	set := s.find(m.Model, m.Version)
-	if set == nil || set.pieces[n] != nil {
+	if set == nil || n >= len(set.pieces) || set.manifest.Digests[n] != m.Digests[n] || set.pieces[n] != nil {
 		return
 	}
 	set.pieces[n] = data
--- a/node/stager/stager_test.go
+++ b/node/stager/stager_test.go
@@ -205,6 +205,8 @@
 	down    bool
 	corrupt int
 	sent    int
+	// corruptManifests is the number of manifests to send with one wrong digest.
+	corruptManifests int
 }
 
 func (o *fakeOrigin) Manifest(_ context.Context, _ string, version int64) (*Manifest, error) {
@@ -216,7 +218,19 @@
 	if version == 0 {
 		version = o.newest
 	}
-	return testManifest(version), nil
+	m := testManifest(version)
+	if o.corruptManifests > 0 {
+		o.corruptManifests--
+		m = corruptManifest(version)
+	}
+	return m, nil
+}
+
+// corruptManifest returns the manifest of a version with one wrong digest.
+func corruptManifest(version int64) *Manifest {
+	m := testManifest(version)
+	m.Digests[3] = testManifest(version + 100).Digests[3]
+	return m
 }
 
 func (o *fakeOrigin) Piece(_ context.Context, _ string, version int64, n int) ([]byte, error) {
@@ -259,6 +273,9 @@
 			Publish: func(m *Manifest) {
 				g.mu.Lock()
 				defer g.mu.Unlock()
+				if !slices.Equal(m.Digests, testManifest(m.Version).Digests) {
+					g.published = append(g.published, "a wrong manifest")
+				}
 				g.published = append(g.published, fmt.Sprintf("%s %d", g.peers[i].ID, m.Version))
 			},
 			Announce: func(version int64, pieces []bool, to Audience) { g.announce(i, version, pieces, to) },
--- a/node/stager/verify.go
+++ b/node/stager/verify.go
@@ -112,9 +112,14 @@
 
 // verifyPiece compares a piece with its digest in the manifest.
 func verifyPiece(m *Manifest, n int, data []byte) error {
-	sum := sha256.Sum256(data)
-	if n >= len(m.Digests) || hex.EncodeToString(sum[:]) != m.Digests[n] {
+	if n >= len(m.Digests) || pieceDigest(data) != m.Digests[n] {
 		return ErrDigestMismatch
 	}
 	return nil
 }
+
+// pieceDigest returns the digest of a piece as manifests hold it.
+func pieceDigest(data []byte) string {
+	sum := sha256.Sum256(data)
+	return hex.EncodeToString(sum[:])
+}
