placement: a request that waits is woken when a server's pause ends

Cause: a refusal pauses its server for 100 ms. When all other servers pause, a request waits for a report, a record or the end of another request; the end of a pause woke nobody, so that it waited for up to a fifth of its target and was refused. Change: a miss tells when the first pause ends, and the wait ends then.

--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -164,6 +164,8 @@
 	// availableAt is the earliest time at which a server that was Limited in the
 	// current decision may get a request; zero if there was none.
 	availableAt time.Time
+	// pauseEndsAt is the earliest end of a server's pause that the last decision met.
+	pauseEndsAt time.Time
 	// published gives the lowest weight version at which a request may begin.
 	published *PublishedVersions
 }
@@ -307,6 +309,9 @@
 	// AvailableIn is the time until a server may get the request; it is only valid
 	// for the miss Limited.
 	AvailableIn time.Duration
+	// PauseEndsIn is, after a miss, the time until the first pause of a server after a
+	// refusal or a failure ends; 0 if none does.
+	PauseEndsIn time.Duration
 }
 
 // Miss is the reason why no server was chosen.
@@ -331,10 +336,10 @@
 // used. If each entry used the least loaded of all servers, all entries would
 // send their requests to one engine between two reports.
 func (f *Fleet) Choose(now time.Time, q Query) (Choice, Miss) {
-	f.availableAt = time.Time{}
+	f.availableAt, f.pauseEndsAt = time.Time{}, time.Time{}
 	m, miss := f.sample(q, f.minVersion(q, now), now)
 	if m == nil {
-		return Choice{AvailableIn: max(0, f.availableAt.Sub(now))}, miss
+		return Choice{AvailableIn: max(0, f.availableAt.Sub(now)), PauseEndsIn: max(0, f.pauseEndsAt.Sub(now))}, miss
 	}
 	load := f.estimatedLoad(m, now)
 	m.inFlight++
@@ -430,7 +435,13 @@
 		return NoServer
 	}
 	freshReport := f.hasFreshReport(m, now)
-	if freshReport && (m.report.Down || m.restarted()) || now.Before(m.excludedUntil) {
+	if freshReport && (m.report.Down || m.restarted()) {
+		return NoServer
+	}
+	if now.Before(m.excludedUntil) {
+		if f.pauseEndsAt.IsZero() || m.excludedUntil.Before(f.pauseEndsAt) {
+			f.pauseEndsAt = m.excludedUntil
+		}
 		return NoServer
 	}
 	if q.Model != "" {
--- a/core/placement/placement_test.go
+++ b/core/placement/placement_test.go
@@ -135,6 +135,24 @@
 	}
 }
 
+// A request that waits for servers in their pause after a refusal must be told when the
+// first pause ends, because nothing else happens then.
+func TestEndOfAPauseIsTold(t *testing.T) {
+	c := qt.New(t)
+	f, _ := engines(2)
+	for i := range 2 {
+		choice, miss := f.Choose(start, query())
+		c.Assert(miss, qt.Equals, Found)
+		f.Done(start.Add(time.Duration(i)*30*time.Millisecond), choice.Handle, Shed)
+	}
+	now := start.Add(40 * time.Millisecond)
+	choice, miss := f.Choose(now, query())
+	c.Assert(miss, qt.Equals, NoServer)
+	c.Check(choice.PauseEndsIn, qt.Equals, f.cfg.ShedPause-40*time.Millisecond)
+	_, miss = f.Choose(now.Add(choice.PauseEndsIn), query())
+	c.Check(miss, qt.Equals, Found)
+}
+
 // When another server reuses an address, the state of the previous server must
 // not apply to it.
 func TestAddressIsReused(t *testing.T) {
--- a/node/gateway/gateway_test.go
+++ b/node/gateway/gateway_test.go
@@ -665,3 +665,24 @@
 		c.Check(resp.StatusCode, qt.Equals, want, qt.Commentf("%s", path))
 	}
 }
+
+// A request that was refused by one server, while all others pause after refusals, must be
+// sent on when the first pause ends. It waited for the next report or record of any server,
+// or until it had to be refused (TestWorkEndsWhenItsCallerLeaves beside load).
+func TestWaitEndsWithThePauseOfAServer(t *testing.T) {
+	c := qt.New(t)
+	r := newTestGateway(c, newServer(c, answerWith(http.StatusOK)))
+	patient := configuration(2)
+	for i := range patient.Routes {
+		patient.Routes[i].Target = 4 * time.Second
+	}
+	r.Configure(patient, "test")
+	choice, miss := r.fleet.Choose(bootclock.Now(), placement.Query{Service: "svc"})
+	c.Assert(miss, qt.Equals, placement.Found)
+	r.releaseServer(choice, placement.Shed)
+	start := time.Now()
+	resp, _, err := r.do(c, http.MethodPost, "/order/1", "x")
+	c.Assert(err, qt.IsNil)
+	c.Check(resp.StatusCode, qt.Equals, http.StatusOK)
+	c.Check(time.Since(start) < 400*time.Millisecond, qt.IsTrue, qt.Commentf("the request waited for %v", time.Since(start)))
+}
--- a/node/gateway/place.go
+++ b/node/gateway/place.go
@@ -64,6 +64,10 @@
 		if remainingWait <= 0 {
 			return placement.Choice{}, missReason(miss, req)
 		}
+		if choice.PauseEndsIn > 0 {
+			// No message announces the end of a pause.
+			remainingWait = min(remainingWait, max(choice.PauseEndsIn, minPause))
+		}
 		timeout := time.NewTimer(remainingWait)
 		select {
 		case <-changed:
