gateway: engines that crash late in an answer speak against the request

Cause: half a second of an answer counted as sound for the request, too, and no crash after it was looked for. Change: each broken attempt is checked for a crash. After half a second of events the parts of the prompt are no suspects any more, but the request as a whole is, weakly; only a whole answer speaks for it.

--- a/node/gateway/buffered.go
+++ b/node/gateway/buffered.go
@@ -60,7 +60,7 @@
 	}
 	switch {
 	case e.err == nil && e.outcome() == placement.Succeeded:
-		g.recordSound(req, time.Now().Add(-e.duration))
+		g.recordSound(req, req.identity, time.Now().Add(-e.duration))
 	case e.err != nil && ctx.Err() == nil:
 		g.checkCrash(req, e, false)
 	}
--- a/node/gateway/containment.go
+++ b/node/gateway/containment.go
@@ -103,9 +103,9 @@
 }
 
 // recordSound records that an engine wrote an answer, or a good part of one, that
-// it began at the given time.
-func (g *Gateway) recordSound(req *request, began time.Time) {
-	if req.identity.IsZero() {
+// it began at the given time, and that this speaks for what is given of the request.
+func (g *Gateway) recordSound(req *request, sound quarantine.Request, began time.Time) {
+	if sound.IsZero() {
 		return
 	}
 	now := bootclock.Now()
@@ -113,7 +113,7 @@
 	// suspended.
 	began = now.Add(-time.Since(began))
 	g.containment.mu.Lock()
-	released := g.containment.tracker.RecordSound(req.identity, began, now)
+	released := g.containment.tracker.RecordSound(sound, began, now)
 	g.containment.mu.Unlock()
 	for _, v := range released {
 		containmentTotal.Add("released", 1)
@@ -121,10 +121,11 @@
 	}
 }
 
-// checkCrash finds out whether an engine crashed under a request before its answer counted
-// as sound, and records the request as a suspect if so. At whatever point the attempt
-// broke, an engine that refuses connections directly afterwards has crashed. Weak tells
-// that the point speaks less against this request than against others.
+// checkCrash finds out whether an engine crashed under a request, and records the request
+// as a suspect if so. At whatever point the attempt broke, an engine that refuses
+// connections directly afterwards has crashed. Weak tells that the point speaks less
+// against this request than against others. The parts of a prompt are no suspects once a
+// good part of its answer has spoken for them.
 func (g *Gateway) checkCrash(req *request, e *exchange, weak bool) {
 	if req.identity.IsZero() || !e.sent || errors.Is(e.err, errWrongRequestID) || errors.Is(e.err, errInvalidHeader) {
 		return
@@ -133,9 +134,12 @@
 	if e.crash != engineRefuses {
 		return
 	}
-	now := bootclock.Now()
+	now, suspected := bootclock.Now(), req.identity
+	if e.writingTime() >= soundAfter {
+		suspected.Parts = nil
+	}
 	g.containment.mu.Lock()
-	suspect := g.containment.tracker.Suspect(incarnation(e.choice.Server), req.identity, now)
+	suspect := g.containment.tracker.Suspect(incarnation(e.choice.Server), suspected, now)
 	suspect.Weak = weak
 	g.containment.mu.Unlock()
 	containmentTotal.Add("suspects", 1)
--- a/node/gateway/containment_test.go
+++ b/node/gateway/containment_test.go
@@ -25,6 +25,8 @@
 	afterHeader crashPoint = iota
 	beforeHeader
 	afterFirstEvent
+	// afterMoreEvents is when the answer already counts as sound for its parts.
+	afterMoreEvents
 )
 
 // crashingEngine answers prompts, but crashes when it begins to answer one with
@@ -46,6 +48,12 @@
 		w.Header().Set("Id", r.Header.Get("Id"))
 		w.Header().Set("Signature", "s")
 		switch e.point {
+		case afterMoreEvents:
+			for n := 1; n <= 4; n++ {
+				_, _ = fmt.Fprintf(w, "id: %d\ndata: token\n\n", n)
+				_ = http.NewResponseController(w).Flush()
+				<-time.After(soundAfter / 3)
+			}
 		case afterFirstEvent:
 			_, _ = io.WriteString(w, "id: 1\ndata: token\n\n")
 			fallthrough
@@ -144,6 +152,26 @@
 	c.Assert(countCrashed(engines) <= 3, qt.IsTrue, qt.Commentf("%d engines crashed, want at most 3", countCrashed(engines)))
 }
 
+// A request that is sent again and crashes engines late in its answer must be kept away,
+// though a part of its answer looked sound each time.
+func TestRequestThatCrashesLateIsContained(t *testing.T) {
+	c := qt.New(t)
+	r := newTestGateway(c)
+	engines := addEngines(c, r, 12)
+	for _, e := range engines {
+		e.point = afterMoreEvents
+	}
+	for n := range 10 {
+		c.Assert(r.askWhole(c, fmt.Sprint("before-", n), "a1", "b1"), qt.Equals, http.StatusOK)
+	}
+	<-time.After(warmUpForTests)
+	for n := range 8 {
+		c.Check(r.askWhole(c, fmt.Sprint("deadly-", n), "a1", deadlyPart), qt.Not(qt.Equals), http.StatusOK)
+		c.Check(r.askWhole(c, fmt.Sprint("sound-", n), "a1", "b1"), qt.Equals, http.StatusOK, qt.Commentf("after %d deadly requests", n+1))
+	}
+	c.Assert(countCrashed(engines) <= maxEnginesLost, qt.IsTrue, qt.Commentf("%d engines crashed, want at most %d", countCrashed(engines), maxEnginesLost))
+}
+
 // An engine that crashes before its header or after its first event must be taken for
 // crashed, too (review/5): such requests were sent to engine after engine.
 func TestEnginesThatCrashAtOtherPoints(t *testing.T) {
--- a/node/gateway/stream.go
+++ b/node/gateway/stream.go
@@ -9,6 +9,7 @@
 
 	"github.com/laburnumloft/laburnumloft/core/eventstream"
 	"github.com/laburnumloft/laburnumloft/core/placement"
+	"github.com/laburnumloft/laburnumloft/core/quarantine"
 )
 
 // readBuffer is a buffer size in bytes that holds several events.
@@ -77,18 +78,21 @@
 	waiting := g.addWaiting(req.identity, func() { cancel(errQuarantined) })
 	defer g.removeWaiting(waiting)
 	e := g.send(ctx, req, choice, info)
-	e.onSound = func() { g.recordSound(req, e.firstEventAt) }
+	// A part of an answer speaks for the parts of the prompt, only a whole one for the
+	// request itself: engines may crash late in an answer.
+	e.onSound = func() { g.recordSound(req, quarantine.Request{Parts: req.identity.Parts}, e.firstEventAt) }
 	if e.err == nil && e.resp.StatusCode == http.StatusOK {
 		e.err = s.forward(e, watch, func() { g.removeWaiting(waiting) })
 	}
 	switch {
 	case e.err == nil && e.events > 0:
 		e.recordSound()
+		g.recordSound(req, quarantine.Request{Whole: req.identity.Whole}, e.firstEventAt)
 	case e.err != nil && waiting.verdict.Load() != nil:
 		e.err, req.verdict = errQuarantined, *waiting.verdict.Load()
 	case e.err != nil && watch.cancelled.Load():
 		e.err = errNoProgress
-	case e.err != nil && ctx.Err() == nil && e.writingTime() < soundAfter:
+	case e.err != nil && ctx.Err() == nil:
 		beginning := e.resp != nil && e.resp.StatusCode == http.StatusOK && e.events == 0
 		g.checkCrash(req, e, !beginning)
 	}
