registry, configsync, quarantine: read as a newcomer would

A list that was never read waits for its relay's first read with a whole poll, not a short one; agents, whose links may be narrow, ask a second entry after 0.5 s and not after 0.2 s; names and comments. Suspects are compared without copies.

--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -85,7 +85,7 @@
 	return append(slices.Clone(r.Parts), r.Whole)
 }
 
-// Suspect is a request at an engine that crashed before its answer counted as sound.
+// Suspect is a request that an engine had when it crashed.
 type Suspect struct {
 	// Engine identifies one start of an engine.
 	Engine string `json:"engine"`
--- a/core/quarantine/whole.go
+++ b/core/quarantine/whole.go
@@ -9,7 +9,7 @@
 
 // judgeWhole returns a verdict on a whole request, or nil.
 func (t *Tracker) judgeWhole(now time.Time) (*verdict, basis) {
-	strong, any := map[prompt.Part]int{}, map[prompt.Part]int{}
+	strongCrashes, allCrashes := map[prompt.Part]int{}, map[prompt.Part]int{}
 	for _, c := range t.crashes {
 		if len(c.attributed) > 0 {
 			continue
@@ -18,15 +18,15 @@
 			if t.isKnown(whole, now) {
 				continue
 			}
-			any[whole]++
+			allCrashes[whole]++
 			if !weak {
-				strong[whole]++
+				strongCrashes[whole]++
 			}
 		}
 	}
-	whole, found := most(strong, newPartCrashes)
+	whole, found := most(strongCrashes, newPartCrashes)
 	if !found {
-		whole, found = most(any, newPartCrashes+weakCrashes)
+		whole, found = most(allCrashes, newPartCrashes+weakCrashes)
 	}
 	if !found {
 		return nil, noBasis
@@ -84,5 +84,7 @@
 
 // isSuspect reports whether a whole request was at an engine that crashed.
 func (t *Tracker) isSuspect(whole prompt.Part) bool {
-	return whole != 0 && slices.ContainsFunc(t.crashes, func(c *crash) bool { return c.contains([]prompt.Part{whole}) })
+	return whole != 0 && slices.ContainsFunc(t.crashes, func(c *crash) bool {
+		return slices.ContainsFunc(c.suspects, func(s Suspect) bool { return s.Whole == whole })
+	})
 }
--- a/node/configsync/client.go
+++ b/node/configsync/client.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"time"
 
 	"github.com/dghubble/sling"
 	"github.com/rotisserie/eris"
@@ -64,14 +65,14 @@
 }
 
 // inquiryConfig returns how the given number of entries are asked for a record.
-func inquiryConfig(sources int) relay.InquiryConfig {
-	return relay.InquiryConfig{Sources: sources, FirstPatience: entryPatience, Patience: entryPatience, Timeout: inquiryTimeout}
+func inquiryConfig(sources int, patience time.Duration) relay.InquiryConfig {
+	return relay.InquiryConfig{Sources: sources, FirstPatience: patience, Patience: patience, Timeout: inquiryTimeout}
 }
 
 // askEntries asks entries for a record until one has it, and logs the entries that were
 // silent.
 func askEntries[T any](ctx context.Context, s *Syncer, feed string, addresses []string, path string, query any) (answer T, from string, ok bool) {
-	result, err := inquiry.Run(ctx, inquiryConfig(len(addresses)), func(ctx context.Context, i int) (answer T, err error) {
+	result, err := inquiry.Run(ctx, inquiryConfig(len(addresses), entryPatience), func(ctx context.Context, i int) (answer T, err error) {
 		err = fetchJSON(ctx, s.cfg.Client, addresses[i], path, query, &answer)
 		return answer, err
 	})
@@ -121,7 +122,7 @@
 
 // FetchTarget fetches the data that an agent needs from one of the entries.
 func FetchTarget(ctx context.Context, client *http.Client, addresses []string) (Target, error) {
-	result, err := inquiry.Run(ctx, inquiryConfig(len(addresses)), func(ctx context.Context, i int) (target Target, err error) {
+	result, err := inquiry.Run(ctx, inquiryConfig(len(addresses), narrowPatience), func(ctx context.Context, i int) (target Target, err error) {
 		err = fetchJSON(ctx, client, addresses[i], TargetPath, struct{}{}, &target)
 		return target, err
 	})
@@ -130,7 +131,7 @@
 
 // FetchMembers fetches the list of known members from one of the entries.
 func FetchMembers(ctx context.Context, client *http.Client, addresses []string) ([]mesh.Member, error) {
-	result, err := inquiry.Run(ctx, inquiryConfig(len(addresses)), func(ctx context.Context, i int) (members []mesh.Member, err error) {
+	result, err := inquiry.Run(ctx, inquiryConfig(len(addresses), narrowPatience), func(ctx context.Context, i int) (members []mesh.Member, err error) {
 		err = fetchJSON(ctx, client, addresses[i], MembersPath, struct{}{}, &members)
 		return members, err
 	})
--- a/node/configsync/syncer.go
+++ b/node/configsync/syncer.go
@@ -48,6 +48,10 @@
 	// entryPatience is how long an entry may be silent before another one is asked as
 	// well. Entries answer within 10 ms, a lost packet is sent again after 200 ms.
 	entryPatience = 200 * time.Millisecond
+	// narrowPatience replaces entryPatience for targets of agents and lists of members,
+	// which have seconds. The links of agents may be narrow, and each further answer
+	// would add to what fills them.
+	narrowPatience = 500 * time.Millisecond
 	// maxSources is how many entries are asked for one record, and inquiryTimeout how
 	// long that may take.
 	maxSources     = 4
--- a/node/registry/registry.go
+++ b/node/registry/registry.go
@@ -89,13 +89,15 @@
 	}
 }
 
-// Age returns the time since the list last matched the store, or one hour if the
-// store has never been read.
+// neverRead is the age of a list that has never been read from the store.
+const neverRead = time.Hour
+
+// Age returns the time since the list last matched the store, or neverRead.
 func (l *List) Age() time.Duration {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.readAt.IsZero() {
-		return time.Hour
+		return neverRead
 	}
 	return bootclock.Since(l.readAt)
 }
@@ -246,7 +248,7 @@
 // updateSince returns the changes after the revision since. It returns the full
 // list if since belongs to another epoch or is newer than the list.
 func (l *List) updateSince(epoch uint64, since int64) Update {
-	u := Update{Epoch: l.epoch, Revision: l.revision, StoreEra: l.era, Full: epoch != l.epoch || since > l.revision, AgeMS: time.Hour.Milliseconds()}
+	u := Update{Epoch: l.epoch, Revision: l.revision, StoreEra: l.era, Full: epoch != l.epoch || since > l.revision, AgeMS: neverRead.Milliseconds()}
 	settled := l.reconnectedAt.IsZero() || bootclock.Since(l.reconnectedAt) >= settleTime
 	if settled && !l.readAt.IsZero() {
 		u.AgeMS = bootclock.Since(l.readAt).Milliseconds()
--- a/node/registry/sync.go
+++ b/node/registry/sync.go
@@ -282,13 +282,17 @@
 	}
 }
 
-// pollDuration returns how long a relay may wait for a change. It is shorter if the list
-// is old, because one of the entries between this one and the store is silent then.
+// pollDuration returns how long a relay may wait for a change, or for its own first read.
+// It is shorter if the list is old, because one of the entries between this one and the
+// store is silent then.
 func pollDuration(source relay.Source, age time.Duration) time.Duration {
 	wait := pollWait
 	if source.OtherRegion {
 		wait = otherRegionPollWait
 	}
+	if age >= neverRead {
+		return wait
+	}
 	return max(minPollWait, min(wait, maxPolledListAge-age))
 }
 
