placement: the end of a pause wakes no request for servers with fresh reports

Cause: requests that wait for full engines were woken together when a pause of 100 ms ended, and were refused again; the engines' next report would have told. Change: the end of a pause counts only for servers without a fresh report, which nothing else announces.

--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -310,7 +310,8 @@
 	// for the miss Limited.
 	AvailableIn time.Duration
 	// PauseEndsIn is, after a miss, the time until the first pause of a server after a
-	// refusal or a failure ends; 0 if none does.
+	// refusal or a failure ends; 0 if none does. It leaves out servers with fresh
+	// reports: the next report tells whether they have room.
 	PauseEndsIn time.Duration
 }
 
@@ -439,7 +440,7 @@
 		return NoServer
 	}
 	if now.Before(m.excludedUntil) {
-		if f.pauseEndsAt.IsZero() || m.excludedUntil.Before(f.pauseEndsAt) {
+		if !freshReport && (f.pauseEndsAt.IsZero() || m.excludedUntil.Before(f.pauseEndsAt)) {
 			f.pauseEndsAt = m.excludedUntil
 		}
 		return NoServer
--- a/core/placement/placement_test.go
+++ b/core/placement/placement_test.go
@@ -136,21 +136,32 @@
 }
 
 // A request that waits for servers in their pause after a refusal must be told when the
-// first pause ends, because nothing else happens then.
+// first pause ends, because nothing else happens then. Servers that report their load are
+// left to their next report: all waiting requests would go there at once.
 func TestEndOfAPauseIsTold(t *testing.T) {
 	c := qt.New(t)
 	f, _ := engines(2)
+	plain := Query{Service: "plain"}
 	for i := range 2 {
-		choice, miss := f.Choose(start, query())
-		c.Assert(miss, qt.Equals, Found)
-		f.Done(start.Add(time.Duration(i)*30*time.Millisecond), choice.Handle, Shed)
+		f.Report(report(i, 0), start)
+		f.Put(Server{ID: fmt.Sprint("p", i), Address: fmt.Sprint("p", i, ":1"), Service: plain.Service, Zone: "z"})
+	}
+	for i := range 2 {
+		for _, q := range []Query{plain, query()} {
+			choice, miss := f.Choose(start, q)
+			c.Assert(miss, qt.Equals, Found)
+			f.Done(start.Add(time.Duration(i)*30*time.Millisecond), choice.Handle, Shed)
+		}
 	}
 	now := start.Add(40 * time.Millisecond)
-	choice, miss := f.Choose(now, query())
+	choice, miss := f.Choose(now, plain)
 	c.Assert(miss, qt.Equals, NoServer)
 	c.Check(choice.PauseEndsIn, qt.Equals, f.cfg.ShedPause-40*time.Millisecond)
-	_, miss = f.Choose(now.Add(choice.PauseEndsIn), query())
+	_, miss = f.Choose(now.Add(choice.PauseEndsIn), plain)
 	c.Check(miss, qt.Equals, Found)
+	choice, miss = f.Choose(now, query())
+	c.Assert(miss, qt.Equals, NoServer)
+	c.Check(choice.PauseEndsIn, qt.Equals, time.Duration(0))
 }
 
 // When another server reuses an address, the state of the previous server must
