--- a/node/stager/stager_test.go
+++ b/node/stager/stager_test.go
@@ -131,7 +131,7 @@
 		e.serialReads.Lock()
 		defer e.serialReads.Unlock()
 	}
-	time.Sleep(readTime)
+	<-time.After(readTime)
 	if onRead != nil {
 		defer onRead(n)
 	}
--- a/node/stager/verify_test.go
+++ b/node/stager/verify_test.go
@@ -33,8 +33,13 @@
 	g.setTarget(2)
 	// The first load is withheld after three passes; the next checks begin before the
 	// engine is drained.
-	deadline := time.Now().Add(20 * time.Second)
-	for read := 0; read <= 3*testPieces && time.Now().Before(deadline); time.Sleep(20 * time.Millisecond) {
+	deadline := time.After(20 * time.Second)
+	for read := 0; read <= 3*testPieces; {
+		select {
+		case <-time.After(20 * time.Millisecond):
+		case <-deadline:
+			c.Fatal("the agent did not check the pieces a second time within 20 s")
+		}
 		e.mu.Lock()
 		read = e.reads
 		e.mu.Unlock()
