gateway: endless heads are tested beside endless bodies, 100 at once

Cause: TestEndlessAnswersStayWithinMemoryLimit sent endless bodies only, 50 at once. Change: heads as well, 100 at once, the same bound on the heap. Measured: both pass with the race detector.

--- a/node/gateway/gateway_test.go
+++ b/node/gateway/gateway_test.go
@@ -397,13 +397,31 @@
 	}
 }
 
+// endlessHead sends a head without end until the client closes the connection.
+func endlessHead(w http.ResponseWriter, _ *http.Request) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	defer func() { _ = conn.Close() }()
+	_, err = io.WriteString(conn, "HTTP/1.1 200 OK\r\nFiller: ")
+	for filler := strings.Repeat("x", 32<<10); err == nil; {
+		_, err = io.WriteString(conn, filler)
+	}
+}
+
 // Faulty servers may send endless answers to many requests at once. Each request
 // must fail, and all answers together must stay within the memory limit, or the
 // process runs out of memory.
 func TestEndlessAnswersStayWithinMemoryLimit(t *testing.T) {
-	c := qt.New(t)
-	const requests, limit = 50, 24 << 20
-	s := newServer(c, endless)
+	for name, answer := range map[string]answerFunc{"body": endless, "head": endlessHead} {
+		t.Run(name, func(t *testing.T) { checkEndlessAnswers(qt.New(t), answer) })
+	}
+}
+
+func checkEndlessAnswers(c *qt.C, answer answerFunc) {
+	const requests, limit = 100, 24 << 20
+	s := newServer(c, answer)
 	r := newTestGateway(c, s)
 	r.answers.limit = limit
 	var maxHeap uint64
