gateway: one check for the tests of contained crashes

Cause: four tests repeated the same steps (found by a reading of the change). Change: a case type with the same requests and bounds.

--- a/node/gateway/containment_test.go
+++ b/node/gateway/containment_test.go
@@ -117,59 +117,63 @@
 	return resp.StatusCode
 }
 
-// A prompt part that crashes engines must cost at most five of them. Requests that
-// share the caller and the other parts must be served.
-func TestCrashingPromptPartIsContained(t *testing.T) {
-	c := qt.New(t)
+// containmentCase is a fault of engines under some requests, between sound ones that share
+// the caller and the other parts.
+type containmentCase struct {
+	point   crashPoint
+	engines int
+	// requests is the number of deadly requests, and of sound ones between them.
+	requests int
+	// deadly and sound send one request each.
+	deadly, sound func(r *testGateway, c *qt.C, id string) int
+	// maxLost is the bound on engines that crash.
+	maxLost int
+}
+
+func askSound(r *testGateway, c *qt.C, id string) int     { return r.ask(c, id, "a1") }
+func askSameSound(r *testGateway, c *qt.C, id string) int { return r.askWhole(c, id, "a1", "b1") }
+func askDeadly(r *testGateway, c *qt.C, id string) int    { return r.ask(c, id, "a1,"+deadlyPart) }
+func askSameDeadly(r *testGateway, c *qt.C, id string) int {
+	return r.askWhole(c, id, "a1", deadlyPart)
+}
+
+// check checks that the deadly requests crash few engines and that all sound ones are
+// served.
+func (cc containmentCase) check(c *qt.C) {
 	r := newTestGateway(c)
-	engines := addEngines(c, r, 12)
+	engines := addEngines(c, r, cc.engines)
+	for _, e := range engines {
+		e.point = cc.point
+	}
 	for n := range 10 {
-		c.Assert(r.ask(c, fmt.Sprint("before-", n), "a1"), qt.Equals, http.StatusOK)
+		c.Assert(cc.sound(r, c, fmt.Sprint("before-", n)), qt.Equals, http.StatusOK)
 	}
 	<-time.After(warmUpForTests)
-	for n := range 12 {
-		c.Check(r.ask(c, fmt.Sprint("deadly-", n), "a1,"+deadlyPart), qt.Not(qt.Equals), http.StatusOK)
-		c.Check(r.ask(c, fmt.Sprint("sound-", n), "a1"), qt.Equals, http.StatusOK, qt.Commentf("after %d deadly requests", n+1))
+	for n := range cc.requests {
+		c.Check(cc.deadly(r, c, fmt.Sprint("deadly-", n)), qt.Not(qt.Equals), http.StatusOK)
+		c.Check(cc.sound(r, c, fmt.Sprint("sound-", n)), qt.Equals, http.StatusOK, qt.Commentf("after %d deadly requests", n+1))
 	}
-	c.Assert(countCrashed(engines) <= maxEnginesLost, qt.IsTrue, qt.Commentf("%d engines crashed, want at most %d", countCrashed(engines), maxEnginesLost))
+	lost := countCrashed(engines)
+	c.Assert(lost <= cc.maxLost, qt.IsTrue, qt.Commentf("%d engines crashed, want at most %d", lost, cc.maxLost))
+}
+
+// A prompt part that crashes engines must cost at most five of them. Requests that
+// share the caller and the other parts must be served.
+func TestCrashingPromptPartIsContained(t *testing.T) {
+	containmentCase{engines: 12, requests: 12, deadly: askDeadly, sound: askSound, maxLost: maxEnginesLost}.check(qt.New(t))
 }
 
 // A request that crashes engines and is sent again under new ids must be kept away, though
 // its shared parts are sound. Requests of the same caller that share its parts must be
 // served, also if they are sent again (day deadly: 24 engines lost to one request).
 func TestDeadlyRequestIsContained(t *testing.T) {
-	c := qt.New(t)
-	r := newTestGateway(c)
-	engines := addEngines(c, r, 12)
-	for n := range 10 {
-		c.Assert(r.askWhole(c, fmt.Sprint("before-", n), "a1", "b1"), qt.Equals, http.StatusOK)
-	}
-	<-time.After(warmUpForTests)
-	for n := range 12 {
-		c.Check(r.askWhole(c, fmt.Sprint("deadly-", n), "a1", deadlyPart), qt.Not(qt.Equals), http.StatusOK)
-		c.Check(r.askWhole(c, fmt.Sprint("sound-", n), "a1", "b1"), qt.Equals, http.StatusOK, qt.Commentf("after %d deadly requests", n+1))
-	}
-	c.Assert(countCrashed(engines) <= 3, qt.IsTrue, qt.Commentf("%d engines crashed, want at most 3", countCrashed(engines)))
+	containmentCase{engines: 12, requests: 12, deadly: askSameDeadly, sound: askSameSound, maxLost: 3}.check(qt.New(t))
 }
 
 // A request that is sent again and crashes engines late in its answer must be kept away,
 // though a part of its answer looked sound each time.
 func TestRequestThatCrashesLateIsContained(t *testing.T) {
-	c := qt.New(t)
-	r := newTestGateway(c)
-	engines := addEngines(c, r, 12)
-	for _, e := range engines {
-		e.point = afterMoreEvents
-	}
-	for n := range 10 {
-		c.Assert(r.askWhole(c, fmt.Sprint("before-", n), "a1", "b1"), qt.Equals, http.StatusOK)
-	}
-	<-time.After(warmUpForTests)
-	for n := range 8 {
-		c.Check(r.askWhole(c, fmt.Sprint("deadly-", n), "a1", deadlyPart), qt.Not(qt.Equals), http.StatusOK)
-		c.Check(r.askWhole(c, fmt.Sprint("sound-", n), "a1", "b1"), qt.Equals, http.StatusOK, qt.Commentf("after %d deadly requests", n+1))
-	}
-	c.Assert(countCrashed(engines) <= maxEnginesLost, qt.IsTrue, qt.Commentf("%d engines crashed, want at most %d", countCrashed(engines), maxEnginesLost))
+	containmentCase{point: afterMoreEvents, engines: 12, requests: 8, deadly: askSameDeadly, sound: askSameSound, maxLost: maxEnginesLost}.check(qt.New(t))
 }
 
 // An engine that crashes before its header or after its first event must be taken for
@@ -177,21 +181,7 @@
 func TestEnginesThatCrashAtOtherPoints(t *testing.T) {
 	for name, point := range map[string]crashPoint{"before the header": beforeHeader, "after the first event": afterFirstEvent} {
 		t.Run(name, func(t *testing.T) {
-			c := qt.New(t)
-			r := newTestGateway(c)
-			engines := addEngines(c, r, 14)
-			for _, e := range engines {
-				e.point = point
-			}
-			for n := range 10 {
-				c.Assert(r.ask(c, fmt.Sprint("before-", n), "a1"), qt.Equals, http.StatusOK)
-			}
-			<-time.After(warmUpForTests)
-			for n := range 14 {
-				c.Check(r.ask(c, fmt.Sprint("deadly-", n), "a1,"+deadlyPart), qt.Not(qt.Equals), http.StatusOK)
-				c.Check(r.ask(c, fmt.Sprint("sound-", n), "a1"), qt.Equals, http.StatusOK, qt.Commentf("after %d deadly requests", n+1))
-			}
-			c.Assert(countCrashed(engines) <= maxEnginesLost, qt.IsTrue, qt.Commentf("%d engines crashed, want at most %d", countCrashed(engines), maxEnginesLost))
+			containmentCase{point: point, engines: 14, requests: 14, deadly: askDeadly, sound: askSound, maxLost: maxEnginesLost}.check(qt.New(t))
 		})
 	}
 }
