configsync, stager: one way to ask entries; plainer checks

Cause: three functions of configsync asked entries in the same way, and checkStaged set its flag in a condition (found by a reading of the change). Change: fetchFromAny; the flag is set first and cleared by success, as before. Measured: the tests of configsync and the stager's tests of checks pass.

--- a/node/configsync/client.go
+++ b/node/configsync/client.go
@@ -64,18 +64,20 @@
 	NewerThan int64 `url:"newer_than"`
 }
 
-// inquiryConfig returns how the given number of entries are asked for a record.
-func inquiryConfig(sources int, patience time.Duration) relay.InquiryConfig {
-	return relay.InquiryConfig{Sources: sources, FirstPatience: patience, Patience: patience, Timeout: inquiryTimeout}
+// fetchFromAny requests a path from entries, one after the other as long as they are silent
+// or fail, and decodes the first JSON response.
+func fetchFromAny[T any](ctx context.Context, client *http.Client, addresses []string, patience time.Duration, path string, query any) (inquiry.Result[T], error) {
+	cfg := relay.InquiryConfig{Sources: len(addresses), FirstPatience: patience, Patience: patience, Timeout: inquiryTimeout}
+	return inquiry.Run(ctx, cfg, func(ctx context.Context, i int) (answer T, err error) {
+		err = fetchJSON(ctx, client, addresses[i], path, query, &answer)
+		return answer, err
+	})
 }
 
 // askEntries asks entries for a record until one has it, and logs the entries that were
 // silent.
 func askEntries[T any](ctx context.Context, s *Syncer, feed string, addresses []string, path string, query any) (answer T, from string, ok bool) {
-	result, err := inquiry.Run(ctx, inquiryConfig(len(addresses), entryPatience), func(ctx context.Context, i int) (answer T, err error) {
-		err = fetchJSON(ctx, s.cfg.Client, addresses[i], path, query, &answer)
-		return answer, err
-	})
+	result, err := fetchFromAny[T](ctx, s.cfg.Client, addresses, entryPatience, path, query)
 	if ctx.Err() != nil {
 		return answer, "", false
 	}
@@ -122,18 +124,12 @@
 
 // FetchTarget fetches the data that an agent needs from one of the entries.
 func FetchTarget(ctx context.Context, client *http.Client, addresses []string) (Target, error) {
-	result, err := inquiry.Run(ctx, inquiryConfig(len(addresses), narrowPatience), func(ctx context.Context, i int) (target Target, err error) {
-		err = fetchJSON(ctx, client, addresses[i], TargetPath, struct{}{}, &target)
-		return target, err
-	})
+	result, err := fetchFromAny[Target](ctx, client, addresses, narrowPatience, TargetPath, struct{}{})
 	return result.Answer, err
 }
 
 // FetchMembers fetches the list of known members from one of the entries.
 func FetchMembers(ctx context.Context, client *http.Client, addresses []string) ([]mesh.Member, error) {
-	result, err := inquiry.Run(ctx, inquiryConfig(len(addresses), narrowPatience), func(ctx context.Context, i int) (members []mesh.Member, err error) {
-		err = fetchJSON(ctx, client, addresses[i], MembersPath, struct{}{}, &members)
-		return members, err
-	})
+	result, err := fetchFromAny[[]mesh.Member](ctx, client, addresses, narrowPatience, MembersPath, struct{}{})
 	return result.Answer, err
 }
--- a/node/stager/stager.go
+++ b/node/stager/stager.go
@@ -209,8 +209,8 @@
 	// nextManifestFetch is the time of the next attempt to fetch the manifest of
 	// a version that the engine was already running.
 	nextManifestFetch time.Time
-	// checksExpired means that the last load was withheld because of slow checks. Only
-	// the loader goroutine uses it.
+	// checksExpired means that the last checks of staged pieces failed or took too long.
+	// Only the loader goroutine uses it.
 	checksExpired bool
 	// signals is what the engine said about itself; notifiedAt is when the entries
 	// were last told. Only the monitor goroutine uses them.
--- a/node/stager/verify.go
+++ b/node/stager/verify.go
@@ -28,11 +28,14 @@
 // checked within the time for which a check is valid.
 func (s *Stager) checkStaged(ctx context.Context, m *Manifest) (*rollout.StagedChecks, error) {
 	checks := rollout.NewStagedChecks(len(m.Digests))
+	// An engine whose calls fail is not drained for nothing either.
+	s.checksExpired = true
 	start, workers := bootclock.Now(), 1
 	for pass := 0; ; pass++ {
 		now := bootclock.Now()
 		due := checks.Due(now)
-		if s.checksExpired = len(due) > 0; !s.checksExpired {
+		if len(due) == 0 {
+			s.checksExpired = false
 			return checks, nil
 		}
 		if pass == maxCheckPasses {
