bench/fleet: the test of own records waits until all agents hold the manifest

Cause: the test kills agent 0 as soon as its manifest stands in the store. The other agents fetch the manifest of the running version within 4 s of their start, so on a busy machine the killed agent was its only holder. The log of a run that failed beside 16 busy processes: the first reader writes 7 records and finds the manifest at no agent (own_record_unknown); 1 s later another agent has it from the origin and publishes it, which is the third append and is meant to happen; the second reader's append fails because the topic has moved on, and both then find 8 of 8 records. Ruled out: a third reader, a repeated append.

Change: the test waits until every agent gives the manifest. Its bounds and the rest of it are as they were. No product code changed.

--- a/bench/fleet/restore_test.go
+++ b/bench/fleet/restore_test.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"os/exec"
@@ -11,6 +12,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/laburnumloft/laburnumloft/node/stager"
 	"github.com/laburnumloft/laburnumloft/standin/platform"
 )
 
@@ -220,12 +222,29 @@
 	return true
 }
 
+// manifestAtAllAgents reports whether every agent can give the manifest of the model.
+// Each fetches that of the running version some seconds after its start.
+func (f *fleet) manifestAtAllAgents() bool {
+	for i := range engines {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		_, err := stager.FetchManifest(ctx, f.client, fmt.Sprintf("%s:%d", engineIP(i), ownPort), model, 1)
+		cancel()
+		if err != nil {
+			return false
+		}
+	}
+	return true
+}
+
 // What our processes wrote and the store forgot must be written again, also if the
 // writer has ended, and must outlast the loss of all processes.
 func TestOwnRecordsAreWrittenAgain(t *testing.T) {
 	c := qt.New(t)
 	f := start(c)
 	f.eventually("own records in the store", f.holdsOwnRecords)
+	// A manifest that only its killed writer held would be fetched from the origin and
+	// published once more, which is one append more than the bound.
+	f.eventually("the manifest at all agents", f.manifestAtAllAgents)
 	empty := f.store.Mark()
 	delete(empty, "keyed.members")
 	// The writer of one record is gone when the store comes back.
