Where a request may go: homes, evacuated zones, cold servers, memory of engines

Change: core/eligibility decides for one server and one request, with one reason; core/placement gathers the facts and chooses among what is left. core/evacuation keeps the newest record of each zone, told by datagram and with the first configuration. core/coldstart gives each cold server a few holders among the entries.

--- a/bench/fleet/fleet_test.go
+++ b/bench/fleet/fleet_test.go
@@ -82,11 +82,17 @@
 	mu       sync.Mutex
 	silent   map[string]bool
 	draining map[string]bool
-	entries  []*exec.Cmd
-	agents   []*exec.Cmd
-	version  int64
-	config   int64
-	client   *http.Client
+	// zones are the availability zones of servers that stand in another one than z, and
+	// cold how much longer servers say that they are cold, in milliseconds.
+	zones map[string]string
+	cold  map[string]int64
+	// coldPerSecond is what plain servers bear while they are cold; 0 for no limit.
+	coldPerSecond float64
+	entries       []*exec.Cmd
+	agents        []*exec.Cmd
+	version       int64
+	config        int64
+	client        *http.Client
 }
 
 type lockedBuffer struct {
@@ -183,9 +189,9 @@
 
 // settings writes the platform's settings file of a process.
 func (f *fleet) settings(ip, role string, i int) string {
-	text := fmt.Sprintf("node: %q\nip: %q\nzone: \"z\"\nregion: \"r\"\nzones: {z: \"r\"}\nportRange: [%d, %d]\nbootstrap: true\n"+
+	text := fmt.Sprintf("node: %q\nip: %q\nzone: \"z\"\nregion: \"r\"\nzones: {x: \"r\", y: \"r\", z: \"r\"}\nportRange: [%d, %d]\nbootstrap: true\n"+
 		"seeds: [\"%s:8000\"]\nlimits: {memoryMb: 200, linkMbps: 0}\n"+
-		"bounds: {retryBudgetRatio: 0.2, budgetSlack: 200, graceS: 4, version_ms: 8000}\nplatform: {address: %q, form: \"log\"}\n",
+		"bounds: {retryBudgetRatio: 0.2, budgetSlack: 200, graceS: 4, version_ms: 8000, coldOverage: 1.5, coldSlack: 5}\nplatform: {address: %q, form: \"log\"}\n",
 		fmt.Sprint(role, "-", i), ip, ownPort, ownPort+15, entryIP(0), storeAddress)
 	if role == "entry" {
 		text += fmt.Sprintf("listen: {front: \"%[1]s:8005\", ready: \"%[1]s:8002\", control: \"%[1]s:8000\", directory: \"%[1]s:8009\"}\n", ip)
@@ -263,11 +269,17 @@
 // writeBeat writes the record of a server that has not been silenced.
 func (f *fleet) writeBeat(id string, beat map[string]any) {
 	f.mu.Lock()
-	silent, draining := f.silent[id], f.draining[id]
+	silent, draining, zone, cold := f.silent[id], f.draining[id], f.zones[id], f.cold[id]
 	f.mu.Unlock()
 	if draining {
 		beat["state"] = "draining"
 	}
+	if zone != "" {
+		beat["zone"] = zone
+	}
+	if cold > 0 {
+		beat["coldRemainingMs"] = cold
+	}
 	if !silent {
 		_ = f.store.Put("keyed.servers", id, beat)
 	}
@@ -305,7 +317,7 @@
 // writeConfiguration writes the newest configuration.
 func (f *fleet) writeConfiguration() {
 	f.mu.Lock()
-	version, holdTimeout := f.config, cmp.Or(f.holdTimeout, usualHoldTimeout)
+	version, holdTimeout, coldPerSecond := f.config, cmp.Or(f.holdTimeout, usualHoldTimeout), f.coldPerSecond
 	f.mu.Unlock()
 	route := func(prefix, kind, service string, attempts int) map[string]any {
 		return map[string]any{
@@ -327,7 +339,7 @@
 		},
 		"services": []any{
 			map[string]any{"name": "llm", "engine": map[string]any{"slots": 16, "models": []any{map[string]any{"name": model}}, "layers": platform.Pieces}},
-			map[string]any{"name": "switching"},
+			map[string]any{"name": "switching", "coldPerS": coldPerSecond, "coldStartS": coldStart.Seconds()},
 			map[string]any{"name": "holding"},
 			map[string]any{"name": "weights", "origin": originAddress, "zone": "z"},
 		},
--- /dev/null
+++ b/core/placement/filter_test.go
@@ -0,0 +1,186 @@
+package placement
+
+import (
+	"fmt"
+	"hash/fnv"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/laburnumloft/laburnumloft/core/coldstart"
+	"github.com/laburnumloft/laburnumloft/core/eligibility"
+)
+
+// zonedEngines returns a fleet with an engine in each of the zones a, b and c of the
+// regions ra, rb and rc.
+func zonedEngines(change func(*Config)) *Fleet {
+	cfg := DefaultConfig("a")
+	cfg.Regions = map[string]string{"a": "ra", "b": "rb", "c": "rc"}
+	if change != nil {
+		change(&cfg)
+	}
+	f := NewFleet(cfg, NewPublishedVersions(time.Hour, 0), 1)
+	for i, zone := range []string{"a", "b", "c"} {
+		f.Put(Server{ID: fmt.Sprint("e", i), Address: fmt.Sprint("10.0.0.", i, ":1"), Service: "llm", Zone: zone, Slots: slots, WeightVersion: 1})
+		f.Report(report(i, 0), start)
+	}
+	return f
+}
+
+// zonesOf returns the zones that n requests are sent to.
+func zonesOf(f *Fleet, q Query, n int, now time.Time) map[string]int {
+	zones := map[string]int{}
+	for range n {
+		choice, miss := f.Choose(now, q)
+		if miss != Found {
+			zones[string(miss)]++
+			continue
+		}
+		zones[choice.Server.Zone]++
+		f.Done(now, choice.Handle, Succeeded)
+	}
+	return zones
+}
+
+// A request must reach servers in its homes alone. If there is none, it is refused at
+// once, also while servers elsewhere are idle.
+func TestRequestsStayInTheirHomes(t *testing.T) {
+	c := qt.New(t)
+	f := zonedEngines(nil)
+	q := query()
+	q.Regions = eligibility.OnlyIn([]string{"rb"})
+	c.Assert(zonesOf(f, q, 50, start), qt.DeepEquals, map[string]int{"b": 50})
+	r := report(1, 0)
+	r.Down = true
+	f.Report(r, start.Add(time.Second))
+	c.Assert(zonesOf(f, q, 5, start.Add(time.Second)), qt.DeepEquals, map[string]int{string(NoHome): 5})
+	choice, _ := f.Choose(start.Add(time.Second), q)
+	c.Assert(choice.Exclusions.String(), qt.Equals, "home=2,down=1")
+	c.Assert(MaxWait(NoHome, false, time.Second, time.Second), qt.Equals, time.Duration(0))
+}
+
+// An evacuated zone must get nothing, from an entry that knew its servers before and from
+// one that learns of them during the evacuation, and be used again after it.
+func TestEvacuatedZoneGetsNothing(t *testing.T) {
+	c := qt.New(t)
+	f := zonedEngines(nil)
+	f.SetEvacuated("a", true, start)
+	f.Put(Server{ID: "late", Address: "10.0.0.9:1", Service: "llm", Zone: "a", Slots: slots, WeightVersion: 1})
+	got := zonesOf(f, query(), 100, start)
+	c.Assert(got["a"], qt.Equals, 0)
+	c.Assert(got["b"]+got["c"], qt.Equals, 100)
+	f.SetEvacuated("a", false, start)
+	c.Assert(zonesOf(f, query(), 100, start)["a"] > 0, qt.IsTrue)
+}
+
+// coldFleet is like zonedEngines with a limit for cold servers of 10 requests a second.
+func coldFleet() *Fleet {
+	f := zonedEngines(nil)
+	f.SetTraits(map[string]Traits{"llm": {Pace: coldstart.Pace{PerSecond: 10, MaxPerSecond: 20, Duration: 3 * time.Second}}})
+	return f
+}
+
+// A zone that is taken back has cold servers before their records say so. An entry that
+// is alone sends each of them its rate, not a burst.
+func TestReturnedZoneIsCold(t *testing.T) {
+	c := qt.New(t)
+	f := coldFleet()
+	f.SetEvacuated("a", true, start)
+	f.SetEvacuated("a", false, start)
+	onlyA := query()
+	onlyA.Regions = eligibility.OnlyIn([]string{"ra"})
+	sent := 0
+	for at := time.Duration(0); at < time.Second; at += 10 * time.Millisecond {
+		choice, miss := f.Choose(start.Add(at), onlyA)
+		if miss == Found {
+			sent++
+			f.Done(start.Add(at), choice.Handle, Succeeded)
+			continue
+		}
+		c.Assert(miss, qt.Equals, AllCold)
+		c.Assert(choice.PauseEndsIn > 0, qt.IsTrue)
+	}
+	c.Assert(sent >= 8 && sent <= 11, qt.IsTrue, qt.Commentf("%d requests in the first second", sent))
+	c.Assert(zonesOf(f, onlyA, 20, start.Add(3*time.Second)), qt.DeepEquals, map[string]int{"a": 20})
+}
+
+// Records of cold servers count only for services with a limit; other servers are used
+// as before.
+func TestColdRecordWithoutALimit(t *testing.T) {
+	c := qt.New(t)
+	f := zonedEngines(nil)
+	c.Assert(f.RecordCold("e0", 3*time.Second, start), qt.IsFalse)
+	c.Assert(f.HasCold(start), qt.IsFalse)
+	f = coldFleet()
+	c.Assert(f.RecordCold("e0", 3*time.Second, start), qt.IsTrue)
+	c.Assert(f.RecordCold("unknown", 3*time.Second, start), qt.IsFalse)
+	c.Assert(f.HasCold(start), qt.IsTrue)
+}
+
+// An engine crashes if its requests exceed its memory. A request that would overfill it
+// goes elsewhere, and one that fits no engine is refused at once.
+func TestEngineMemoryIsNotOverfilled(t *testing.T) {
+	c := qt.New(t)
+	f := zonedEngines(func(cfg *Config) { cfg.CheckMemory = true })
+	f.SetTraits(map[string]Traits{"llm": {MemoryTokens: 1000}})
+	q := query()
+	q.Tokens = 1001
+	_, miss := f.Choose(start, q)
+	c.Assert(miss, qt.Equals, TooLarge)
+	q.Tokens = 400
+	held := map[string]float64{}
+	var choices []Choice
+	for range 6 {
+		choice, miss := f.Choose(start, q)
+		c.Assert(miss, qt.Equals, Found)
+		held[choice.Server.ID] += q.Tokens
+		choices = append(choices, choice)
+	}
+	for id, tokens := range held {
+		c.Check(tokens <= 1000, qt.IsTrue, qt.Commentf("%s holds %v tokens", id, tokens))
+	}
+	_, miss = f.Choose(start, q)
+	c.Assert(miss, qt.Equals, AllFull)
+	f.Done(start, choices[0].Handle, Succeeded)
+	choice, miss := f.Choose(start, q)
+	c.Assert(miss, qt.Equals, Found)
+	c.Assert(choice.Server.ID, qt.Equals, choices[0].Server.ID)
+	// Requests of other entries count at the mean size of this entry's.
+	f.Report(report(1, 3), start.Add(time.Millisecond))
+	f.Report(report(2, 3), start.Add(time.Millisecond))
+	_, miss = f.Choose(start.Add(time.Millisecond), q)
+	c.Assert(miss, qt.Equals, AllFull)
+}
+
+// A deployment that configures none of these parts must be served as before: the same
+// server for each request. The digest is that of the code before the parts were added.
+func TestPlainDeploymentsDecideAsBefore(t *testing.T) {
+	c := qt.New(t)
+	c.Assert(plainDecisions(), qt.Equals, uint64(872181139882414266))
+}
+
+// plainDecisions returns a digest of the decisions of an entry over three seconds with
+// reports, failures and refusals.
+func plainDecisions() uint64 {
+	f, published := engines(30)
+	published.RecordJustPublished("m", 1, start)
+	digest := fnv.New64a()
+	var open []Choice
+	for step := range 3000 {
+		now := start.Add(time.Duration(step) * time.Millisecond)
+		if step%7 == 0 {
+			f.Report(report(step%30, (step*13)%20), now)
+		}
+		choice, miss := f.Choose(now, Query{Service: "llm", Model: "m", SpareCapacityOnly: step%5 == 0})
+		fmt.Fprintln(digest, choice.Server.ID, miss, choice.Load)
+		if miss == Found {
+			open = append(open, choice)
+		}
+		if len(open) > 300 {
+			f.Done(now, open[0].Handle, []Outcome{Succeeded, Succeeded, Succeeded, Shed, Unreachable, Broken}[step%6])
+			open = open[1:]
+		}
+	}
+	return digest.Sum64()
+}
--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/laburnumloft/laburnumloft/core/backpressure"
+	"github.com/laburnumloft/laburnumloft/core/eligibility"
 )
 
 // Server is the registry's record of one backend server.
@@ -29,6 +30,9 @@
 	// Born is the start time of the server instance in Unix milliseconds; 0
 	// means unknown. It is only compared with other values for the same server.
 	Born int64
+	// ColdRemaining is how much longer the server, which has just started, bears only
+	// a low rate of requests, as of the record; 0 if it is warm or not known.
+	ColdRemaining time.Duration `json:",omitempty"`
 }
 
 // Instance identifies the instance that the record describes.
@@ -112,6 +116,10 @@
 	MaxSetAsideShare float64
 	// Backpressure holds what servers in need said; nil if that is not tracked.
 	Backpressure *backpressure.Tracker
+	// Regions are the regions of the availability zones.
+	Regions map[string]string
+	// CheckMemory excludes engines whose memory a request would overfill.
+	CheckMemory bool
 }
 
 // DefaultConfig returns the default configuration of an entry in a zone.
@@ -148,6 +156,14 @@
 	// when the registry's record changes.
 	misdirected bool
 	removed     bool
+
+	// region is the region of the server's availability zone; empty if unknown.
+	region string
+	// evacuated means that the operator empties the availability zone.
+	evacuated bool
+	cold      coldState
+	// inFlightTokens estimates what this entry's requests hold of the memory.
+	inFlightTokens float64
 }
 
 // Fleet holds the servers of all services.
@@ -168,6 +184,17 @@
 	pauseEndsAt time.Time
 	// published gives the lowest weight version at which a request may begin.
 	published *PublishedVersions
+	// traits are what the configuration says about the servers of each service.
+	traits map[string]Traits
+	// evacuated are the availability zones that the operator empties.
+	evacuated map[string]bool
+	entries   entriesView
+	// exclusions counts the servers that the current decision excluded, by reason.
+	exclusions eligibility.Exclusions
+	// facts is reused by all decisions.
+	facts eligibility.Server
+	// meanTokens is the mean size of this entry's requests by service.
+	meanTokens map[string]float64
 }
 
 type timedReport struct {
@@ -182,6 +209,7 @@
 		cfg: cfg, published: published, rng: rand.New(rand.NewPCG(seed, seed^0x9e3779b97f4a7c15)),
 		members: map[string]*member{}, services: map[string][]*member{},
 		byAddress: map[string]*member{}, reports: map[string]timedReport{},
+		traits: map[string]Traits{}, evacuated: map[string]bool{}, meanTokens: map[string]float64{},
 	}
 }
 
@@ -206,6 +234,7 @@
 	}
 	m.server = s
 	m.misdirected = false
+	m.region, m.evacuated = f.cfg.Regions[s.Zone], f.evacuated[s.Zone]
 	f.byAddress[s.Address] = m
 	return true
 }
@@ -282,10 +311,18 @@
 	// SpareCapacityOnly restricts the request to capacity that would be idle,
 	// for example because its target has already passed.
 	SpareCapacityOnly bool
+	// Regions are the regions in which the request may be served.
+	Regions eligibility.Regions
+	// Tokens estimates what the request will hold of an engine's memory; 0 means
+	// unknown.
+	Tokens float64
 }
 
 // Handle identifies a chosen server until Done is called with it.
-type Handle struct{ member *member }
+type Handle struct {
+	member *member
+	tokens float64
+}
 
 // Choice is a chosen server.
 type Choice struct {
@@ -310,9 +347,13 @@
 	// for the miss Limited.
 	AvailableIn time.Duration
 	// PauseEndsIn is, after a miss, the time until the first pause of a server after a
-	// refusal or a failure ends; 0 if none does. It leaves out servers with fresh
-	// reports: the next report tells whether they have room.
+	// refusal or a failure ends, or until a cold server may get the next request; 0 if
+	// none does. It leaves out servers that are paused and have fresh reports: the next
+	// report tells whether they have room.
 	PauseEndsIn time.Duration
+	// Exclusions counts, after a miss, the servers of the service by the reason that
+	// excluded them.
+	Exclusions eligibility.Exclusions
 }
 
 // Miss is the reason why no server was chosen.
@@ -327,6 +368,13 @@
 	// Limited means that the servers that could serve the request limit their rate
 	// or want no requests from this entry for a while.
 	Limited Miss = "servers_limited"
+	// NoHome means that no server stands in a region in which the request may be served.
+	NoHome Miss = "no_home"
+	// AllCold means that the servers that could serve the request have just started and
+	// get no more from this entry for a moment.
+	AllCold Miss = "servers_cold"
+	// TooLarge means that the request does not fit into the memory of any engine.
+	TooLarge Miss = "request_too_large"
 )
 
 // Choose chooses a server and counts the request as in flight there.
@@ -338,18 +386,31 @@
 // send their requests to one engine between two reports.
 func (f *Fleet) Choose(now time.Time, q Query) (Choice, Miss) {
 	f.availableAt, f.pauseEndsAt = time.Time{}, time.Time{}
-	m, miss := f.sample(q, f.minVersion(q, now), now)
+	f.exclusions = eligibility.Exclusions{}
+	if f.isTooLarge(&q) {
+		return Choice{}, TooLarge
+	}
+	r := f.requirements(&q, now)
+	m, miss := f.sample(&q, &r, now)
 	if m == nil {
-		return Choice{AvailableIn: max(0, f.availableAt.Sub(now)), PauseEndsIn: max(0, f.pauseEndsAt.Sub(now))}, miss
+		return Choice{
+			AvailableIn: max(0, f.availableAt.Sub(now)), PauseEndsIn: max(0, f.pauseEndsAt.Sub(now)),
+			Exclusions: f.exclusions,
+		}, miss
 	}
 	load := f.estimatedLoad(m, now)
 	m.inFlight++
 	m.sentSinceReport++
+	if f.cfg.CheckMemory && q.Tokens > 0 {
+		m.inFlightTokens += q.Tokens
+		f.recordTokens(q.Service, q.Tokens)
+	}
+	m.cold.take(now)
 	age := time.Duration(-1)
 	if !m.reportedAt.IsZero() {
 		age = now.Sub(m.reportedAt)
 	}
-	choice := Choice{Handle: Handle{m}, Server: m.server, Version: f.weightVersion(m), Load: load, ReportAge: age}
+	choice := Choice{Handle: Handle{m, q.Tokens}, Server: m.server, Version: f.weightVersion(m), Load: load, ReportAge: age}
 	if f.tracksBackpressure() {
 		permit, taken := f.cfg.Backpressure.TakePermit(m.server.Instance(), now)
 		choice.Permit, choice.NeedsPermit = permit, !taken
@@ -362,32 +423,20 @@
 
 // CanServe reports whether a server may receive a request now.
 func (f *Fleet) CanServe(now time.Time, q Query) bool {
-	minVersion := f.minVersion(q, now)
+	r := f.requirements(&q, now)
 	return slices.ContainsFunc(f.services[q.Service], func(m *member) bool {
-		return f.checkEligible(m, q, minVersion, now) == Found
+		return f.exclusion(m, &q, &r, now) == eligibility.Eligible
 	})
 }
 
-// minVersion returns the lowest weight version that a request accepts.
-func (f *Fleet) minVersion(q Query, now time.Time) int64 {
-	if q.Model == "" {
-		return 0
-	}
-	return f.published.MinVersion(q.Model, now)
-}
-
 // maxSamples is the number of random servers that are checked for two eligible
 // ones before all servers are checked. While most servers of a large service
 // have free slots, a decision checks two or three of them.
 const maxSamples = 8
 
-// missRank orders the misses of several servers: the one with the highest rank
-// describes them best, because its cause passes first.
-var missRank = map[Miss]int{NoServer: 0, Limited: 1, NoWeights: 2, AllFull: 3}
-
 // sample returns the server with the lower cost of two eligible ones chosen at
 // random, or the reason why no server is eligible.
-func (f *Fleet) sample(q Query, minVersion int64, now time.Time) (*member, Miss) {
+func (f *Fleet) sample(q *Query, r *eligibility.Request, now time.Time) (*member, Miss) {
 	members := f.services[q.Service]
 	var first *member
 	for range maxSamples {
@@ -395,7 +444,7 @@
 			break
 		}
 		m := members[f.rng.IntN(len(members))]
-		if m == first || f.checkEligible(m, q, minVersion, now) != Found {
+		if m == first || f.exclusion(m, q, r, now) != eligibility.Eligible {
 			continue
 		}
 		if first != nil {
@@ -405,14 +454,14 @@
 	}
 	eligible, miss := f.eligible[:0], NoServer
 	for _, m := range members {
-		switch reason := f.checkEligible(m, q, minVersion, now); reason {
-		case Found:
+		reason := f.exclusion(m, q, r, now)
+		if reason == eligibility.Eligible {
 			eligible = append(eligible, m)
-		case NoServer:
-		default:
-			if missRank[reason] > missRank[miss] {
-				miss = reason
-			}
+			continue
+		}
+		f.exclusions[reason]++
+		if other := missFor(reason); other.rank() > miss.rank() {
+			miss = other
 		}
 	}
 	f.eligible = eligible
@@ -429,57 +478,10 @@
 	return f.lowerCost(eligible[i], eligible[j], now), Found
 }
 
-// checkEligible returns Found if a server may receive a request, or the reason
-// why not. minVersion is the lowest weight version that the request accepts.
-func (f *Fleet) checkEligible(m *member, q Query, minVersion int64, now time.Time) Miss {
-	if m.server.Draining || m.misdirected || slices.Contains(q.Tried, m.server.ID) {
-		return NoServer
-	}
-	freshReport := f.hasFreshReport(m, now)
-	if freshReport && (m.report.Down || m.restarted()) {
-		return NoServer
-	}
-	if now.Before(m.excludedUntil) {
-		if !freshReport && (f.pauseEndsAt.IsZero() || m.excludedUntil.Before(f.pauseEndsAt)) {
-			f.pauseEndsAt = m.excludedUntil
-		}
-		return NoServer
-	}
-	if q.Model != "" {
-		version := f.weightVersion(m)
-		if version == 0 || version < minVersion || freshReport && m.report.Loading {
-			return NoWeights
-		}
-		if f.estimatedLoad(m, now) >= f.maxLoad(m, q) {
-			return AllFull
-		}
-	}
-	return f.checkBackpressure(m, now)
-}
-
 func (f *Fleet) tracksBackpressure() bool {
 	return f.cfg.Backpressure != nil && f.cfg.Backpressure.Len() > 0
 }
 
-// checkBackpressure is the part of checkEligible on what the server said itself.
-func (f *Fleet) checkBackpressure(m *member, now time.Time) Miss {
-	if !f.tracksBackpressure() {
-		return Found
-	}
-	standing, until := f.cfg.Backpressure.Standing(m.server.Instance(), now)
-	switch standing {
-	case backpressure.Leaving:
-		return NoServer
-	case backpressure.Paused:
-		if f.availableAt.IsZero() || until.Before(f.availableAt) {
-			f.availableAt = until
-		}
-		return Limited
-	default:
-		return Found
-	}
-}
-
 // restarted reports whether the agent's report is of a later server instance
 // than the registry's record. The new instance answers under another id, so
 // every request would be misdirected until the registry is updated (three times
@@ -489,7 +491,7 @@
 }
 
 // maxLoad returns the load from which a server is full for a request.
-func (f *Fleet) maxLoad(m *member, q Query) float64 {
+func (f *Fleet) maxLoad(m *member, q *Query) float64 {
 	slots := float64(max(m.server.Slots, 1))
 	if q.SpareCapacityOnly {
 		return slots - 1
@@ -547,6 +549,9 @@
 	}
 	m.inFlight--
 	m.doneSinceReport++
+	if f.cfg.CheckMemory {
+		m.inFlightTokens = max(0, m.inFlightTokens-h.tokens)
+	}
 	switch outcome {
 	case Succeeded:
 		m.consecutiveFailures, m.setAsideDuration = 0, 0
--- a/core/placement/wait.go
+++ b/core/placement/wait.go
@@ -29,6 +29,10 @@
 // to load. A second refusal would be final, although there is still time for a
 // late answer.
 func MaxWait(miss Miss, late bool, target, remaining time.Duration) time.Duration {
+	if miss == NoHome || miss == TooLarge {
+		// Nothing that passes soon keeps the request from its servers.
+		return 0
+	}
 	if miss == NoWeights && late && remaining >= 2*weightsLoadWait {
 		return weightsLoadWait
 	}
--- a/core/route/route.go
+++ b/core/route/route.go
@@ -13,6 +13,8 @@
 	"sort"
 	"strings"
 	"time"
+
+	"github.com/laburnumloft/laburnumloft/core/eligibility"
 )
 
 // Kind determines whether a request may be retried after it may have run.
@@ -52,6 +54,8 @@
 	Resumable bool
 	// Shares are the services of the route with their weights.
 	Shares []Share
+	// Homes are the regions in which requests may be served; none means all.
+	Homes []string `json:",omitempty"`
 }
 
 // Share is the weight of one service on a route.
@@ -108,6 +112,8 @@
 	Models []string
 	// ReportLag is the age of a load report when it is published.
 	ReportLag time.Duration
+	// MemoryTokens is how many tokens of requests one engine holds; 0 means unknown.
+	MemoryTokens int `json:",omitempty"`
 }
 
 // Service is a group of backend servers or the origin server of weights.
@@ -124,6 +130,11 @@
 	// OriginMbps is the bandwidth of the origin server's link in Mbit/s; 0 means
 	// unknown.
 	OriginMbps float64
+	// ColdPerSecond is the rate of requests, in requests per second of all entries
+	// together, that a backend server bears for ColdStart after its start; 0 means
+	// that it is not limited.
+	ColdPerSecond float64       `json:",omitempty"`
+	ColdStart     time.Duration `json:",omitempty"`
 }
 
 // ModelFor returns the model that must be loaded for a request with the given
@@ -145,6 +156,9 @@
 	Keys []string
 	// Priority overrides the priority of the route; nil means not set.
 	Priority *int
+	// Homes are the regions in which the workspace's requests may be served; none
+	// means all.
+	Homes []string `json:",omitempty"`
 }
 
 // Limits holds the limits on what a caller may send.
@@ -172,6 +186,9 @@
 	routesByHost    map[string][]hostRoute
 	workspacesByKey map[string]*Workspace
 	servicesByName  map[string]*Service
+	// directoryRegions are, by host, the regions whose entries the directory may name
+	// beside those of the caller's region; hosts without homes are missing.
+	directoryRegions map[string]eligibility.Regions
 }
 
 // hostRoute is a route with its prefix in the form in which paths are compared.
@@ -200,6 +217,7 @@
 	for i := range t.cfg.Services {
 		t.servicesByName[t.cfg.Services[i].Name] = &t.cfg.Services[i]
 	}
+	t.indexHomes()
 	return t
 }
 
--- a/core/route/route_test.go
+++ b/core/route/route_test.go
@@ -82,3 +82,31 @@
 	c.Assert((&Route{Kind: Stream, Resumable: true}).Retryable(), qt.IsTrue)
 	c.Assert((&Route{Kind: Safe}).Retryable(), qt.IsTrue)
 }
+
+// The directory must name no entry outside the homes of a host's routes. It knows the
+// host alone, so that routes with different homes leave what all of them allow.
+func TestDirectoryRegions(t *testing.T) {
+	c := qt.New(t)
+	table := NewTable(Configuration{Routes: []Route{
+		{Host: "one.example", Prefix: "/a/", Homes: []string{"north"}},
+		{Host: "one.example", Prefix: "/b/"},
+		{Host: "two.example", Prefix: "/a/", Homes: []string{"north", "east"}},
+		{Host: "two.example", Prefix: "/b/", Homes: []string{"east"}},
+		{Host: "split.example", Prefix: "/a/", Homes: []string{"north"}},
+		{Host: "split.example", Prefix: "/b/", Homes: []string{"east"}},
+		{Host: "free.example", Prefix: "/a/"},
+	}})
+	for host, want := range map[string][]string{
+		"one.example": {"north"}, "ONE.example:80": {"north"}, "two.example": {"east"}, "split.example": {"north", "east"},
+		"free.example": {"north", "east", "south"}, "other.example": {"north", "east", "south"},
+	} {
+		regions := table.DirectoryRegions(host)
+		var allowed []string
+		for _, region := range []string{"north", "east", "south"} {
+			if regions.Allows(region) {
+				allowed = append(allowed, region)
+			}
+		}
+		c.Check(allowed, qt.DeepEquals, want, qt.Commentf(host))
+	}
+}
--- a/node/configsync/client.go
+++ b/node/configsync/client.go
@@ -13,7 +13,6 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/laburnumloft/laburnumloft/core/relay"
-	"github.com/laburnumloft/laburnumloft/core/route"
 	"github.com/laburnumloft/laburnumloft/node/lib/inquiry"
 	"github.com/laburnumloft/laburnumloft/node/mesh"
 )
@@ -102,8 +101,12 @@
 // fetchConfiguration fetches a configuration that is newer than the current version from
 // one of the entries, and applies it. It reports whether there was one.
 func (s *Syncer) fetchConfiguration(ctx context.Context, addresses []string, current int64) bool {
-	cfg, from, ok := askEntries[route.Configuration](ctx, s, "configuration", addresses, ConfigurationPath, configurationQuery{current})
-	return ok && s.cfg.Gateway.Configure(cfg, "entry "+from)
+	answer, from, ok := askEntries[configurationAnswer](ctx, s, "configuration", addresses, ConfigurationPath, configurationQuery{current})
+	if !ok {
+		return false
+	}
+	s.cfg.Gateway.AdoptEvacuations(answer.Evacuations, "entry")
+	return s.cfg.Gateway.Configure(answer.Configuration, "entry "+from)
 }
 
 // fetchWeights fetches and applies the published weight versions of one of the entries,
--- a/node/configsync/serve.go
+++ b/node/configsync/serve.go
@@ -5,9 +5,11 @@
 	"compress/gzip"
 	"encoding/json"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
+	"github.com/laburnumloft/laburnumloft/core/evacuation"
 	"github.com/laburnumloft/laburnumloft/core/route"
 	"github.com/laburnumloft/laburnumloft/node/gateway"
 	"github.com/laburnumloft/laburnumloft/node/mesh"
@@ -37,10 +39,18 @@
 	Weights  PublishedWeights `json:"weights"`
 }
 
-// compressedConfiguration is the compressed configuration of one version.
+// configurationAnswer is what an entry answers to a request for a configuration. One
+// that starts must know which availability zones are evacuated before it is ready.
+type configurationAnswer struct {
+	route.Configuration
+	Evacuations []evacuation.Notice `json:",omitempty"`
+}
+
+// compressedConfiguration is the compressed answer with the configuration of one version.
 type compressedConfiguration struct {
-	version int64
-	bytes   []byte
+	version     int64
+	evacuations []evacuation.Notice
+	bytes       []byte
 }
 
 // Handler serves the requests of the system's other processes.
@@ -87,9 +97,10 @@
 // compressed size is a tenth of the original; uncompressed, a large configuration would
 // occupy the link of a small VM for a second.
 func (s *Syncer) compress(table *route.Table) ([]byte, error) {
+	evacuations := s.cfg.Gateway.Evacuations()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.compressed.version == table.Version() {
+	if s.compressed.version == table.Version() && slices.Equal(s.compressed.evacuations, evacuations) {
 		return s.compressed.bytes, nil
 	}
 	var b bytes.Buffer
@@ -97,13 +108,13 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := json.NewEncoder(z).Encode(table.Configuration()); err != nil {
+	if err := json.NewEncoder(z).Encode(configurationAnswer{table.Configuration(), evacuations}); err != nil {
 		return nil, err
 	}
 	if err := z.Close(); err != nil {
 		return nil, err
 	}
-	s.compressed = compressedConfiguration{table.Version(), b.Bytes()}
+	s.compressed = compressedConfiguration{table.Version(), evacuations, b.Bytes()}
 	return s.compressed.bytes, nil
 }
 
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/laburnumloft/laburnumloft/core/backpressure"
+	"github.com/laburnumloft/laburnumloft/core/evacuation"
 	"github.com/laburnumloft/laburnumloft/core/limits"
 	"github.com/laburnumloft/laburnumloft/core/placement"
 	"github.com/laburnumloft/laburnumloft/core/prompt"
@@ -37,6 +38,7 @@
 	// Model is empty for plain services.
 	Model string
 	// PromptTokens and OutputTokens are the request's size; 0 if unknown.
+	// OutputTokens is the largest number that the answer may have.
 	PromptTokens, OutputTokens int
 	// PromptParts lists the parts of the prompt that other requests may share.
 	PromptParts []prompt.Part
@@ -108,7 +110,17 @@
 	// AskPermits sends a request for permits to an entry. The reply, which may be
 	// lost, arrives with HandlePermitReply; may be nil.
 	AskPermits func(coordinator string, r backpressure.PermitRequest)
-	Seed       uint64
+	// Regions are the regions of the availability zones.
+	Regions map[string]string
+	// ColdOverage and ColdSlack limit what a server that has just started may get in any
+	// second: overage x its rate + slack requests.
+	ColdOverage, ColdSlack float64
+	// CheckEngineMemory excludes engines whose memory a request would overfill.
+	CheckEngineMemory bool
+	// OnEvacuations tells the other entries which availability zones the operator has
+	// begun or ceased to empty; may be nil.
+	OnEvacuations func([]evacuation.Notice)
+	Seed          uint64
 }
 
 // entriesRetryShare is the share of the common retry budget that the entries use.
@@ -151,6 +163,9 @@
 	pendingAsks map[uint64]chan struct{}
 	// limitedWaiting counts the requests that wait for a limited server, by service.
 	limitedWaiting map[string]int
+	evacuations    *evacuation.Zones
+	// entriesViewAt is when the fleet last got the view of the entries.
+	entriesViewAt time.Time
 }
 
 // New returns a gateway without a configuration.
@@ -164,6 +179,8 @@
 	g.pressure, g.pendingAsks, g.limitedWaiting = backpressure.NewTracker(), map[uint64]chan struct{}{}, map[string]int{}
 	placementConfig := placement.DefaultConfig(cfg.Zone)
 	placementConfig.Backpressure = g.pressure
+	placementConfig.Regions, placementConfig.CheckMemory = cfg.Regions, cfg.CheckEngineMemory
+	g.evacuations = evacuation.NewZones()
 	g.fleet = placement.NewFleet(placementConfig, g.published, cfg.Seed)
 	g.setEntryCount(initialEntryCount)
 	return g
@@ -178,8 +195,10 @@
 			return false
 		}
 		if g.table.CompareAndSwap(old, route.NewTable(cfg)) {
+			g.applyTraits()
 			g.cfg.Log.Event("configuration_taken", "version", cfg.Version, "store_era", cfg.StoreEra, "source", source,
 				"routes", len(cfg.Routes), "workspaces", len(cfg.Workspaces))
+			g.logUnknownHomes(cfg)
 			return true
 		}
 	}
@@ -202,11 +221,15 @@
 func (g *Gateway) PutServer(s placement.Server) bool {
 	g.mu.Lock()
 	changed := g.fleet.Put(s)
+	cold := changed && s.ColdRemaining > 0 && g.fleet.RecordCold(s.ID, s.ColdRemaining, bootclock.Now())
 	g.notifyWaiters()
 	g.mu.Unlock()
+	if cold {
+		g.setEntriesView()
+	}
 	if changed {
-		g.cfg.Log.Event("server_taken", "server", s.ID, "service", s.Service, "address", s.Address,
-			"draining", s.Draining, "weights", s.WeightVersion, "born", s.Born)
+		g.cfg.Log.Event("server_taken", "server", s.ID, "service", s.Service, "address", s.Address, "zone", s.Zone,
+			"draining", s.Draining, "weights", s.WeightVersion, "born", s.Born, "cold_ms", s.ColdRemaining.Milliseconds())
 	}
 	return changed
 }
--- a/node/gateway/handler.go
+++ b/node/gateway/handler.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"time"
 
+	"github.com/laburnumloft/laburnumloft/core/eligibility"
 	"github.com/laburnumloft/laburnumloft/core/prompt"
 	"github.com/laburnumloft/laburnumloft/core/quarantine"
 	"github.com/laburnumloft/laburnumloft/core/route"
@@ -40,6 +41,13 @@
 	// ReasonConfigurationMissing means that the active configuration doesn't allow the
 	// request, but that another entry has a newer one.
 	ReasonConfigurationMissing Reason = "configuration_missing"
+	// ReasonNoHome means that no server stands in a region that the route and the
+	// workspace allow.
+	ReasonNoHome Reason = "no_home"
+	// ReasonCold means that the servers have just started and bear only a low rate.
+	ReasonCold Reason = "servers_cold"
+	// ReasonTooLarge means that the request fits into the memory of no engine.
+	ReasonTooLarge Reason = "request_too_large"
 	// ReasonQuarantined means that a part of the prompt crashes engines.
 	ReasonQuarantined Reason = "prompt_quarantined"
 )
@@ -81,6 +89,12 @@
 	// availableIn is the time until a limited server may take a request, if that
 	// ended the request.
 	availableIn time.Duration
+	// regions are those in which the request may be served.
+	regions eligibility.Regions
+	// tokens estimates what the request holds of an engine's memory.
+	tokens float64
+	// exclusions counts the servers that the last decision excluded.
+	exclusions eligibility.Exclusions
 }
 
 // ServeHTTP implements http.Handler for callers' requests.
@@ -157,6 +171,8 @@
 		return req, ReasonNoService
 	}
 	req.model = service.ModelFor(req.call.Model)
+	req.regions = route.Regions(req.route, workspace)
+	req.tokens = float64(max(req.call.PromptTokens, 0) + max(req.call.OutputTokens, 0))
 	req.setDeadline()
 	if plan := g.stopPlan.Load(); plan != nil && !plan.Takes(req.start, req.deadline) {
 		return req, ReasonStopping
@@ -245,6 +261,10 @@
 	if reason == ReasonLimited {
 		args = append(args, "limited_servers", g.limitedServers(req.service), "available_ms", req.availableIn.Milliseconds())
 	}
+	if excluded := req.exclusions.String(); excluded != "" {
+		recordExclusions(req.exclusions)
+		args = append(args, "excluded", excluded)
+	}
 	if status == http.StatusServiceUnavailable {
 		after := g.retryAfter(req, reason)
 		args = append(args, "retry_after_ms", after.Milliseconds())
--- a/node/gateway/place.go
+++ b/node/gateway/place.go
@@ -31,12 +31,13 @@
 			req.verdict = verdict
 			return placement.Choice{}, ReasonQuarantined
 		}
+		now := bootclock.Now()
+		g.updateEntriesView(now)
 		g.mu.Lock()
-		choice, miss := g.fleet.Choose(bootclock.Now(), placement.Query{
-			Service: req.service, Model: req.model, Tried: req.tried, SpareCapacityOnly: req.pastTarget,
-		})
+		choice, miss := g.fleet.Choose(now, req.query())
 		changed := g.changed
 		g.mu.Unlock()
+		req.exclusions = choice.Exclusions
 		if miss == placement.Found && choice.NeedsPermit {
 			permit, ok := g.acquirePermit(ctx, choice.Server.Instance())
 			if !ok {
@@ -80,6 +81,13 @@
 	}
 }
 
+// query returns what the request asks of a server.
+func (r *request) query() placement.Query {
+	return placement.Query{
+		Service: r.service, Model: r.model, Tried: r.tried, SpareCapacityOnly: r.pastTarget, Regions: r.regions, Tokens: r.tokens,
+	}
+}
+
 // joinLimitedQueue counts a request that waits for a limited server, and returns how
 // long the requests that wait already will take.
 func (g *Gateway) joinLimitedQueue(service string) time.Duration {
@@ -104,13 +112,20 @@
 }
 
 func missReason(miss placement.Miss, req *request) Reason {
-	switch {
-	case len(req.tried) > 0:
+	if len(req.tried) > 0 {
 		return ReasonRefusedByAll
-	case miss == placement.AllFull:
+	}
+	switch miss {
+	case placement.AllFull:
 		return ReasonAllFull
-	case miss == placement.NoWeights:
+	case placement.NoWeights:
 		return ReasonNoWeights
+	case placement.NoHome:
+		return ReasonNoHome
+	case placement.AllCold:
+		return ReasonCold
+	case placement.TooLarge:
+		return ReasonTooLarge
 	default:
 		return ReasonNoServer
 	}
--- a/node/gateway/retryafter.go
+++ b/node/gateway/retryafter.go
@@ -24,7 +24,7 @@
 func (g *Gateway) retryAfter(req *request, reason Reason) time.Duration {
 	mean := shortRetryAfter
 	switch reason {
-	case ReasonAllFull, ReasonRefusedByAll:
+	case ReasonAllFull, ReasonRefusedByAll, ReasonCold, ReasonNoHome:
 		mean = fullRetryAfter
 	case ReasonLimited:
 		return g.limitedReturn(req, req.availableIn)
--- a/node/keyedlog/follower.go
+++ b/node/keyedlog/follower.go
@@ -53,8 +53,9 @@
 	// EraEnded means that the snapshot was read because the era of the records read
 	// before has ended. It may hold older records than those.
 	EraEnded bool
-	// Era is the era of the records.
+	// Era is the era of the records, and End the offset after them.
 	Era storeera.Era
+	End int64
 	// MaxAge is the maximum time for which records that were not read before had been
 	// in the log when the call returned. It is 0 for a read that waited, because such
 	// a read gets a record at once; otherwise the records may have been appended
@@ -175,7 +176,7 @@
 	}
 	f.position = next
 	if len(records) > 0 {
-		f.cfg.OnRecords(Batch{Records: records, MaxAge: f.maxAge(start), Era: next.Era})
+		f.cfg.OnRecords(Batch{Records: records, MaxAge: f.maxAge(start), Era: next.Era, End: next.Offset})
 	}
 	return nil
 }
@@ -188,7 +189,7 @@
 	if err != nil {
 		return err
 	}
-	batch := Batch{Records: records, Snapshot: true, Era: end.Era, EraEnded: f.eraEnded}
+	batch := Batch{Records: records, Snapshot: true, Era: end.Era, End: end.Offset, EraEnded: f.eraEnded}
 	if f.eraEnded {
 		batch.MaxAge = f.maxAge(start)
 		f.cfg.Log.Event("feed_read_anew", "feed", f.cfg.Name, "era", end.Era.String(), "offset", end.Offset, "records", len(records))
--- a/node/mesh/datagram.go
+++ b/node/mesh/datagram.go
@@ -14,6 +14,7 @@
 	"slices"
 
 	"github.com/laburnumloft/laburnumloft/core/backpressure"
+	"github.com/laburnumloft/laburnumloft/core/evacuation"
 	"github.com/laburnumloft/laburnumloft/core/placement"
 	"github.com/laburnumloft/laburnumloft/core/quarantine"
 )
@@ -30,6 +31,7 @@
 	kindServerNotices    = 8
 	kindPermitRequest    = 9
 	kindPermitReply      = 10
+	kindEvacuations      = 11
 )
 
 // paceScale is the factor that turns the pace into an integer on the wire, and maxPace
@@ -125,6 +127,11 @@
 	Notices []backpressure.Notice `json:"notices"`
 }
 
+// Evacuations tells which availability zones the operator empties.
+type Evacuations struct {
+	Notices []evacuation.Notice `json:"notices"`
+}
+
 // PermitRequest asks an entry for permits for a limited server.
 type PermitRequest struct {
 	// Member is the hash of the sender's id.
@@ -353,7 +360,7 @@
 
 // Decode decodes a datagram to a *Hello, a *placement.Report, a *HeldPieces, a
 // *Member, a *PublishedVersion, a *Bundle, a *CrashNotice, a *ServerNotices, a
-// *PermitRequest or a *backpressure.PermitReply.
+// *PermitRequest, a *backpressure.PermitReply or an *Evacuations.
 func Decode(b []byte) (any, error) {
 	if len(b) == 0 {
 		return nil, ErrMalformedDatagram
@@ -389,6 +396,8 @@
 		return decodeJSON[PermitRequest](b)
 	case kindPermitReply:
 		return decodeJSON[backpressure.PermitReply](b)
+	case kindEvacuations:
+		return decodeJSON[Evacuations](b)
 	default:
 		return nil, ErrMalformedDatagram
 	}
--- a/node/mesh/mesh.go
+++ b/node/mesh/mesh.go
@@ -14,6 +14,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/laburnumloft/laburnumloft/core/backpressure"
+	"github.com/laburnumloft/laburnumloft/core/evacuation"
 	"github.com/laburnumloft/laburnumloft/core/placement"
 	"github.com/laburnumloft/laburnumloft/core/relay"
 	"github.com/laburnumloft/laburnumloft/node/decision"
@@ -76,6 +77,8 @@
 	OnServerNotices func([]backpressure.Notice)
 	OnPermitRequest func(backpressure.PermitRequest) backpressure.PermitReply
 	OnPermitReply   func(backpressure.PermitReply)
+	// OnEvacuations handles notices of another entry on availability zones; entries only.
+	OnEvacuations func([]evacuation.Notice)
 	// OnEntryJoined is called with an entry that has just announced itself; may be nil.
 	OnEntryJoined func(Member)
 	// Status returns the content of the next hello; entries only.
@@ -259,6 +262,10 @@
 		if m.cfg.OnPermitReply != nil {
 			m.cfg.OnPermitReply(*d)
 		}
+	case *Evacuations:
+		if m.cfg.OnEvacuations != nil {
+			m.cfg.OnEvacuations(d.Notices)
+		}
 	case *Member:
 		m.Put(*d)
 		if d.Role == Entry && m.cfg.OnEntryJoined != nil {
@@ -399,6 +406,17 @@
 	return nil
 }
 
+// SendEvacuations sends notices on availability zones to all other entries, or to limit
+// of them chosen at random; limit 0 means all.
+func (m *Mesh) SendEvacuations(notices []evacuation.Notice, limit int) error {
+	b, err := encodeJSON(kindEvacuations, Evacuations{notices})
+	if err != nil {
+		return err
+	}
+	m.sendToSome(b, limit, func(o Member) bool { return o.Role == Entry })
+	return nil
+}
+
 // SendPermitRequest asks an entry for permits.
 func (m *Mesh) SendPermitRequest(entryID string, r backpressure.PermitRequest) error {
 	b, err := encodeJSON(kindPermitRequest, PermitRequest{Member: MemberHash(m.cfg.Self.ID), PermitRequest: r})
