--- a/bench/fleet/fleet_test.go
+++ b/bench/fleet/fleet_test.go
@@ -40,6 +40,8 @@
 	// their target, which is so long that no attempt is cut for lack of progress.
 	usualHoldTimeout = 6 * time.Second
 	holdTarget       = 5 * time.Second
+	// usualMemoryMB and usualMaxBody are the memory of a VM and the largest body.
+	usualMemoryMB, usualMaxBody = 200, 64 << 10
 	// usualPatience is how long eventually waits.
 	usualPatience = 30 * time.Second
 )
@@ -86,6 +88,9 @@
 	// cold how much longer servers say that they are cold, in milliseconds.
 	zones map[string]string
 	cold  map[string]int64
+	// memoryMB and maxFDs are the memory and the descriptors of each VM, maxFDs 0 for no
+	// limit; maxBody is the largest body that callers may send, in bytes.
+	memoryMB, maxFDs, maxBody int
 	// coldPerSecond is what plain servers bear while they are cold; 0 for no limit.
 	coldPerSecond float64
 	entries       []*exec.Cmd
@@ -128,10 +133,24 @@
 
 // startWith starts a fleet with a number of plain servers.
 func startWith(c *qt.C, plains int) *fleet {
-	f := &fleet{
+	f := newFleet(c)
+	f.startProcesses(plains)
+	return f
+}
+
+// newFleet returns a fleet of which nothing runs yet.
+func newFleet(c *qt.C) *fleet {
+	return &fleet{
 		c: c, dir: c.TempDir(), store: platform.NewStore(), origin: platform.NewOrigin(), version: 1, config: 1,
+		memoryMB: usualMemoryMB, maxBody: usualMaxBody,
 		client: &http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}},
 	}
+}
+
+// startProcesses starts the stand-ins, with a number of plain servers, and the processes,
+// and waits until the entries are ready.
+func (f *fleet) startProcesses(plains int) {
+	c := f.c
 	f.listen(storeAddress, f.store)
 	f.listen(originAddress, f.origin)
 	for i := range engines {
@@ -157,7 +176,6 @@
 	for i := range entries {
 		f.eventually("entry ready", func() bool { return f.ready(i) })
 	}
-	return f
 }
 
 func (f *fleet) listen(address string, handler http.Handler) *http.Server {
@@ -190,9 +208,9 @@
 // settings writes the platform's settings file of a process.
 func (f *fleet) settings(ip, role string, i int) string {
 	text := fmt.Sprintf("node: %q\nip: %q\nzone: \"z\"\nregion: \"r\"\nzones: {x: \"r\", y: \"r\", z: \"r\"}\nportRange: [%d, %d]\nbootstrap: true\n"+
-		"seeds: [\"%s:8000\"]\nlimits: {memoryMb: 200, linkMbps: 0}\n"+
+		"seeds: [\"%s:8000\"]\nlimits: {memoryMb: %d, maxFds: %d, linkMbps: 0}\n"+
 		"bounds: {retryBudgetRatio: 0.2, budgetSlack: 200, graceS: 4, version_ms: 8000, coldOverage: 1.5, coldSlack: 5}\nplatform: {address: %q, form: \"log\"}\n",
-		fmt.Sprint(role, "-", i), ip, ownPort, ownPort+15, entryIP(0), storeAddress)
+		fmt.Sprint(role, "-", i), ip, ownPort, ownPort+15, entryIP(0), f.memoryMB, f.maxFDs, storeAddress)
 	if role == "entry" {
 		text += fmt.Sprintf("listen: {front: \"%[1]s:8005\", ready: \"%[1]s:8002\", control: \"%[1]s:8000\", directory: \"%[1]s:8009\"}\n", ip)
 	} else {
@@ -343,7 +361,7 @@
 			map[string]any{"name": "holding"},
 			map[string]any{"name": "weights", "origin": originAddress, "zone": "z"},
 		},
-		"limits":  map[string]any{"maxBodyBytes": 65536},
+		"limits":  map[string]any{"maxBodyBytes": f.maxBody},
 		"tenants": []any{map[string]any{"name": "w", "apiKeys": []string{"key"}}},
 	})
 	f.c.Check(err, qt.IsNil)
