--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -316,6 +316,9 @@
 	// Tokens estimates what the request will hold of an engine's memory; 0 means
 	// unknown.
 	Tokens float64
+	// Reserve is how much earlier an engine is full for the request than for those of
+	// the highest rank, in requests.
+	Reserve float64
 }
 
 // Handle identifies a chosen server until Done is called with it.
@@ -496,7 +499,7 @@
 	if q.SpareCapacityOnly {
 		return slots - 1
 	}
-	return slots + f.cfg.QueueAllowance
+	return slots + f.cfg.QueueAllowance - q.Reserve
 }
 
 func (f *Fleet) hasFreshReport(m *member, now time.Time) bool {
--- /dev/null
+++ b/core/waiting/waiting.go
@@ -0,0 +1,309 @@
+// Package waiting decides which of the requests that wait for a place at a backend
+// server gets the next one, how long a request may wait, and when a refused caller
+// should return.
+//
+// The load that it answers is more requests than places: a burst, a lost zone, callers
+// that repeat at once, or one workspace that sends several times its share. The order
+// holds among the requests of one entry; between entries, the load up to which a rank
+// may fill a server (Reserve) gives the higher ranks the last places. The package does
+// no I/O, reads no clock and starts no goroutine. A Line is not safe for concurrent use.
+package waiting
+
+import (
+	"cmp"
+	"math"
+	"time"
+)
+
+const (
+	// anyRankEvery is the number of places of which one is given without regard to rank
+	// and lateness, so that no kind of request starves.
+	anyRankEvery = 8
+	// rateTime is the time constant of the mean rate of places.
+	rateTime = 2 * time.Second
+	// shareTime is the time constant in which a workspace's use of places is forgotten.
+	shareTime = 5 * time.Second
+	// maxWorkspaces limits the workspaces whose use is kept.
+	maxWorkspaces = 4096
+	// rankReserve is the part of a place by which a rank leaves room to the rank above,
+	// and maxReserve the most that a rank leaves.
+	rankReserve = 0.5
+	maxReserve  = 1.0
+	// lateWait is the longest wait of a request whose target has passed. It is in no
+	// hurry, but its caller waits at most three times as long in all.
+	lateWait = 1500 * time.Millisecond
+	// lateWaitShare is the part of its remaining time for which such a request waits.
+	lateWaitShare = 1.0 / 3
+	// hopelessWaits is the expected wait, as a multiple of the longest one, from which a
+	// request is refused at once. The rate of places of one entry varies by half.
+	hopelessWaits = 3
+	// returnShare is the part of the rate of places that is promised to callers that
+	// return after a refusal.
+	returnShare = 0.25
+	// minReturn is the shortest time after which a refused caller may return: a full
+	// engine ends about one request in this time.
+	minReturn = 600 * time.Millisecond
+)
+
+// Request is what the order depends on.
+type Request struct {
+	// Rank is the rank of the workspace or, without one, of the route, and RouteRank that
+	// of the route; 0 is the highest.
+	Rank, RouteRank int
+	Workspace       string
+	// Late means that the target has passed, so that only a late answer is possible.
+	Late bool
+	// Returning means that the caller was refused before.
+	Returning bool
+	// Particular means that the request can use only some of the servers: where it finds
+	// no place, another may.
+	Particular bool
+}
+
+// Reserve returns how much earlier than a request of the highest rank a request finds a
+// server full, in requests.
+func (r Request) Reserve() float64 {
+	if r.Rank == 0 {
+		return 0
+	}
+	return min(maxReserve, rankReserve*float64(max(r.RouteRank, 0)))
+}
+
+// Ticket is a place in the line.
+type Ticket struct {
+	Request
+	sequence uint64
+	// failedAt is the number of the last change of the servers after which the request
+	// found no place.
+	failedAt uint64
+	// usage is that of the workspace.
+	usage *usage
+}
+
+// Line holds the waiting requests of one service.
+type Line struct {
+	tickets  []*Ticket
+	sequence uint64
+	// changes counts the changes of the servers.
+	changes uint64
+	grants  uint64
+	onTime  rate
+	late    rate
+	// used is each workspace's recent use of places.
+	used map[string]*usage
+	// started is the origin of the times in used.
+	started time.Time
+	next    time.Time
+}
+
+// NewLine returns an empty line.
+func NewLine() *Line { return &Line{used: map[string]*usage{}} }
+
+// usage is the logarithm of a number of places that decays with shareTime, raised by the
+// time in units of shareTime. All decay alike, so that values of different times compare.
+type usage float64
+
+// unused is the usage of a workspace that has used no place.
+const unused usage = -math.MaxFloat64
+
+// use returns the usage after one more place at a time, in units of shareTime.
+func (u usage) use(at float64) usage {
+	places := math.Exp(float64(u) - at)
+	return usage(math.Log(places+1) + at)
+}
+
+// workspace returns the usage of a workspace.
+func (l *Line) workspace(name string) *usage {
+	if u, known := l.used[name]; known {
+		return u
+	}
+	if len(l.used) >= maxWorkspaces {
+		clear(l.used)
+	}
+	u := unused
+	l.used[name] = &u
+	return &u
+}
+
+// rate is a mean rate of events.
+type rate struct {
+	perSecond float64
+	at        time.Time
+}
+
+func (r *rate) record(now time.Time) {
+	r.perSecond = r.value(now) + 1/rateTime.Seconds()
+	r.at = now
+}
+
+func (r *rate) value(now time.Time) float64 {
+	if r.at.IsZero() {
+		return 0
+	}
+	return r.perSecond * math.Exp(-now.Sub(r.at).Seconds()/rateTime.Seconds())
+}
+
+// Join adds a request to the line.
+func (l *Line) Join(r Request) *Ticket {
+	l.sequence++
+	t := &Ticket{Request: r, sequence: l.sequence, usage: l.workspace(r.Workspace)}
+	l.tickets = append(l.tickets, t)
+	return t
+}
+
+// Leave removes a request that got no place.
+func (l *Line) Leave(t *Ticket) {
+	for i, other := range l.tickets {
+		if other == t {
+			l.tickets = append(l.tickets[:i], l.tickets[i+1:]...)
+			return
+		}
+	}
+}
+
+// Grant removes a request that got a place.
+func (l *Line) Grant(t *Ticket, now time.Time) {
+	l.Leave(t)
+	l.grants++
+	if t.Late {
+		l.late.record(now)
+	} else {
+		l.onTime.record(now)
+	}
+	if l.started.IsZero() {
+		l.started = now
+	}
+	*t.usage = t.usage.use(now.Sub(l.started).Seconds() / shareTime.Seconds())
+}
+
+// Changed records that servers may have room that they did not have before.
+func (l *Line) Changed() { l.changes++ }
+
+// RecordMiss records that a request found no place. If it can use all servers, no other
+// one would find a place until the next change.
+func (l *Line) RecordMiss(t *Ticket) {
+	t.failedAt = l.changes + 1
+	if t.Particular {
+		return
+	}
+	for _, other := range l.tickets {
+		if !l.before(t, other) {
+			continue
+		}
+		other.failedAt = l.changes + 1
+	}
+}
+
+// before reports whether a finds a place wherever b does.
+func (l *Line) before(a, b *Ticket) bool {
+	return a == b || b.Late || !a.Late && a.Reserve() <= b.Reserve()
+}
+
+// First returns the request that should get the next place, or nil if none can before the
+// servers change.
+//
+// Of the waiting requests the one that can be on time goes before one that can't, then the
+// higher rank, then the workspace that has used the least, then a caller that came back,
+// then the oldest; and for one place in anyRankEvery only the last three count.
+func (l *Line) First() (first *Ticket) {
+	order := compare
+	if l.grants%anyRankEvery == anyRankEvery-1 {
+		order = compareWithoutRank
+	}
+	for _, t := range l.tickets {
+		if t.failedAt > l.changes {
+			continue
+		}
+		if first == nil || order(t, first) < 0 {
+			first = t
+		}
+	}
+	return first
+}
+
+func compare(a, b *Ticket) int {
+	if a.Late != b.Late {
+		return last(a.Late, b.Late)
+	}
+	if a.Rank != b.Rank {
+		return cmp.Compare(a.Rank, b.Rank)
+	}
+	if a.RouteRank != b.RouteRank {
+		return cmp.Compare(a.RouteRank, b.RouteRank)
+	}
+	return compareWithoutRank(a, b)
+}
+
+func compareWithoutRank(a, b *Ticket) int {
+	if *a.usage != *b.usage {
+		return cmp.Compare(*a.usage, *b.usage)
+	}
+	if a.Returning != b.Returning {
+		return last(!a.Returning, !b.Returning)
+	}
+	return cmp.Compare(a.sequence, b.sequence)
+}
+
+// last orders the one of two different values that is true behind the other.
+func last(a, _ bool) int {
+	if a {
+		return 1
+	}
+	return -1
+}
+
+// Len returns the number of waiting requests.
+func (l *Line) Len() int { return len(l.tickets) }
+
+// Ahead returns the number of requests that get a place before a ticket.
+func (l *Line) Ahead(t *Ticket) (ahead int) {
+	for _, other := range l.tickets {
+		if other != t && compare(other, t) < 0 {
+			ahead++
+		}
+	}
+	return ahead
+}
+
+// MaxWait returns how long a request may wait; 0 if its turn will not come in time. onTime
+// is how long one may wait that can still be on time, and remaining the time until its
+// caller gives up. A late request waits longer if places for late ones come at a rate at
+// which its turn comes.
+func (l *Line) MaxWait(t *Ticket, onTime, remaining time.Duration, now time.Time) time.Duration {
+	wait := onTime
+	if t.Late {
+		wait = min(lateWait, time.Duration(lateWaitShare*float64(remaining)))
+	}
+	perSecond := l.placesPerSecond(t, now)
+	expected := float64(l.Ahead(t)) / max(perSecond, 1/rateTime.Seconds())
+	switch {
+	case t.Late && expected > wait.Seconds():
+		return min(wait, onTime)
+	case expected > hopelessWaits*wait.Seconds():
+		return 0
+	default:
+		return wait
+	}
+}
+
+func (l *Line) placesPerSecond(t *Ticket, now time.Time) float64 {
+	if t.Late {
+		return l.late.value(now)
+	}
+	return l.onTime.value(now)
+}
+
+// ReturnAfter returns when a refused caller may return: after those refused before it, at
+// a part of the rate at which places become free. A caller can't wait longer than limit.
+func (l *Line) ReturnAfter(limit time.Duration, now time.Time) time.Duration {
+	at := now.Add(minReturn)
+	if l.next.After(at) {
+		at = l.next
+	}
+	if latest := now.Add(limit); at.After(latest) {
+		return max(limit, 0)
+	}
+	perSecond := max(returnShare*(l.onTime.value(now)+l.late.value(now)), 1/rateTime.Seconds())
+	l.next = at.Add(time.Duration(float64(time.Second) / perSecond))
+	return at.Sub(now)
+}
--- a/node/cmd/laburnum-entry/platform.go
+++ b/node/cmd/laburnum-entry/platform.go
@@ -13,7 +13,7 @@
 
 // platformCommand runs an entry on the users' platform.
 type platformCommand struct {
-	platform.Flags
+	platform.EntryFlags
 }
 
 // Execute implements flags.Commander.
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -22,6 +22,7 @@
 	"github.com/laburnumloft/laburnumloft/core/quarantine"
 	"github.com/laburnumloft/laburnumloft/core/route"
 	"github.com/laburnumloft/laburnumloft/core/shutdown"
+	"github.com/laburnumloft/laburnumloft/core/waiting"
 	"github.com/laburnumloft/laburnumloft/node/decision"
 	"github.com/laburnumloft/laburnumloft/node/lib/bootclock"
 )
@@ -120,7 +121,10 @@
 	// OnEvacuations tells the other entries which availability zones the operator has
 	// begun or ceased to empty; may be nil.
 	OnEvacuations func([]evacuation.Notice)
-	Seed          uint64
+	// OrderedWaiting gives places to waiting requests in the order of core/waiting
+	// instead of to whichever asks first.
+	OrderedWaiting bool
+	Seed           uint64
 }
 
 // entriesRetryShare is the share of the common retry budget that the entries use.
@@ -164,6 +168,8 @@
 	// limitedWaiting counts the requests that wait for a limited server, by service.
 	limitedWaiting map[string]int
 	evacuations    *evacuation.Zones
+	// lines hold the waiting requests by service if they are ordered.
+	lines map[string]*waiting.Line
 	// entriesViewAt is when the fleet last got the view of the entries.
 	entriesViewAt time.Time
 }
@@ -180,7 +186,7 @@
 	placementConfig := placement.DefaultConfig(cfg.Zone)
 	placementConfig.Backpressure = g.pressure
 	placementConfig.Regions, placementConfig.CheckMemory = cfg.Regions, cfg.CheckEngineMemory
-	g.evacuations = evacuation.NewZones()
+	g.evacuations, g.lines = evacuation.NewZones(), map[string]*waiting.Line{}
 	g.fleet = placement.NewFleet(placementConfig, g.published, cfg.Seed)
 	g.setEntryCount(initialEntryCount)
 	return g
@@ -281,8 +287,17 @@
 	})
 }
 
-// notifyWaiters makes waiting requests retry their placement. The caller holds mu.
+// notifyWaiters makes waiting requests retry their placement, because servers may have
+// changed. The caller holds mu.
 func (g *Gateway) notifyWaiters() {
+	for _, line := range g.lines {
+		line.Changed()
+	}
+	g.wakeWaiters()
+}
+
+// wakeWaiters makes waiting requests check whether it is their turn. The caller holds mu.
+func (g *Gateway) wakeWaiters() {
 	close(g.changed)
 	g.changed = make(chan struct{})
 }
--- a/node/gateway/handler.go
+++ b/node/gateway/handler.go
@@ -13,6 +13,7 @@
 	"github.com/laburnumloft/laburnumloft/core/prompt"
 	"github.com/laburnumloft/laburnumloft/core/quarantine"
 	"github.com/laburnumloft/laburnumloft/core/route"
+	"github.com/laburnumloft/laburnumloft/core/waiting"
 )
 
 // Reason is the reason for which the gateway itself ended a request.
@@ -95,6 +96,15 @@
 	tokens float64
 	// exclusions counts the servers that the last decision excluded.
 	exclusions eligibility.Exclusions
+	// returning means that the caller's time had begun to run before the request
+	// arrived, because it was refused or failed before.
+	returning bool
+	// ticket is the place among the waiting requests; nil while the request does not
+	// wait, and where requests are not ordered.
+	ticket *waiting.Ticket
+	// reserve is how much earlier than for requests of the highest rank a server is full,
+	// in requests.
+	reserve float64
 }
 
 // ServeHTTP implements http.Handler for callers' requests.
@@ -177,6 +187,9 @@
 	if plan := g.stopPlan.Load(); plan != nil && !plan.Takes(req.start, req.deadline) {
 		return req, ReasonStopping
 	}
+	if g.cfg.OrderedWaiting {
+		req.reserve = req.waitingRequest().Reserve()
+	}
 	reason := g.readBody(w, req, table.Limits())
 	req.identify()
 	return req, reason
@@ -192,6 +205,10 @@
 	return reason
 }
 
+// returnThreshold is the used part of a caller's time from which on a request counts as a
+// later attempt. Callers round their deadlines to milliseconds.
+const returnThreshold = 50 * time.Millisecond
+
 func (r *request) setDeadline() {
 	timeout := r.route.Timeout
 	if timeout <= 0 {
@@ -199,6 +216,7 @@
 	}
 	if d := r.call.Deadline; d > 0 {
 		r.pastTarget = r.route.Timeout > 0 && r.route.Target > 0 && d < r.route.Timeout-r.route.Target
+		r.returning = r.route.Timeout > 0 && d < r.route.Timeout-returnThreshold
 		timeout = min(timeout, d)
 	}
 	r.deadline = r.start.Add(timeout)
--- a/node/gateway/place.go
+++ b/node/gateway/place.go
@@ -21,10 +21,14 @@
 	remaining := req.deadline.Sub(started)
 	// queued is set while the request counts as waiting for a limited server.
 	queued := false
+	// lastMiss is the reason of the last decision for this request; requests that wait
+	// behind others have none.
+	lastMiss := placement.AllFull
 	defer func() {
 		if queued {
 			g.leaveLimitedQueue(req.service)
 		}
+		g.leaveLine(req)
 	}()
 	for {
 		if verdict, found := g.quarantined(req.identity); found {
@@ -33,11 +37,10 @@
 		}
 		now := bootclock.Now()
 		g.updateEntriesView(now)
-		g.mu.Lock()
-		choice, miss := g.fleet.Choose(now, req.query())
-		changed := g.changed
-		g.mu.Unlock()
-		req.exclusions = choice.Exclusions
+		choice, miss, changed := g.choose(req, now)
+		if miss != notItsTurn {
+			req.exclusions, lastMiss = choice.Exclusions, miss
+		}
 		if miss == placement.Found && choice.NeedsPermit {
 			permit, ok := g.acquirePermit(ctx, choice.Server.Instance())
 			if !ok {
@@ -50,7 +53,7 @@
 		if miss == placement.Found {
 			return choice, ""
 		}
-		remainingWait := placement.MaxWait(miss, req.pastTarget, req.route.Target, remaining) - time.Since(started)
+		remainingWait := g.maxWait(req, miss, remaining) - time.Since(started)
 		if miss == placement.Limited {
 			if !queued {
 				remainingWait -= g.joinLimitedQueue(req.service)
@@ -63,7 +66,7 @@
 			remainingWait = max(choice.AvailableIn, minPause)
 		}
 		if remainingWait <= 0 {
-			return placement.Choice{}, missReason(miss, req)
+			return placement.Choice{}, missReason(lastMiss, req)
 		}
 		if choice.PauseEndsIn > 0 {
 			// No message announces the end of a pause.
@@ -73,6 +76,7 @@
 		select {
 		case <-changed:
 		case <-timeout.C:
+			g.recordElapsedPause(req)
 		case <-ctx.Done():
 			timeout.Stop()
 			return placement.Choice{}, g.reasonForDone(ctx, req)
@@ -85,6 +89,7 @@
 func (r *request) query() placement.Query {
 	return placement.Query{
 		Service: r.service, Model: r.model, Tried: r.tried, SpareCapacityOnly: r.pastTarget, Regions: r.regions, Tokens: r.tokens,
+		Reserve: r.reserve,
 	}
 }
 
--- a/node/gateway/retryafter.go
+++ b/node/gateway/retryafter.go
@@ -23,6 +23,9 @@
 // were refused together do not retry together.
 func (g *Gateway) retryAfter(req *request, reason Reason) time.Duration {
 	mean := shortRetryAfter
+	if g.cfg.OrderedWaiting && reason == ReasonAllFull {
+		return g.returnInLine(req)
+	}
 	switch reason {
 	case ReasonAllFull, ReasonRefusedByAll, ReasonCold, ReasonNoHome:
 		mean = fullRetryAfter
