Bodies and connections of callers are bounded

Cause: each body was buffered whole before anything else; nothing bounded the sum of bodies, the time in which one must arrive, or the connections and heads of a listener.

A body must arrive before its request's deadline.

--- a/node/agent/agent.go
+++ b/node/agent/agent.go
@@ -4,6 +4,7 @@
 package agent
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"expvar"
@@ -17,6 +18,7 @@
 
 	"github.com/laburnumloft/laburnumloft/core/settings"
 	"github.com/laburnumloft/laburnumloft/node/lib/callerconn"
+	"github.com/laburnumloft/laburnumloft/node/lib/intake"
 	"github.com/laburnumloft/laburnumloft/node/lib/lifecycle"
 	"github.com/laburnumloft/laburnumloft/node/lib/platform"
 	"github.com/laburnumloft/laburnumloft/node/lib/ring"
@@ -48,7 +50,11 @@
 	MembershipURL string
 	// MemoryCeiling bounds the bytes of weights held in memory.
 	MemoryCeiling int64
-	DrainTimeout  time.Duration
+	// HeldBodyBytes bounds the bodies of all requests together, MaxConnections the
+	// connections; 0 means a default bound, and none.
+	HeldBodyBytes  int64
+	MaxConnections int
+	DrainTimeout   time.Duration
 	// StallTimeout bounds how long the backend server may make no progress
 	// on an answer; 0 means DefaultStallTimeout.
 	StallTimeout time.Duration
@@ -160,8 +166,12 @@
 	if a.cfg.WrapListener != nil {
 		listener = a.cfg.WrapListener(listener)
 	}
-	server := lifecycle.NewServer(callerconn.Watch(a.handler()), serverProtocols())
+	log := intake.Logger(a.logger)
+	bodies := intake.NewBodies(cmp.Or(a.cfg.HeldBodyBytes, intake.DefaultBodyBytes), intake.LogGivenUp(log))
+	server := lifecycle.NewServer(a.handler(), serverProtocols())
 	server.ConnContext = callerconn.ConnContext
+	limited := intake.Limit(server, listener, "agent", a.cfg.MaxConnections, intake.LogClosed(log))
+	server.Handler = callerconn.Watch(bodies.Handler(server.Handler))
 	var duties sync.WaitGroup
 	dutyCtx, stopDuties := context.WithCancel(context.Background())
 	defer stopDuties()
@@ -176,7 +186,7 @@
 	}
 	duties.Go(func() {
 		// The connections of package callerconn lie below TLS.
-		if err := server.Serve(a.cfg.Channel.Listener(callerconn.Listener{Listener: listener})); !errors.Is(err, http.ErrServerClosed) {
+		if err := server.Serve(a.cfg.Channel.Listener(callerconn.Listener{Listener: limited})); !errors.Is(err, http.ErrServerClosed) {
 			a.logger.Error("server stopped", "error", err)
 		}
 	})
--- a/node/cmd/laburnum-agent/main.go
+++ b/node/cmd/laburnum-agent/main.go
@@ -20,6 +20,7 @@
 type agentOptions struct {
 	options.Place
 	options.Telemetry
+	options.Intake
 	Security      secure.Options      `group:"traffic between own processes"`
 	Rollout       agent.RolloutConfig `group:"weights"`
 	Listen        string              `long:"listen" env:"LABURNUM_LISTEN" required:"true" description:"IP:PORT for own processes"`
@@ -69,7 +70,7 @@
 		Kind: settings.Kind(opts.Kind), Listen: opts.Listen, BackendURL: opts.BackendURL,
 		WeightsURL: opts.WeightsURL, MembershipURL: opts.MembershipURL,
 		MemoryCeiling: opts.MemoryCeiling, DrainTimeout: opts.DrainTimeout, Logger: logger, Channel: channel, Force: force,
-		Rollout: opts.Rollout, StallTimeout: opts.StallTimeout,
+		Rollout: opts.Rollout, StallTimeout: opts.StallTimeout, HeldBodyBytes: opts.HeldBodyBytes, MaxConnections: opts.MaxConnections,
 	}).Run(ctx)
 	if err != nil {
 		logger.Error("agent stopped", "error", err)
@@ -92,6 +93,7 @@
 		options.URL("backend-url", o.BackendURL),
 		options.URL("membership-url", o.MembershipURL),
 		options.Positive("memory-ceiling-bytes", o.MemoryCeiling),
+		o.Intake.Check(),
 		options.Positive("drain-timeout", o.DrainTimeout),
 		options.AtLeast("stall-timeout", o.StallTimeout, options.MinStallTimeout),
 		o.Rollout.Check(),
--- a/node/cmd/laburnum-entry/main.go
+++ b/node/cmd/laburnum-entry/main.go
@@ -77,6 +77,7 @@
 type serveCommand struct {
 	options.Place
 	options.Telemetry
+	options.Intake
 	Security      secure.Options `group:"traffic between own processes"`
 	Listen        string         `long:"listen" env:"LABURNUM_LISTEN" required:"true" description:"IP:PORT for callers and operators"`
 	PeerListen    string         `long:"peer-listen" env:"LABURNUM_PEER_LISTEN" required:"true" description:"IP:PORT for own processes"`
@@ -109,6 +110,7 @@
 	err = entry.New(entry.Config{
 		ID: c.ID, Region: c.Region, Zone: c.Zone, Listen: c.Listen, PeerListen: c.PeerListen,
 		LogURL: c.LogURL, LogRetention: c.LogRetention, SnapshotEvery: c.SnapshotEvery, MembershipURL: c.MembershipURL, MaxBodyBytes: c.MaxBody,
+		HeldBodyBytes: c.HeldBodyBytes, MaxConnections: c.MaxConnections,
 		DrainTimeout: c.DrainTimeout, StallTimeout: c.StallTimeout, Logger: telemetry.NewLogger(tcfg), Channel: channel, Force: force,
 	}).Run(ctx)
 	if err != nil {
@@ -126,6 +128,7 @@
 		options.URL("log-url", c.LogURL),
 		options.URL("membership-url", c.MembershipURL),
 		options.Positive("max-body-bytes", c.MaxBody),
+		c.Intake.Check(),
 		options.Positive("log-retention", c.LogRetention),
 		options.Positive("snapshot-every", c.SnapshotEvery),
 		options.Positive("drain-timeout", c.DrainTimeout),
--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -4,6 +4,7 @@
 package entry
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"expvar"
@@ -18,6 +19,7 @@
 
 	"github.com/laburnumloft/laburnumloft/core/membership"
 	"github.com/laburnumloft/laburnumloft/node/lib/callerconn"
+	"github.com/laburnumloft/laburnumloft/node/lib/intake"
 	"github.com/laburnumloft/laburnumloft/node/lib/lifecycle"
 	"github.com/laburnumloft/laburnumloft/node/lib/platform"
 	"github.com/laburnumloft/laburnumloft/node/lib/secure"
@@ -45,6 +47,10 @@
 	SnapshotEvery int64
 	// MaxBodyBytes bounds the body of a caller's request.
 	MaxBodyBytes int64
+	// HeldBodyBytes bounds the bodies of all requests together, MaxConnections the
+	// connections of each listener; 0 means a default bound, and none.
+	HeldBodyBytes  int64
+	MaxConnections int
 	// DrainTimeout bounds a planned stop.
 	DrainTimeout time.Duration
 	// StallTimeout bounds how long an agent may be silent on an answer; 0
@@ -78,6 +84,7 @@
 	calls       *callState
 	open        *openRequests
 	dispatcher  *dispatcher
+	bodies      *intake.Bodies
 }
 
 // New returns an entry that is not started yet.
@@ -99,6 +106,8 @@
 		calls:       newCallState(),
 		open:        newOpenRequests(),
 	}
+	e.bodies = intake.NewBodies(cmp.Or(cfg.HeldBodyBytes, intake.DefaultBodyBytes), intake.LogGivenUp(intake.Logger(cfg.Logger)))
+	e.bodies.SetLargest(cfg.MaxBodyBytes)
 	e.dispatcher = newDispatcher(cfg.Region, e.servingAgents)
 	return e
 }
@@ -126,9 +135,10 @@
 	duties.Go(func() { e.gossip(dutyCtx) })
 	duties.Go(func() { e.tailClaims(dutyCtx) })
 	duties.Go(func() { e.dispatcher.run(dutyCtx) })
-	duties.Go(func() { e.serve(servers[0], callerconn.Listener{Listener: public}) })
+	limitedPublic, limitedPeer := e.limit(servers[0], public, "callers"), e.limit(servers[1], peer, "peers")
+	duties.Go(func() { e.serve(servers[0], callerconn.Listener{Listener: limitedPublic}) })
 	// The connections of package callerconn lie below TLS.
-	duties.Go(func() { e.serve(servers[1], e.cfg.Channel.Listener(callerconn.Listener{Listener: peer})) })
+	duties.Go(func() { e.serve(servers[1], e.cfg.Channel.Listener(callerconn.Listener{Listener: limitedPeer})) })
 	e.logger.Info("entry started", "listen", public.Addr(), "peer_listen", peer.Addr())
 	select {
 	case <-ctx.Done():
@@ -144,6 +154,13 @@
 	return err
 }
 
+// limit bounds the connections of a listener and the bodies of its requests.
+func (e *Entry) limit(server *http.Server, listener net.Listener, name string) net.Listener {
+	limited := intake.Limit(server, listener, name, e.cfg.MaxConnections, intake.LogClosed(intake.Logger(e.logger)))
+	server.Handler = e.bodies.Handler(server.Handler)
+	return limited
+}
+
 func (e *Entry) serve(server *http.Server, listener net.Listener) {
 	server.ConnContext = callerconn.ConnContext
 	server.Handler = callerconn.Watch(server.Handler)
--- a/node/gateway/answers.go
+++ b/node/gateway/answers.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"bytes"
 	"errors"
 	"io"
 	"net/http"
@@ -38,11 +39,11 @@
 
 func (m *answerMemory) release(n int64) { m.used.Add(-n) }
 
-// answerBody is an answer's body in the blocks in which it was read. A single
+// blocks is a body in the blocks in which it was read. A single
 // growing buffer would be copied and briefly need twice the memory.
-type answerBody [][]byte
+type blocks [][]byte
 
-func (b answerBody) size() int {
+func (b blocks) size() int {
 	size := 0
 	for _, block := range b {
 		size += len(block)
@@ -50,9 +51,37 @@
 	return size
 }
 
+// reader returns a reader of the body.
+func (b blocks) reader() io.Reader {
+	readers := make([]io.Reader, len(b))
+	for i, block := range b {
+		readers[i] = bytes.NewReader(block)
+	}
+	return io.MultiReader(readers...)
+}
+
+// readBlocks reads a body to its end. size is its size, or negative if it is not known.
+func readBlocks(body io.Reader, size int64) (out blocks, err error) {
+	for next := int64(firstBlockBytes); ; next = nextBlockBytes {
+		if size >= 0 {
+			// One byte more than the rest finds the end without another block.
+			next = min(nextBlockBytes, size+1)
+		}
+		block := make([]byte, next)
+		n, err := fill(block, body)
+		out, size = append(out, block[:n]), max(size-int64(n), -1)
+		if errors.Is(err, io.EOF) {
+			return out, nil
+		}
+		if err != nil {
+			return nil, err
+		}
+	}
+}
+
 // writeTo writes the body to the caller. Write errors are ignored because the
 // server has already completed the request.
-func (b answerBody) writeTo(w io.Writer) {
+func (b blocks) writeTo(w io.Writer) {
 	for _, block := range b {
 		if _, err := w.Write(block); err != nil {
 			return
@@ -62,7 +91,7 @@
 
 // read reads a body to its end and returns the number of bytes it reserved,
 // which the caller must release after it has written the body.
-func (m *answerMemory) read(body io.Reader) (out answerBody, reserved int64, err error) {
+func (m *answerMemory) read(body io.Reader) (out blocks, reserved int64, err error) {
 	for next := firstBlockBytes; ; next = nextBlockBytes {
 		if reserved > maxAnswerBytes || !m.reserve(int64(next)) {
 			return nil, reserved, errAnswerTooLarge
@@ -94,7 +123,7 @@
 
 // readAnswer reads the body of a server's answer. The caller must call release
 // when it no longer needs the body.
-func (g *Gateway) readAnswer(resp *http.Response) (body answerBody, release func(), err error) {
+func (g *Gateway) readAnswer(resp *http.Response) (body blocks, release func(), err error) {
 	defer func() { _ = resp.Body.Close() }()
 	body, reserved, err := g.answers.read(resp.Body)
 	return body, func() { g.answers.release(reserved) }, err
--- a/node/gateway/buffered.go
+++ b/node/gateway/buffered.go
@@ -45,14 +45,14 @@
 
 // tryBuffered makes one attempt and reads the answer's body. The caller must
 // call release when it no longer needs the body.
-func (g *Gateway) tryBuffered(ctx context.Context, req *request, choice placement.Choice) (e *exchange, body answerBody, release func()) {
+func (g *Gateway) tryBuffered(ctx context.Context, req *request, choice placement.Choice) (e *exchange, body blocks, release func()) {
 	req.tried = append(req.tried, choice.Server.ID)
 	if req.mayRerun() && req.runs+1 < req.route.MaxAttempts {
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithTimeout(ctx, max(attemptTimeoutTargets*req.route.Target, time.Until(req.deadline)/2))
 		defer cancel()
 	}
-	ctx, end := beginAttempt(ctx, len(req.body), g.logReset(req, choice))
+	ctx, end := beginAttempt(ctx, req.body.size(), g.logReset(req, choice))
 	defer end()
 	e, release = g.send(ctx, req, choice, AttemptInfo{}), func() {}
 	if e.err == nil {
@@ -150,7 +150,7 @@
 	return "", true
 }
 
-func (g *Gateway) writeAnswer(w http.ResponseWriter, req *request, e *exchange, body answerBody) {
+func (g *Gateway) writeAnswer(w http.ResponseWriter, req *request, e *exchange, body blocks) {
 	copyHeader(w.Header(), e.resp.Header)
 	if req.in.Method != http.MethodHead {
 		w.Header().Set("Content-Length", strconv.Itoa(body.size()))
--- a/node/gateway/containment.go
+++ b/node/gateway/containment.go
@@ -46,7 +46,7 @@
 	} {
 		_, _ = io.WriteString(h, strconv.Quote(field))
 	}
-	_, _ = h.Write(r.body)
+	r.body.writeTo(h)
 	r.identity.Whole = prompt.Part(binary.BigEndian.Uint64(h.Sum(nil)))
 }
 
--- a/node/gateway/exchange.go
+++ b/node/gateway/exchange.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -93,10 +92,10 @@
 	info.Workspace = req.workspace
 	info.Urgency = req.urgency()
 	g.cfg.Codec.Prepare(out.Header, info)
-	if len(req.body) > 0 {
+	if size := req.body.size(); size > 0 {
 		// GetBody stays unset so that net/http cannot resend the body.
-		out.Body = io.NopCloser(bytes.NewReader(req.body))
-		out.ContentLength = int64(len(req.body))
+		out.Body = io.NopCloser(req.body.reader())
+		out.ContentLength = int64(size)
 	}
 	started, sentAt := time.Now(), bootclock.Now()
 	e.resp, e.err = g.client.RoundTrip(out.WithContext(ctx))
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -25,6 +25,7 @@
 	"github.com/laburnumloft/laburnumloft/core/waiting"
 	"github.com/laburnumloft/laburnumloft/node/decision"
 	"github.com/laburnumloft/laburnumloft/node/lib/bootclock"
+	"github.com/laburnumloft/laburnumloft/node/lib/intake"
 )
 
 // Call holds the fields of a caller's request header.
@@ -98,6 +99,9 @@
 	// MaxTotalAnswerBytes limits the total size of all buffered answers; 0 selects the
 	// default.
 	MaxTotalAnswerBytes int64
+	// MaxTotalBodyBytes limits the total size of the bodies of all requests; 0 selects the
+	// default.
+	MaxTotalBodyBytes int64
 	// WeightsDeadline is the time within which published weights must be in use.
 	WeightsDeadline time.Duration
 	// OnSuspect tells the other entries of a request under which an engine
@@ -150,6 +154,7 @@
 	stopped     context.Context
 	endRequests context.CancelFunc
 	answers     answerMemory
+	bodies      *intake.Bodies
 	containment *containment
 	// unreadableLoggedAt is when an unreadable value was last logged, in Unix
 	// nanoseconds.
@@ -181,6 +186,7 @@
 		changed: make(chan struct{}), published: placement.NewPublishedVersions(max(0, cfg.WeightsDeadline-enforceMargin), cfg.WeightsDeadline-enforceMargin-startGracePeriod),
 	}
 	g.stopped, g.endRequests = context.WithCancel(context.Background())
+	g.bodies = intake.NewBodies(cmp.Or(cfg.MaxTotalBodyBytes, intake.DefaultBodyBytes), intake.LogGivenUp(cfg.Log))
 	g.answers.limit = cmp.Or(cfg.MaxTotalAnswerBytes, defaultAnswerBytes)
 	g.pressure, g.pendingAsks, g.limitedWaiting = backpressure.NewTracker(), map[uint64]chan struct{}{}, map[string]int{}
 	placementConfig := placement.DefaultConfig(cfg.Zone)
@@ -202,6 +208,7 @@
 		}
 		if g.table.CompareAndSwap(old, route.NewTable(cfg)) {
 			g.applyTraits()
+			g.bodies.SetLargest(cfg.Limits.MaxBodyBytes)
 			g.cfg.Log.Event("configuration_taken", "version", cfg.Version, "store_era", cfg.StoreEra, "source", source,
 				"routes", len(cfg.Routes), "workspaces", len(cfg.Workspaces))
 			g.logUnknownHomes(cfg)
--- a/node/gateway/gateway_test.go
+++ b/node/gateway/gateway_test.go
@@ -600,7 +600,7 @@
 		answerWith(200)(w, r)
 	})
 	r := newTestGateway(c, s)
-	server, err := Listen("127.0.0.1:0", r.Gateway, time.Minute)
+	server, err := Listen(ListenConfig{Address: "127.0.0.1:0", Idle: time.Minute}, r.Gateway)
 	c.Assert(err, qt.IsNil)
 	result := make(chan int, 1)
 	go func() {
--- a/node/gateway/handler.go
+++ b/node/gateway/handler.go
@@ -14,6 +14,7 @@
 	"github.com/laburnumloft/laburnumloft/core/quarantine"
 	"github.com/laburnumloft/laburnumloft/core/route"
 	"github.com/laburnumloft/laburnumloft/core/waiting"
+	"github.com/laburnumloft/laburnumloft/node/lib/intake"
 )
 
 // Reason is the reason for which the gateway itself ended a request.
@@ -26,19 +27,23 @@
 	ReasonUnknownKey      Reason = "unknown_key"
 	ReasonBodyTooLarge    Reason = "body_too_large"
 	ReasonBodyUnread      Reason = "body_unread"
-	ReasonNoService       Reason = "no_service"
-	ReasonNoServer        Reason = "no_server"
-	ReasonAllFull         Reason = "all_full"
-	ReasonNoWeights       Reason = "no_weights"
-	ReasonLimited         Reason = "servers_limited"
-	ReasonRefusedByAll    Reason = "refused_by_servers"
-	ReasonRetryBudget     Reason = "retry_budget"
-	ReasonDeadline        Reason = "deadline"
-	ReasonTimeout         Reason = "timeout"
-	ReasonBroken          Reason = "answer_broken"
-	ReasonStopping        Reason = "stopping"
-	ReasonClientLeft      Reason = "client_left"
-	ReasonNoID            Reason = "no_request_id"
+	// ReasonBodiesFull means that the body was given up because the process holds too many
+	// bytes of bodies, ReasonBodyLate that it did not arrive before the deadline.
+	ReasonBodiesFull   Reason = "bodies_full"
+	ReasonBodyLate     Reason = "body_late"
+	ReasonNoService    Reason = "no_service"
+	ReasonNoServer     Reason = "no_server"
+	ReasonAllFull      Reason = "all_full"
+	ReasonNoWeights    Reason = "no_weights"
+	ReasonLimited      Reason = "servers_limited"
+	ReasonRefusedByAll Reason = "refused_by_servers"
+	ReasonRetryBudget  Reason = "retry_budget"
+	ReasonDeadline     Reason = "deadline"
+	ReasonTimeout      Reason = "timeout"
+	ReasonBroken       Reason = "answer_broken"
+	ReasonStopping     Reason = "stopping"
+	ReasonClientLeft   Reason = "client_left"
+	ReasonNoID         Reason = "no_request_id"
 	// ReasonConfigurationMissing means that the active configuration doesn't allow the
 	// request, but that another entry has a newer one.
 	ReasonConfigurationMissing Reason = "configuration_missing"
@@ -68,7 +73,7 @@
 	service   string
 	workspace string
 	priority  int
-	body      []byte
+	body      blocks
 	in        *http.Request
 	start     time.Time
 	// deadline is the earlier of the caller's and the route's deadline.
@@ -234,16 +239,21 @@
 		}
 		body = http.MaxBytesReader(w, req.in.Body, l.MaxBodyBytes)
 	}
-	data, err := io.ReadAll(body)
-	if err != nil {
-		var tooLarge *http.MaxBytesError
-		if errors.As(err, &tooLarge) {
-			return ReasonBodyTooLarge
-		}
+	intake.SetWorkspace(req.in, req.workspace, req.deadline)
+	var tooLarge *http.MaxBytesError
+	var err error
+	switch req.body, err = readBlocks(body, req.in.ContentLength); {
+	case err == nil:
+		return ""
+	case errors.As(err, &tooLarge):
+		return ReasonBodyTooLarge
+	case errors.Is(err, intake.ErrGivenUp):
+		return ReasonBodiesFull
+	case errors.Is(err, intake.ErrTooSlow):
+		return ReasonBodyLate
+	default:
 		return ReasonBodyUnread
 	}
-	req.body = data
-	return ""
 }
 
 // statuses maps reasons to HTTP status codes; all other reasons have 503, which
@@ -253,6 +263,7 @@
 	ReasonUnknownKey:   http.StatusUnauthorized,
 	ReasonBodyTooLarge: http.StatusRequestEntityTooLarge,
 	ReasonBodyUnread:   http.StatusBadRequest,
+	ReasonBodyLate:     http.StatusRequestTimeout,
 	ReasonBroken:       http.StatusBadGateway,
 	ReasonTimeout:      http.StatusGatewayTimeout,
 }
@@ -289,6 +300,9 @@
 		w.Header().Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 2, 64))
 	}
 	g.cfg.Log.Event("request_ended", args...)
+	if req.in.ContentLength != 0 && req.body == nil {
+		g.leaveBody(w, reason)
+	}
 	w.Header().Set("Content-Type", "application/json")
 	body := `{"error":"` + string(reason) + `"}`
 	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
@@ -296,3 +310,18 @@
 	// A write error means that the caller has disconnected.
 	_, _ = io.WriteString(w, body)
 }
+
+// unreadBodyTimeout is how long the rest of a body may take whose request was refused
+// before it was read. Without an end of the body the connection can't be used again.
+const unreadBodyTimeout = time.Second
+
+// leaveBody ends a request whose body was not read to its end.
+func (g *Gateway) leaveBody(w http.ResponseWriter, reason Reason) {
+	switch reason {
+	case ReasonBodyTooLarge, ReasonBodyUnread, ReasonBodiesFull, ReasonBodyLate:
+		w.Header().Set("Connection", "close")
+	default:
+		// Writers without deadlines, in tests, have no slow callers.
+		_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(unreadBodyTimeout))
+	}
+}
--- a/node/gateway/server.go
+++ b/node/gateway/server.go
@@ -9,24 +9,36 @@
 	"github.com/laburnumloft/laburnumloft/core/shutdown"
 	"github.com/laburnumloft/laburnumloft/node/decision"
 	"github.com/laburnumloft/laburnumloft/node/lib/callerconn"
+	"github.com/laburnumloft/laburnumloft/node/lib/intake"
 )
 
 const (
 	// callerHeaderTimeout limits how long a caller may take to send a header.
 	callerHeaderTimeout = 10 * time.Second
-	// maxCallerHeaderBytes limits the size of a request's header.
-	maxCallerHeaderBytes = 64 << 10
+	// MaxCallerHeaderBytes limits the size of a request's header.
+	MaxCallerHeaderBytes = 64 << 10
 )
 
-// Listen starts a server for callers on an address.
-func Listen(address string, g *Gateway, idle time.Duration) (*http.Server, error) {
-	listener, err := net.Listen("tcp4", address)
+// ListenConfig configures the listener for callers.
+type ListenConfig struct {
+	Address string
+	// Idle is the time after which an idle connection is closed.
+	Idle time.Duration
+	// MaxConnections bounds the connections; 0 means no bound.
+	MaxConnections int
+}
+
+// Listen starts a server for callers.
+func Listen(cfg ListenConfig, g *Gateway) (*http.Server, error) {
+	listener, err := net.Listen("tcp4", cfg.Address)
 	if err != nil {
 		return nil, err
 	}
 	server := &http.Server{
-		Handler: g, ReadHeaderTimeout: callerHeaderTimeout, IdleTimeout: idle, MaxHeaderBytes: maxCallerHeaderBytes,
+		Handler: g, ReadHeaderTimeout: callerHeaderTimeout, IdleTimeout: cfg.Idle, MaxHeaderBytes: MaxCallerHeaderBytes,
 	}
+	listener = intake.Limit(server, listener, "callers", cfg.MaxConnections, intake.LogClosed(g.cfg.Log))
+	server.Handler = g.bodies.Handler(server.Handler)
 	listener = callerconn.Configure(server, listener)
 	go func() {
 		// The error is ignored: Serve returns one on every Shutdown, and the
--- a/node/gateway/stream.go
+++ b/node/gateway/stream.go
@@ -69,7 +69,7 @@
 	req.tried = append(req.tried, choice.Server.ID)
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	ctx, end := beginAttempt(ctx, len(req.body), g.logReset(req, choice))
+	ctx, end := beginAttempt(ctx, req.body.size(), g.logReset(req, choice))
 	defer end()
 	watch := g.watchProgress(req, choice, func() { cancel(errNoProgress) })
 	defer watch.stop()
--- a/node/lib/options/options.go
+++ b/node/lib/options/options.go
@@ -27,6 +27,17 @@
 	Zone   string `long:"zone" env:"LABURNUM_ZONE" required:"true" description:"availability zone of this VM"`
 }
 
+// Intake are the options that bound what callers make a process hold.
+type Intake struct {
+	HeldBodyBytes  int64 `long:"held-body-bytes" env:"LABURNUM_HELD_BODY_BYTES" default:"67108864" description:"largest size of all bodies of requests together in bytes"`
+	MaxConnections int   `long:"max-connections" env:"LABURNUM_MAX_CONNECTIONS" default:"8192" description:"largest number of connections of a listener"`
+}
+
+// Check returns an error for the first invalid option.
+func (i Intake) Check() error {
+	return FirstError(Positive("held-body-bytes", i.HeldBodyBytes), Positive("max-connections", i.MaxConnections))
+}
+
 // Telemetry are the options for logs and traces.
 type Telemetry struct {
 	LogLevel      string `long:"log-level" env:"LABURNUM_LOG_LEVEL" default:"info" description:"trace, debug, info, warn or error"`
