Even load from old figures, and a command that explains a choice

Cause: an entry's estimate of an engine's load leaves out what the other entries sent since the report.

--- a/bench/fleet/evacuation_test.go
+++ b/bench/fleet/evacuation_test.go
@@ -1,7 +1,10 @@
 package fleet
 
 import (
+	"encoding/json"
 	"fmt"
+	"os/exec"
+	"path/filepath"
 	"slices"
 	"strings"
 	"syscall"
@@ -118,6 +121,7 @@
 	stop := f.callers("cold", plainPaths, allEntries)
 	f.evacuate("y")
 	f.eventually("all entries know", func() bool { return f.countLines("zone_evacuated") >= entries })
+	f.checkExplanation()
 	f.store.Drop("keyed.op", "evacuate/y")
 	returned := time.Now()
 	f.sayCold("plain-1", coldStart)
@@ -139,3 +143,35 @@
 	f.checkServed(stop())
 	f.checkServers(nil)
 }
+
+// checkExplanation checks that the operators' command tells where a request would go while
+// the zone y is evacuated, and refuses bad input with one line and code 2.
+func (f *fleet) checkExplanation() {
+	f.c.Helper()
+	explain := func(args ...string) (out string, code int) {
+		cmd := exec.Command(filepath.Join(bin, "laburnum-entry"), append([]string{"explain"}, args...)...)
+		text, _ := cmd.CombinedOutput()
+		return string(text), cmd.ProcessState.ExitCode()
+	}
+	question := []string{"--entry", entryIP(0) + ":8000", "--host", "h.example", "--path", "/read/x", "--workspace", "w"}
+	out, code := explain(append(question, "--output", "json")...)
+	f.c.Check(code, qt.Equals, 0)
+	var answer struct {
+		Server     string
+		Evacuated  []string
+		Candidates []struct{ Server, Excluded string }
+	}
+	f.c.Check(json.Unmarshal([]byte(out), &answer), qt.IsNil, qt.Commentf(out))
+	f.c.Check(answer.Server, qt.Equals, "plain-0")
+	f.c.Check(answer.Evacuated, qt.DeepEquals, []string{"y"})
+	f.c.Assert(answer.Candidates, qt.HasLen, 2)
+	f.c.Check(answer.Candidates[1].Excluded, qt.Equals, "evacuated")
+	out, code = explain(question...)
+	f.c.Check(code, qt.Equals, 0)
+	f.c.Check(out, qt.Contains, "would go to plain-0")
+	for _, bad := range [][]string{{"--entry", "here"}, {"--entry", entryIP(0) + ":8000", "--host", "h"}, append(question, "--tokens", "many"), append(question, "--output", "xml"), {}} {
+		out, code := explain(bad...)
+		f.c.Check(code, qt.Equals, 2, qt.Commentf("%v: %s", bad, out))
+		f.c.Check(strings.Count(strings.TrimSpace(out), "\n"), qt.Equals, 0, qt.Commentf("%s", out))
+	}
+}
--- a/core/placement/filter_test.go
+++ b/core/placement/filter_test.go
@@ -184,3 +184,33 @@
 	}
 	return digest.Sum64()
 }
+
+// A preview must name the server that the next request gets, and change nothing: with it
+// or without it, an entry makes the same choices.
+func TestPreviewIsTheNextChoice(t *testing.T) {
+	c := qt.New(t)
+	for _, byRoom := range []bool{false, true} {
+		fleets := make([]*Fleet, 2)
+		for i := range fleets {
+			cfg := DefaultConfig("a")
+			cfg.SpreadByRoom = byRoom
+			fleets[i] = NewFleet(cfg, NewPublishedVersions(time.Hour, 0), 7)
+			fleets[i].SetEntryCount(10)
+			for e := range 20 {
+				fleets[i].Put(Server{ID: fmt.Sprint("e", e), Address: fmt.Sprint("10.0.0.", e, ":1"), Service: "llm", Zone: "a", Slots: slots, WeightVersion: 1})
+				fleets[i].Report(report(e, e%slots), start)
+			}
+		}
+		for n := range 400 {
+			now := start.Add(time.Duration(n) * time.Millisecond)
+			preview, previewMiss, candidates := fleets[0].Preview(now, query())
+			choice, miss := fleets[0].Choose(now, query())
+			other, _ := fleets[1].Choose(now, query())
+			c.Assert(previewMiss, qt.Equals, miss)
+			c.Assert(preview.Server, qt.Equals, choice.Server)
+			c.Assert(preview.Load, qt.Equals, choice.Load)
+			c.Assert(other.Server, qt.Equals, choice.Server)
+			c.Assert(candidates, qt.HasLen, 20)
+		}
+	}
+}
--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -118,6 +118,12 @@
 	Backpressure *backpressure.Tracker
 	// Regions are the regions of the availability zones.
 	Regions map[string]string
+	// SpreadByRoom chooses engines in proportion to their room, with an estimate of what
+	// the other entries sent since the last report, instead of the less loaded of two.
+	SpreadByRoom bool
+	// OnEstimate is called with the estimated and the reported load of an engine when its
+	// report arrives; may be nil.
+	OnEstimate func(estimated, reported float64)
 	// CheckMemory excludes engines whose memory a request would overfill.
 	CheckMemory bool
 }
@@ -162,13 +168,17 @@
 	// evacuated means that the operator empties the availability zone.
 	evacuated bool
 	cold      coldState
+	// spread is what Config.SpreadByRoom keeps of the server.
+	spread spreadMember
 	// inFlightTokens estimates what this entry's requests hold of the memory.
 	inFlightTokens float64
 }
 
 // Fleet holds the servers of all services.
 type Fleet struct {
-	cfg       Config
+	cfg Config
+	// source is the state of rng.
+	source    *rand.PCG
 	rng       *rand.Rand
 	members   map[string]*member
 	services  map[string][]*member
@@ -193,6 +203,10 @@
 	exclusions eligibility.Exclusions
 	// facts is reused by all decisions.
 	facts eligibility.Server
+	// spread is what Config.SpreadByRoom keeps of each service, and entryCount the number
+	// of entries, 0 if it is not known.
+	spread     map[string]*spreadService
+	entryCount int
 	// meanTokens is the mean size of this entry's requests by service.
 	meanTokens map[string]float64
 }
@@ -205,11 +219,12 @@
 // NewFleet returns a fleet without servers. Entries use different seeds, so that
 // their random choices differ.
 func NewFleet(cfg Config, published *PublishedVersions, seed uint64) *Fleet {
+	source := rand.NewPCG(seed, seed^0x9e3779b97f4a7c15)
 	return &Fleet{
-		cfg: cfg, published: published, rng: rand.New(rand.NewPCG(seed, seed^0x9e3779b97f4a7c15)),
+		cfg: cfg, published: published, source: source, rng: rand.New(source),
 		members: map[string]*member{}, services: map[string][]*member{},
 		byAddress: map[string]*member{}, reports: map[string]timedReport{},
-		traits: map[string]Traits{}, evacuated: map[string]bool{}, meanTokens: map[string]float64{},
+		traits: map[string]Traits{}, evacuated: map[string]bool{}, meanTokens: map[string]float64{}, spread: map[string]*spreadService{},
 	}
 }
 
@@ -233,6 +248,7 @@
 		}
 	}
 	m.server = s
+	f.recordRoom(m)
 	m.misdirected = false
 	m.region, m.evacuated = f.cfg.Regions[s.Zone], f.evacuated[s.Zone]
 	f.byAddress[s.Address] = m
@@ -251,6 +267,7 @@
 
 func (f *Fleet) removeMember(m *member) {
 	m.removed = true
+	f.recordRoom(m)
 	delete(f.members, m.server.ID)
 	if f.byAddress[m.server.Address] == m {
 		delete(f.byAddress, m.server.Address)
@@ -295,8 +312,12 @@
 	if m == nil {
 		return
 	}
+	if f.cfg.OnEstimate != nil && f.hasFreshReport(m, now) {
+		f.cfg.OnEstimate(f.estimatedLoad(m, now), float64(r.Running+r.Queued))
+	}
 	m.report, m.reportedAt = r, now
 	m.sentSinceReport, m.doneSinceReport = 0, 0
+	f.recordRoom(m)
 }
 
 // Query describes the requirements of a request.
@@ -325,6 +346,7 @@
 type Handle struct {
 	member *member
 	tokens float64
+	sentAt time.Time
 }
 
 // Choice is a chosen server.
@@ -393,8 +415,7 @@
 	if f.isTooLarge(&q) {
 		return Choice{}, TooLarge
 	}
-	r := f.requirements(&q, now)
-	m, miss := f.sample(&q, &r, now)
+	m, miss := f.choose(&q, now)
 	if m == nil {
 		return Choice{
 			AvailableIn: max(0, f.availableAt.Sub(now)), PauseEndsIn: max(0, f.pauseEndsAt.Sub(now)),
@@ -404,16 +425,13 @@
 	load := f.estimatedLoad(m, now)
 	m.inFlight++
 	m.sentSinceReport++
+	f.recordSent(m, now)
 	if f.cfg.CheckMemory && q.Tokens > 0 {
 		m.inFlightTokens += q.Tokens
 		f.recordTokens(q.Service, q.Tokens)
 	}
 	m.cold.take(now)
-	age := time.Duration(-1)
-	if !m.reportedAt.IsZero() {
-		age = now.Sub(m.reportedAt)
-	}
-	choice := Choice{Handle: Handle{m, q.Tokens}, Server: m.server, Version: f.weightVersion(m), Load: load, ReportAge: age}
+	choice := Choice{Handle: Handle{m, q.Tokens, now}, Server: m.server, Version: f.weightVersion(m), Load: load, ReportAge: m.reportAge(now)}
 	if f.tracksBackpressure() {
 		permit, taken := f.cfg.Backpressure.TakePermit(m.server.Instance(), now)
 		choice.Permit, choice.NeedsPermit = permit, !taken
@@ -424,6 +442,15 @@
 	return choice, Found
 }
 
+// choose returns the server for a request, or the reason why there is none.
+func (f *Fleet) choose(q *Query, now time.Time) (*member, Miss) {
+	r := f.requirements(q, now)
+	if f.cfg.SpreadByRoom && q.Model != "" {
+		return f.sampleByRoom(q, &r, now)
+	}
+	return f.sample(q, &r, now)
+}
+
 // CanServe reports whether a server may receive a request now.
 func (f *Fleet) CanServe(now time.Time, q Query) bool {
 	r := f.requirements(&q, now)
@@ -519,9 +546,15 @@
 // estimatedLoad returns the estimated number of requests at a server.
 func (f *Fleet) estimatedLoad(m *member, now time.Time) float64 {
 	if !f.hasFreshReport(m, now) {
+		if f.cfg.SpreadByRoom && f.entryCount > 1 {
+			return max(f.fullLoad(m)-staleRoom, float64(m.inFlight))
+		}
 		return float64(m.inFlight)
 	}
 	reported := float64(m.report.Running + m.report.Queued)
+	if f.cfg.SpreadByRoom {
+		reported = max(0, reported+f.othersSince(m, now))
+	}
 	return max(reported+float64(m.sentSinceReport-m.doneSinceReport), float64(m.inFlight))
 }
 
@@ -555,6 +588,9 @@
 	if f.cfg.CheckMemory {
 		m.inFlightTokens = max(0, m.inFlightTokens-h.tokens)
 	}
+	if outcome == Succeeded {
+		f.recordServiceTime(m, now.Sub(h.sentAt))
+	}
 	switch outcome {
 	case Succeeded:
 		m.consecutiveFailures, m.setAsideDuration = 0, 0
--- a/core/route/route.go
+++ b/core/route/route.go
@@ -233,6 +233,16 @@
 // Service returns the service with the name, or nil.
 func (t *Table) Service(name string) *Service { return t.servicesByName[name] }
 
+// Workspace returns the workspace with the name, or nil.
+func (t *Table) Workspace(name string) *Workspace {
+	for i := range t.cfg.Workspaces {
+		if t.cfg.Workspaces[i].Name == name {
+			return &t.cfg.Workspaces[i]
+		}
+	}
+	return nil
+}
+
 // Match returns the route of the host whose prefix is the longest that matches
 // the path, or nil. The path is encoded, as the caller wrote it.
 func (t *Table) Match(host, encodedPath string) *Route {
--- a/core/waiting/waiting.go
+++ b/core/waiting/waiting.go
@@ -255,6 +255,20 @@
 // Len returns the number of waiting requests.
 func (l *Line) Len() int { return len(l.tickets) }
 
+// Before returns the number of waiting requests that would get a place before a request.
+func (l *Line) Before(r Request) int {
+	return l.Ahead(&Ticket{Request: r, sequence: l.sequence + 1, usage: l.workspaceOrUnused(r.Workspace)})
+}
+
+// workspaceOrUnused is like workspace, but keeps nothing.
+func (l *Line) workspaceOrUnused(name string) *usage {
+	if u, known := l.used[name]; known {
+		return u
+	}
+	u := unused
+	return &u
+}
+
 // Ahead returns the number of requests that get a place before a ticket.
 func (l *Line) Ahead(t *Ticket) (ahead int) {
 	for _, other := range l.tickets {
@@ -293,17 +307,21 @@
 	return l.onTime.value(now)
 }
 
-// ReturnAfter returns when a refused caller may return: after those refused before it, at
-// a part of the rate at which places become free. A caller can't wait longer than limit.
+// NextReturn returns when the next refused caller may return: after those refused before
+// it. A caller can't wait longer than limit.
+func (l *Line) NextReturn(limit time.Duration, now time.Time) time.Duration {
+	return max(0, min(limit, max(minReturn, l.next.Sub(now))))
+}
+
+// ReturnAfter returns when a refused caller may return, and makes the one after it return
+// later, at a part of the rate at which places become free.
 func (l *Line) ReturnAfter(limit time.Duration, now time.Time) time.Duration {
-	at := now.Add(minReturn)
-	if l.next.After(at) {
-		at = l.next
-	}
-	if latest := now.Add(limit); at.After(latest) {
-		return max(limit, 0)
+	after := l.NextReturn(limit, now)
+	at := now.Add(after)
+	if l.next.After(at) || minReturn > limit {
+		return after
 	}
 	perSecond := max(returnShare*(l.onTime.value(now)+l.late.value(now)), 1/rateTime.Seconds())
 	l.next = at.Add(time.Duration(float64(time.Second) / perSecond))
-	return at.Sub(now)
+	return after
 }
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -128,7 +128,9 @@
 	// OrderedWaiting gives places to waiting requests in the order of core/waiting
 	// instead of to whichever asks first.
 	OrderedWaiting bool
-	Seed           uint64
+	// SpreadByRoom chooses engines in proportion to their estimated room.
+	SpreadByRoom bool
+	Seed         uint64
 }
 
 // entriesRetryShare is the share of the common retry budget that the entries use.
@@ -192,6 +194,7 @@
 	placementConfig := placement.DefaultConfig(cfg.Zone)
 	placementConfig.Backpressure = g.pressure
 	placementConfig.Regions, placementConfig.CheckMemory = cfg.Regions, cfg.CheckEngineMemory
+	placementConfig.SpreadByRoom, placementConfig.OnEstimate = cfg.SpreadByRoom, recordEstimate
 	g.evacuations, g.lines = evacuation.NewZones(), map[string]*waiting.Line{}
 	g.fleet = placement.NewFleet(placementConfig, g.published, cfg.Seed)
 	g.setEntryCount(initialEntryCount)
@@ -280,6 +283,7 @@
 func (g *Gateway) SetEntryCount(n int) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.fleet.SetEntryCount(n)
 	// A partial view, for example during a network partition, must not raise
 	// this entry's share.
 	if n > g.entryCount {
--- a/node/gateway/handler.go
+++ b/node/gateway/handler.go
@@ -173,6 +173,19 @@
 	if !ok {
 		return req, g.unlessConfigurationMissing(table, ReasonUnknownKey)
 	}
+	if reason := g.assign(req, table, workspace); reason != "" {
+		return req, reason
+	}
+	if plan := g.stopPlan.Load(); plan != nil && !plan.Takes(req.start, req.deadline) {
+		return req, ReasonStopping
+	}
+	reason := g.readBody(w, req, table.Limits())
+	req.identify()
+	return req, reason
+}
+
+// assign sets what follows from a request's route and workspace, which is nil for none.
+func (g *Gateway) assign(req *request, table *route.Table, workspace *route.Workspace) Reason {
 	req.priority = req.route.Priority
 	if workspace != nil {
 		req.workspace = workspace.Name
@@ -183,21 +196,16 @@
 	req.service = req.route.Service(req.call.RequestID)
 	service := table.Service(req.service)
 	if service == nil {
-		return req, ReasonNoService
+		return ReasonNoService
 	}
 	req.model = service.ModelFor(req.call.Model)
 	req.regions = route.Regions(req.route, workspace)
 	req.tokens = float64(max(req.call.PromptTokens, 0) + max(req.call.OutputTokens, 0))
 	req.setDeadline()
-	if plan := g.stopPlan.Load(); plan != nil && !plan.Takes(req.start, req.deadline) {
-		return req, ReasonStopping
-	}
 	if g.cfg.OrderedWaiting {
 		req.reserve = req.waitingRequest().Reserve()
 	}
-	reason := g.readBody(w, req, table.Limits())
-	req.identify()
-	return req, reason
+	return ""
 }
 
 // unlessConfigurationMissing returns the reason to refuse a request that the active
--- a/node/gateway/metrics.go
+++ b/node/gateway/metrics.go
@@ -2,6 +2,7 @@
 
 import (
 	"expvar"
+	"math"
 	"sync"
 	"time"
 
@@ -56,3 +57,22 @@
 	}
 	return out
 }
+
+// estimateBuckets are the upper bounds of the differences between the estimated and the
+// reported load of an engine, in requests, with their names.
+var estimateBuckets = []struct {
+	name string
+	upTo float64
+}{{"below_-8", -8}, {"-8_to_-4", -4}, {"-4_to_-1", -1}, {"-1_to_1", 1}, {"1_to_4", 4}, {"4_to_8", 8}, {"above_8", math.Inf(1)}}
+
+var estimateErrors = expvar.NewMap("placement_estimate_error_requests")
+
+// recordEstimate counts how far an engine's estimated load was above the one it reported.
+func recordEstimate(estimated, reported float64) {
+	for _, bucket := range estimateBuckets {
+		if estimated-reported <= bucket.upTo {
+			estimateErrors.Add(bucket.name, 1)
+			return
+		}
+	}
+}
--- a/node/gateway/retryafter.go
+++ b/node/gateway/retryafter.go
@@ -18,23 +18,32 @@
 	loadingRetryAfter = 1700 * time.Millisecond
 )
 
+// meanRetryAfter returns the mean time after which a caller that was refused may return.
+func meanRetryAfter(reason Reason) time.Duration {
+	switch reason {
+	case ReasonAllFull, ReasonRefusedByAll, ReasonCold, ReasonNoHome:
+		return fullRetryAfter
+	case ReasonNoWeights:
+		return loadingRetryAfter
+	default:
+		return shortRetryAfter
+	}
+}
+
 // retryAfter returns a random time between half and one and a half times the
 // mean (five sixths to seven sixths while weights load), so that callers that
 // were refused together do not retry together.
 func (g *Gateway) retryAfter(req *request, reason Reason) time.Duration {
-	mean := shortRetryAfter
-	if g.cfg.OrderedWaiting && reason == ReasonAllFull {
+	mean := meanRetryAfter(reason)
+	switch {
+	case reason == ReasonAllFull && g.cfg.OrderedWaiting:
 		return g.returnInLine(req)
-	}
-	switch reason {
-	case ReasonAllFull, ReasonRefusedByAll, ReasonCold, ReasonNoHome:
-		mean = fullRetryAfter
-	case ReasonLimited:
+	case reason == ReasonLimited:
 		return g.limitedReturn(req, req.availableIn)
-	case ReasonQuarantined:
+	case reason == ReasonQuarantined:
 		return req.verdict.Remaining
-	case ReasonNoWeights:
-		return loadingRetryAfter - loadingRetryAfter/6 + rand.N(loadingRetryAfter/3)
+	case reason == ReasonNoWeights:
+		return mean - mean/6 + rand.N(mean/3)
 	}
 	return mean/2 + rand.N(mean)
 }
