evacuation, configsync: tests that plain deployments send nothing more

Cause: nothing counted the datagrams, or compared the answers, of a deployment without evacuations.

Conclusion: tests only; such a deployment sends what it sent.

--- a/node/configsync/syncer_test.go
+++ b/node/configsync/syncer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -13,6 +14,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/laburnumloft/laburnumloft/core/evacuation"
 	"github.com/laburnumloft/laburnumloft/core/route"
 	"github.com/laburnumloft/laburnumloft/node/decision"
 	"github.com/laburnumloft/laburnumloft/node/gateway"
@@ -252,3 +254,25 @@
 	c.Check(response.Code, qt.Equals, http.StatusNotFound)
 	eventually(c, "the follower went on reading the store for 5 s", func() bool { return !follower.unanswered.Load() })
 }
+
+// The answer with a configuration must stay as it was for a deployment without
+// evacuations, and carry them for an entry that starts inside one.
+func TestConfigurationCarriesEvacuations(t *testing.T) {
+	c := qt.New(t)
+	cfg := route.Configuration{Version: 3, Routes: []route.Route{{Name: "r", Host: "h", Prefix: "/a/"}}, Services: []route.Service{{Name: "s", Engine: &route.Engine{Slots: 4}}}}
+	plain, err := json.Marshal(configurationAnswer{Configuration: cfg})
+	c.Assert(err, qt.IsNil)
+	want, err := json.Marshal(cfg)
+	c.Assert(err, qt.IsNil)
+	c.Assert(string(plain), qt.Equals, string(want))
+	for _, name := range []string{"Homes", "Cold", "MemoryTokens", "Evacuations"} {
+		c.Check(string(plain), qt.Not(qt.Contains), name)
+	}
+	running, starting := newTestEntry(c, "a", "r"), newTestEntry(c, "b", "r")
+	running.gateway.Configure(cfg, "test")
+	running.gateway.AdoptEvacuations([]evacuation.Notice{{Zone: "z", Evacuated: true, Offset: 7}}, "store")
+	starting.mesh.Put(running.member)
+	starting.FetchNewer(0)
+	c.Assert(starting.gateway.Table().Version(), qt.Equals, int64(3))
+	c.Assert(starting.gateway.Evacuations(), qt.DeepEquals, []evacuation.Notice{{Zone: "z", Evacuated: true, Offset: 7}})
+}
