callerconn: a read past its deadline is not the caller's end

Ruled out: bytes left unread at the close (it also fails for a body of four bytes that were all read).

Change: the watch does not end a context whose last read timed out.

The new test fails on the code before each time, without load.

--- a/node/lib/callerconn/callerconn.go
+++ b/node/lib/callerconn/callerconn.go
@@ -121,9 +121,14 @@
 			return
 		}
 		// net/http cancels the context of the request without a cause if it sees the end
-		// first.
+		// first, and also when a read passes its deadline, which a caller that sends a body
+		// too slowly must still be told.
 		ctx, cancel := context.WithCancelCause(context.WithoutCancel(r.Context()))
-		stop := context.AfterFunc(r.Context(), func() { cancel(ErrCallerLeft) })
+		stop := context.AfterFunc(r.Context(), func() {
+			if !c.readTimedOut() {
+				cancel(ErrCallerLeft)
+			}
+		})
 		unblock := context.AfterFunc(ctx, c.failWrites)
 		unwatch := c.watch(func() { cancel(ErrCallerLeft) })
 		defer func() {
@@ -153,6 +158,8 @@
 	// looked means that the last read was net/http's look for the end of the
 	// connection, which reads one byte, and that it found a byte.
 	looked bool
+	// timedOut means that the last read passed its deadline.
+	timedOut bool
 	// ahead holds the bytes that were read ahead, err the error behind them. left means
 	// that err is the end of the connection.
 	ahead []byte
@@ -187,6 +194,12 @@
 // failWrites ends a write that waits for a caller that has left.
 func (c *conn) failWrites() { _ = c.SetWriteDeadline(time.Unix(1, 0)) }
 
+func (c *conn) readTimedOut() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.timedOut
+}
+
 // Read implements net.Conn.
 func (c *conn) Read(p []byte) (int, error) {
 	c.mu.Lock()
@@ -194,6 +207,7 @@
 	c.stopReader()
 	n, err := c.readNext(p)
 	c.looked = n > 0 && len(p) == 1
+	c.timedOut = errors.Is(err, os.ErrDeadlineExceeded)
 	c.readAhead()
 	return n, err
 }
--- a/node/lib/callerconn/callerconn_test.go
+++ b/node/lib/callerconn/callerconn_test.go
@@ -168,3 +168,34 @@
 		_ = conn.Close()
 	}
 }
+
+// A body that does not arrive in time must not count as a caller that has left, whose
+// answer is dropped.
+func TestReadDeadlineIsNotTheCallersEnd(t *testing.T) {
+	c := qt.New(t)
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	server := &http.Server{ReadHeaderTimeout: time.Minute, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(10 * time.Millisecond))
+		_, err := io.ReadAll(r.Body)
+		select {
+		case <-r.Context().Done():
+		case <-time.After(100 * time.Millisecond):
+		}
+		_, _ = fmt.Fprint(w, err != nil, Left(r.Context()))
+	})}
+	wrapped := Configure(server, listener)
+	go func() { _ = server.Serve(wrapped) }()
+	c.Cleanup(func() { _ = server.Close() })
+	conn, err := net.Dial("tcp4", listener.Addr().String())
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(func() { _ = conn.Close() })
+	_, err = io.WriteString(conn, strings.TrimSuffix(post("/", 10), "b"))
+	c.Assert(err, qt.IsNil)
+	_ = conn.SetReadDeadline(time.Now().Add(5 * time.Second))
+	answer, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	c.Assert(err, qt.IsNil)
+	body, err := io.ReadAll(answer.Body)
+	c.Assert(err, qt.IsNil)
+	c.Check(string(body), qt.Equals, "true false")
+}
