gateway: a slow stream is cut only for a server that may take it

Cause: the watch of a stream asked for another server by a query of its own, without the homes of the request, its tokens and its reserve. A slow stream with homes was cut although no allowed server could go on with it.

Change: the watch uses the request's own query.

--- a/node/gateway/gateway_test.go
+++ b/node/gateway/gateway_test.go
@@ -172,6 +172,7 @@
 	r.Gateway = New(Config{
 		ID: "entry", Zone: "z", Codec: testCodec{}, Log: decision.New(decision.Config{Output: r.log}),
 		RetryRatio: 0.2, RetrySlack: 1000, WeightsDeadline: 8 * time.Second, Seed: 1,
+		Regions: map[string]string{"z": "home", "other": "elsewhere"},
 	})
 	r.Configure(configuration(1), "test")
 	for i, s := range servers {
@@ -299,13 +300,13 @@
 }
 
 // A slow but healthy engine must keep its stream if no other engine may or can take
-// over, because the route isn't resumable, the retry budget is used up or no other
-// engine has room. Similar systems cut such streams.
+// over, because the route isn't resumable, the retry budget is used up, or no other
+// engine has room or is in a home of the request. Similar systems cut such streams.
 func TestSlowStreamKeptWithoutAlternative(t *testing.T) {
 	for _, test := range []struct {
 		name, path string
 		slack      float64
-	}{{"not resumable", "/once/1", 1000}, {"no budget", "/stream/1", 0}, {"no other server", "/stream/1", 1000}} {
+	}{{"not resumable", "/once/1", 1000}, {"no budget", "/stream/1", 0}, {"no other server", "/stream/1", 1000}, {"no other home", "/stream/1", 1000}} {
 		t.Run(test.name, func(t *testing.T) {
 			c := qt.New(t)
 			s := newServer(c, slowEvents(2, minFirstEventTimeout+100*time.Millisecond))
@@ -313,6 +314,10 @@
 			cfg := configuration(2)
 			for i := range cfg.Routes {
 				cfg.Routes[i].Timeout = 6 * time.Second
+				if test.name == "no other home" {
+					cfg.Routes[i].Homes = []string{"home"}
+					r.PutServer(placement.Server{ID: "away", Address: "127.0.0.1:1", Service: "svc", Zone: "other"})
+				}
 			}
 			c.Assert(r.Configure(cfg, "test"), qt.IsTrue)
 			r.cfg.RetryRatio, r.cfg.RetrySlack = 0, test.slack
--- a/node/gateway/progress.go
+++ b/node/gateway/progress.go
@@ -48,8 +48,9 @@
 // watchProgress starts the watch of an attempt, which it ends with cancel.
 func (g *Gateway) watchProgress(req *request, choice placement.Choice, cancel context.CancelFunc) *progressWatch {
 	// When the watch fires, this attempt counts as a run.
-	repeatable, service := req.mayRerunAfter(1), req.service
-	others := placement.Query{Service: service, Model: req.model, Tried: slices.Clone(req.tried), SpareCapacityOnly: req.pastTarget}
+	repeatable := req.mayRerunAfter(1)
+	others := req.query()
+	others.Tried = slices.Clone(req.tried)
 	p := &progressWatch{
 		pauseTimeout: max(minPauseTimeout, time.Duration(pauseTargets*float64(req.route.PauseTarget))),
 		cancel:       cancel, mayRetry: func() bool { return repeatable && g.canMove(others) },
