core/waiting: Queue and Waiter instead of Line and Ticket

Cause: the ordered queue of requests was named by words of its own, and Ticket also names the reservations of core/operation.

Conclusion: the usual terms of the field.

--- a/core/waiting/waiting.go
+++ b/core/waiting/waiting.go
@@ -6,7 +6,7 @@
 // that repeat at once, or one workspace that sends several times its share. The order
 // holds among the requests of one entry; between entries, the load up to which a rank
 // may fill a server (Reserve) gives the higher ranks the last places. The package does
-// no I/O, reads no clock and starts no goroutine. A Line is not safe for concurrent use.
+// no I/O, reads no clock and starts no goroutine. A Queue is not safe for concurrent use.
 package waiting
 
 import (
@@ -69,8 +69,8 @@
 	return min(maxReserve, rankReserve*float64(max(r.RouteRank, 0)))
 }
 
-// Ticket is a place in the line.
-type Ticket struct {
+// Waiter is a place in the queue.
+type Waiter struct {
 	Request
 	sequence uint64
 	// failedAt is the number of the last change of the servers after which the request
@@ -80,9 +80,9 @@
 	usage *usage
 }
 
-// Line holds the waiting requests of one service.
-type Line struct {
-	tickets  []*Ticket
+// Queue holds the waiting requests of one service.
+type Queue struct {
+	waiters  []*Waiter
 	sequence uint64
 	// changes counts the changes of the servers.
 	changes uint64
@@ -96,8 +96,8 @@
 	next    time.Time
 }
 
-// NewLine returns an empty line.
-func NewLine() *Line { return &Line{used: map[string]*usage{}} }
+// NewQueue returns an empty queue.
+func NewQueue() *Queue { return &Queue{used: map[string]*usage{}} }
 
 // usage is the logarithm of a number of places that decays with shareTime, raised by the
 // time in units of shareTime. All decay alike, so that values of different times compare.
@@ -113,15 +113,15 @@
 }
 
 // workspace returns the usage of a workspace.
-func (l *Line) workspace(name string) *usage {
-	if u, known := l.used[name]; known {
+func (q *Queue) workspace(name string) *usage {
+	if u, known := q.used[name]; known {
 		return u
 	}
-	if len(l.used) >= maxWorkspaces {
-		clear(l.used)
+	if len(q.used) >= maxWorkspaces {
+		clear(q.used)
 	}
 	u := unused
-	l.used[name] = &u
+	q.used[name] = &u
 	return &u
 }
 
@@ -143,59 +143,59 @@
 	return r.perSecond * math.Exp(-now.Sub(r.at).Seconds()/rateTime.Seconds())
 }
 
-// Join adds a request to the line.
-func (l *Line) Join(r Request) *Ticket {
-	l.sequence++
-	t := &Ticket{Request: r, sequence: l.sequence, usage: l.workspace(r.Workspace)}
-	l.tickets = append(l.tickets, t)
-	return t
+// Join adds a request to the queue.
+func (q *Queue) Join(r Request) *Waiter {
+	q.sequence++
+	w := &Waiter{Request: r, sequence: q.sequence, usage: q.workspace(r.Workspace)}
+	q.waiters = append(q.waiters, w)
+	return w
 }
 
 // Leave removes a request that got no place.
-func (l *Line) Leave(t *Ticket) {
-	for i, other := range l.tickets {
-		if other == t {
-			l.tickets = append(l.tickets[:i], l.tickets[i+1:]...)
+func (q *Queue) Leave(w *Waiter) {
+	for i, other := range q.waiters {
+		if other == w {
+			q.waiters = append(q.waiters[:i], q.waiters[i+1:]...)
 			return
 		}
 	}
 }
 
 // Grant removes a request that got a place.
-func (l *Line) Grant(t *Ticket, now time.Time) {
-	l.Leave(t)
-	l.grants++
-	if t.Late {
-		l.late.record(now)
+func (q *Queue) Grant(w *Waiter, now time.Time) {
+	q.Leave(w)
+	q.grants++
+	if w.Late {
+		q.late.record(now)
 	} else {
-		l.onTime.record(now)
+		q.onTime.record(now)
 	}
-	if l.started.IsZero() {
-		l.started = now
+	if q.started.IsZero() {
+		q.started = now
 	}
-	*t.usage = t.usage.use(now.Sub(l.started).Seconds() / shareTime.Seconds())
+	*w.usage = w.usage.use(now.Sub(q.started).Seconds() / shareTime.Seconds())
 }
 
 // Changed records that servers may have room that they did not have before.
-func (l *Line) Changed() { l.changes++ }
+func (q *Queue) Changed() { q.changes++ }
 
 // RecordMiss records that a request found no place. If it can use all servers, no other
 // one would find a place until the next change.
-func (l *Line) RecordMiss(t *Ticket) {
-	t.failedAt = l.changes + 1
-	if t.Particular {
+func (q *Queue) RecordMiss(w *Waiter) {
+	w.failedAt = q.changes + 1
+	if w.Particular {
 		return
 	}
-	for _, other := range l.tickets {
-		if !l.before(t, other) {
+	for _, other := range q.waiters {
+		if !q.before(w, other) {
 			continue
 		}
-		other.failedAt = l.changes + 1
+		other.failedAt = q.changes + 1
 	}
 }
 
 // before reports whether a finds a place wherever b does.
-func (l *Line) before(a, b *Ticket) bool {
+func (q *Queue) before(a, b *Waiter) bool {
 	return a == b || b.Late || !a.Late && a.Reserve() <= b.Reserve()
 }
 
@@ -205,23 +205,23 @@
 // Of the waiting requests the one that can be on time goes before one that can't, then the
 // higher rank, then the workspace that has used the least, then a caller that came back,
 // then the oldest; and for one place in anyRankEvery only the last three count.
-func (l *Line) First() (first *Ticket) {
+func (q *Queue) First() (first *Waiter) {
 	order := compare
-	if l.grants%anyRankEvery == anyRankEvery-1 {
+	if q.grants%anyRankEvery == anyRankEvery-1 {
 		order = compareWithoutRank
 	}
-	for _, t := range l.tickets {
-		if t.failedAt > l.changes {
+	for _, w := range q.waiters {
+		if w.failedAt > q.changes {
 			continue
 		}
-		if first == nil || order(t, first) < 0 {
-			first = t
+		if first == nil || order(w, first) < 0 {
+			first = w
 		}
 	}
 	return first
 }
 
-func compare(a, b *Ticket) int {
+func compare(a, b *Waiter) int {
 	if a.Late != b.Late {
 		return last(a.Late, b.Late)
 	}
@@ -234,7 +234,7 @@
 	return compareWithoutRank(a, b)
 }
 
-func compareWithoutRank(a, b *Ticket) int {
+func compareWithoutRank(a, b *Waiter) int {
 	if *a.usage != *b.usage {
 		return cmp.Compare(*a.usage, *b.usage)
 	}
@@ -253,26 +253,26 @@
 }
 
 // Len returns the number of waiting requests.
-func (l *Line) Len() int { return len(l.tickets) }
+func (q *Queue) Len() int { return len(q.waiters) }
 
 // Before returns the number of waiting requests that would get a place before a request.
-func (l *Line) Before(r Request) int {
-	return l.Ahead(&Ticket{Request: r, sequence: l.sequence + 1, usage: l.workspaceOrUnused(r.Workspace)})
+func (q *Queue) Before(r Request) int {
+	return q.Ahead(&Waiter{Request: r, sequence: q.sequence + 1, usage: q.workspaceOrUnused(r.Workspace)})
 }
 
 // workspaceOrUnused is like workspace, but keeps nothing.
-func (l *Line) workspaceOrUnused(name string) *usage {
-	if u, known := l.used[name]; known {
+func (q *Queue) workspaceOrUnused(name string) *usage {
+	if u, known := q.used[name]; known {
 		return u
 	}
 	u := unused
 	return &u
 }
 
-// Ahead returns the number of requests that get a place before a ticket.
-func (l *Line) Ahead(t *Ticket) (ahead int) {
-	for _, other := range l.tickets {
-		if other != t && compare(other, t) < 0 {
+// Ahead returns the number of requests that get a place before a waiter.
+func (q *Queue) Ahead(w *Waiter) (ahead int) {
+	for _, other := range q.waiters {
+		if other != w && compare(other, w) < 0 {
 			ahead++
 		}
 	}
@@ -283,15 +283,15 @@
 // is how long one may wait that can still be on time, and remaining the time until its
 // caller gives up. A late request waits longer if places for late ones come at a rate at
 // which its turn comes.
-func (l *Line) MaxWait(t *Ticket, onTime, remaining time.Duration, now time.Time) time.Duration {
+func (q *Queue) MaxWait(w *Waiter, onTime, remaining time.Duration, now time.Time) time.Duration {
 	wait := onTime
-	if t.Late {
+	if w.Late {
 		wait = min(lateWait, time.Duration(lateWaitShare*float64(remaining)))
 	}
-	perSecond := l.placesPerSecond(t, now)
-	expected := float64(l.Ahead(t)) / max(perSecond, 1/rateTime.Seconds())
+	perSecond := q.placesPerSecond(w, now)
+	expected := float64(q.Ahead(w)) / max(perSecond, 1/rateTime.Seconds())
 	switch {
-	case t.Late && expected > wait.Seconds():
+	case w.Late && expected > wait.Seconds():
 		return min(wait, onTime)
 	case expected > hopelessWaits*wait.Seconds():
 		return 0
@@ -300,28 +300,28 @@
 	}
 }
 
-func (l *Line) placesPerSecond(t *Ticket, now time.Time) float64 {
-	if t.Late {
-		return l.late.value(now)
+func (q *Queue) placesPerSecond(w *Waiter, now time.Time) float64 {
+	if w.Late {
+		return q.late.value(now)
 	}
-	return l.onTime.value(now)
+	return q.onTime.value(now)
 }
 
 // NextReturn returns when the next refused caller may return: after those refused before
 // it. A caller can't wait longer than limit.
-func (l *Line) NextReturn(limit time.Duration, now time.Time) time.Duration {
-	return max(0, min(limit, max(minReturn, l.next.Sub(now))))
+func (q *Queue) NextReturn(limit time.Duration, now time.Time) time.Duration {
+	return max(0, min(limit, max(minReturn, q.next.Sub(now))))
 }
 
 // ReturnAfter returns when a refused caller may return, and makes the one after it return
 // later, at a part of the rate at which places become free.
-func (l *Line) ReturnAfter(limit time.Duration, now time.Time) time.Duration {
-	after := l.NextReturn(limit, now)
+func (q *Queue) ReturnAfter(limit time.Duration, now time.Time) time.Duration {
+	after := q.NextReturn(limit, now)
 	at := now.Add(after)
-	if l.next.After(at) || minReturn > limit {
+	if q.next.After(at) || minReturn > limit {
 		return after
 	}
-	perSecond := max(returnShare*(l.onTime.value(now)+l.late.value(now)), 1/rateTime.Seconds())
-	l.next = at.Add(time.Duration(float64(time.Second) / perSecond))
+	perSecond := max(returnShare*(q.onTime.value(now)+q.late.value(now)), 1/rateTime.Seconds())
+	q.next = at.Add(time.Duration(float64(time.Second) / perSecond))
 	return after
 }
--- a/core/waiting/waiting_test.go
+++ b/core/waiting/waiting_test.go
@@ -12,12 +12,12 @@
 
 var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 
-// join adds requests and returns their tickets.
-func join(l *Line, requests ...Request) (tickets []*Ticket) {
+// join adds requests and returns their waiters.
+func join(q *Queue, requests ...Request) (waiters []*Waiter) {
 	for _, r := range requests {
-		tickets = append(tickets, l.Join(r))
+		waiters = append(waiters, q.Join(r))
 	}
-	return tickets
+	return waiters
 }
 
 // Each half of the rule that orders waiting requests, and the exception that keeps every
@@ -36,22 +36,22 @@
 		{"the workspace that used fewer places", Request{Workspace: "quiet"}, Request{Workspace: "busy", Returning: true}},
 		{"a caller that came back before a new one", Request{Returning: true}, Request{}},
 	} {
-		l := NewLine()
-		l.Grant(join(l, Request{Workspace: "busy"})[0], start)
-		tickets := join(l, test.second, test.first)
-		c.Check(l.First(), qt.Equals, tickets[1], qt.Commentf(test.name))
+		q := NewQueue()
+		q.Grant(join(q, Request{Workspace: "busy"})[0], start)
+		waiters := join(q, test.second, test.first)
+		c.Check(q.First(), qt.Equals, waiters[1], qt.Commentf(test.name))
 	}
-	l := NewLine()
-	tickets := join(l, Request{}, Request{})
-	c.Check(l.First(), qt.Equals, tickets[0], qt.Commentf("the oldest"))
+	q := NewQueue()
+	waiters := join(q, Request{}, Request{})
+	c.Check(q.First(), qt.Equals, waiters[0], qt.Commentf("the oldest"))
 
-	l = NewLine()
-	lowest := join(l, late)[0]
+	q = NewQueue()
+	lowest := join(q, late)[0]
 	for n := range anyRankEvery {
-		join(l, Request{})
-		first := l.First()
+		join(q, Request{})
+		first := q.First()
 		c.Check(first == lowest, qt.Equals, n == anyRankEvery-1, qt.Commentf("place %d", n))
-		l.Grant(first, start)
+		q.Grant(first, start)
 	}
 }
 
@@ -59,18 +59,18 @@
 // others only if they could use servers that it can't.
 func TestOneRequestTriesAtATime(t *testing.T) {
 	c := qt.New(t)
-	l := NewLine()
-	tickets := join(l, Request{Particular: true}, Request{}, Request{RouteRank: 1, Rank: 1}, Request{Late: true})
-	var tried []*Ticket
-	for first := l.First(); first != nil; first = l.First() {
+	q := NewQueue()
+	waiters := join(q, Request{Particular: true}, Request{}, Request{RouteRank: 1, Rank: 1}, Request{Late: true})
+	var tried []*Waiter
+	for first := q.First(); first != nil; first = q.First() {
 		tried = append(tried, first)
-		l.RecordMiss(first)
+		q.RecordMiss(first)
 	}
-	c.Assert(slices.Equal(tried, tickets[:2]), qt.IsTrue)
-	l.Changed()
-	c.Assert(l.First(), qt.Equals, tickets[0])
-	l.Leave(tickets[0])
-	c.Assert(l.First(), qt.Equals, tickets[1])
+	c.Assert(slices.Equal(tried, waiters[:2]), qt.IsTrue)
+	q.Changed()
+	c.Assert(q.First(), qt.Equals, waiters[0])
+	q.Leave(waiters[0])
+	c.Assert(q.First(), qt.Equals, waiters[1])
 }
 
 // A late request waits for a place that nobody else needs only while such places come;
@@ -78,30 +78,30 @@
 func TestLateRequestsWaitOnlyForPlacesThatCome(t *testing.T) {
 	c := qt.New(t)
 	const usual, remaining = 80 * time.Millisecond, 5 * time.Second
-	l := NewLine()
-	ahead := join(l, Request{Late: true}, Request{Late: true}, Request{Late: true}, Request{Late: true})
-	last := join(l, Request{Late: true})[0]
-	c.Assert(l.MaxWait(last, usual, remaining, start), qt.Equals, usual)
+	q := NewQueue()
+	ahead := join(q, Request{Late: true}, Request{Late: true}, Request{Late: true}, Request{Late: true})
+	last := join(q, Request{Late: true})[0]
+	c.Assert(q.MaxWait(last, usual, remaining, start), qt.Equals, usual)
 	for range 20 {
-		l.Grant(join(l, Request{Late: true})[0], start)
+		q.Grant(join(q, Request{Late: true})[0], start)
 	}
-	c.Assert(l.MaxWait(last, usual, remaining, start), qt.Equals, lateWait)
-	c.Assert(l.MaxWait(ahead[0], usual, time.Second, start), qt.Equals, time.Second/3)
-	c.Assert(l.MaxWait(join(l, Request{})[0], usual, remaining, start), qt.Equals, usual)
+	c.Assert(q.MaxWait(last, usual, remaining, start), qt.Equals, lateWait)
+	c.Assert(q.MaxWait(ahead[0], usual, time.Second, start), qt.Equals, time.Second/3)
+	c.Assert(q.MaxWait(join(q, Request{})[0], usual, remaining, start), qt.Equals, usual)
 	// Long after the last place for late requests their turn does not come.
-	c.Assert(l.MaxWait(last, usual, remaining, start.Add(time.Minute)), qt.Equals, usual)
+	c.Assert(q.MaxWait(last, usual, remaining, start.Add(time.Minute)), qt.Equals, usual)
 }
 
 // Callers that are refused together must not return together, nor later than they can.
 func TestReturnsAreSpread(t *testing.T) {
 	c := qt.New(t)
-	l := NewLine()
+	q := NewQueue()
 	var times []time.Duration
 	for range 4 {
-		l.Grant(join(l, Request{})[0], start)
+		q.Grant(join(q, Request{})[0], start)
 	}
 	for range 20 {
-		times = append(times, l.ReturnAfter(2*time.Second, start))
+		times = append(times, q.ReturnAfter(2*time.Second, start))
 	}
 	c.Check(times[0], qt.Equals, minReturn)
 	c.Check(slices.IsSorted(times), qt.IsTrue)
@@ -118,7 +118,7 @@
 	r      Request
 	at     time.Time
 	limit  time.Time
-	ticket *Ticket
+	waiter *Waiter
 }
 
 // replay plays load on places that each serve a request in serviceTime on average: rates are the
@@ -141,7 +141,7 @@
 
 func (r replay) run() (result []replayed, longest []time.Duration) {
 	rng, arrivals := rand.New(rand.NewPCG(3, 4)), rand.New(rand.NewPCG(5, 6))
-	l := NewLine()
+	q := NewQueue()
 	result, longest = make([]replayed, len(r.kinds)), make([]time.Duration, len(r.kinds))
 	var waiting, returning []*caller
 	var busy []time.Time
@@ -166,10 +166,10 @@
 			return true
 		})
 		for _, w := range arrived {
-			w.at, w.ticket = now, l.Join(w.r)
+			w.at, w.waiter = now, q.Join(w.r)
 			wait := mayWait
 			if r.ordered {
-				wait = l.MaxWait(w.ticket, mayWait, deadline/2, now)
+				wait = q.MaxWait(w.waiter, mayWait, deadline/2, now)
 			}
 			w.limit = now.Add(wait)
 			waiting = append(waiting, w)
@@ -177,26 +177,26 @@
 		before := len(busy)
 		busy = slices.DeleteFunc(busy, func(end time.Time) bool { return !end.After(now) })
 		if len(busy) < before {
-			l.Changed()
+			q.Changed()
 		}
 		for len(busy) < r.places && len(waiting) > 0 {
 			i := rng.IntN(len(waiting))
 			if r.ordered {
-				first := l.First()
+				first := q.First()
 				if first == nil {
 					break
 				}
-				i = slices.IndexFunc(waiting, func(w *caller) bool { return w.ticket == first })
+				i = slices.IndexFunc(waiting, func(w *caller) bool { return w.waiter == first })
 			}
 			w := waiting[i]
 			// Late requests leave the last places to those on time.
 			if full := len(busy) >= r.places-1; w.r.Late && full {
-				if l.RecordMiss(w.ticket); r.ordered {
+				if q.RecordMiss(w.waiter); r.ordered {
 					continue
 				}
 				break
 			}
-			l.Grant(w.ticket, now)
+			q.Grant(w.waiter, now)
 			waiting = slices.Delete(waiting, i, i+1)
 			busy = append(busy, now.Add(serviceTime/2+time.Duration(rng.Int64N(int64(serviceTime)))))
 			longest[w.kind] = max(longest[w.kind], now.Sub(w.at))
@@ -210,7 +210,7 @@
 			if w.limit.After(now) {
 				return false
 			}
-			l.Leave(w.ticket)
+			q.Leave(w.waiter)
 			if w.r.Returning {
 				result[w.kind].refusedAgain++
 				return true
@@ -218,7 +218,7 @@
 			result[w.kind].refused++
 			after := 600*time.Millisecond + time.Duration(rng.Int64N(int64(1200*time.Millisecond)))
 			if r.ordered {
-				after = l.ReturnAfter(deadline/3, now)
+				after = q.ReturnAfter(deadline/3, now)
 			}
 			w.limit = now.Add(after)
 			returning = append(returning, w)
@@ -319,24 +319,24 @@
 // The line must not grow with what it has seen.
 func TestStateIsBounded(t *testing.T) {
 	c := qt.New(t)
-	l := NewLine()
+	q := NewQueue()
 	for n := range 3 * maxWorkspaces {
-		l.Grant(join(l, Request{Workspace: fmt.Sprint(n)})[0], start)
+		q.Grant(join(q, Request{Workspace: fmt.Sprint(n)})[0], start)
 	}
-	c.Assert(l.Len(), qt.Equals, 0)
-	c.Assert(len(l.used) <= maxWorkspaces, qt.IsTrue)
+	c.Assert(q.Len(), qt.Equals, 0)
+	c.Assert(len(q.used) <= maxWorkspaces, qt.IsTrue)
 }
 
 // BenchmarkTurn measures one place for one of 200 waiting requests.
 func BenchmarkTurn(b *testing.B) {
-	l := NewLine()
+	q := NewQueue()
 	for n := range 200 {
-		l.Join(Request{Rank: 1, RouteRank: n % 3, Workspace: fmt.Sprint(n % 24)})
+		q.Join(Request{Rank: 1, RouteRank: n % 3, Workspace: fmt.Sprint(n % 24)})
 	}
 	for range b.N {
-		first := l.First()
-		l.Grant(first, start)
-		l.Join(first.Request)
-		l.Changed()
+		first := q.First()
+		q.Grant(first, start)
+		q.Join(first.Request)
+		q.Changed()
 	}
 }
--- a/node/gateway/explain.go
+++ b/node/gateway/explain.go
@@ -98,9 +98,9 @@
 	for _, c := range candidates {
 		a.Candidates = append(a.Candidates, newChoiceCandidate(c))
 	}
-	line := g.lines[req.service]
-	if line != nil {
-		a.Waiting = line.Before(req.waitingRequest())
+	queue := g.queues[req.service]
+	if queue != nil {
+		a.Waiting = queue.Before(req.waitingRequest())
 	}
 	if miss == placement.Found {
 		a.Server = choice.Server.ID
@@ -108,8 +108,8 @@
 	}
 	remaining := time.Until(req.deadline)
 	a.Miss, a.WaitMS = string(miss), placement.MaxWait(miss, req.pastTarget, req.route.Target, remaining).Milliseconds()
-	if line != nil && miss == placement.AllFull {
-		a.ReturnMS = line.NextReturn(remaining/honouredShare, now).Milliseconds()
+	if queue != nil && miss == placement.AllFull {
+		a.ReturnMS = queue.NextReturn(remaining/honouredShare, now).Milliseconds()
 	} else {
 		a.ReturnMS = meanRetryAfter(missReason(miss, req)).Milliseconds()
 	}
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -175,8 +175,8 @@
 	// limitedWaiting counts the requests that wait for a limited server, by service.
 	limitedWaiting map[string]int
 	evacuations    *evacuation.Zones
-	// lines hold the waiting requests by service if they are ordered.
-	lines map[string]*waiting.Line
+	// queues hold the waiting requests by service if they are ordered.
+	queues map[string]*waiting.Queue
 	// entriesViewAt is when the fleet last got the view of the entries.
 	entriesViewAt time.Time
 }
@@ -195,7 +195,7 @@
 	placementConfig.Backpressure = g.pressure
 	placementConfig.Regions, placementConfig.CheckMemory = cfg.Regions, cfg.CheckEngineMemory
 	placementConfig.SpreadByRoom, placementConfig.OnEstimate = cfg.SpreadByRoom, recordEstimate
-	g.evacuations, g.lines = evacuation.NewZones(), map[string]*waiting.Line{}
+	g.evacuations, g.queues = evacuation.NewZones(), map[string]*waiting.Queue{}
 	g.fleet = placement.NewFleet(placementConfig, g.published, cfg.Seed)
 	g.setEntryCount(initialEntryCount)
 	return g
@@ -302,8 +302,8 @@
 // notifyWaiters makes waiting requests retry their placement, because servers may have
 // changed. The caller holds mu.
 func (g *Gateway) notifyWaiters() {
-	for _, line := range g.lines {
-		line.Changed()
+	for _, queue := range g.queues {
+		queue.Changed()
 	}
 	g.wakeWaiters()
 }
--- a/node/gateway/handler.go
+++ b/node/gateway/handler.go
@@ -106,7 +106,7 @@
 	returning bool
 	// ticket is the place among the waiting requests; nil while the request does not
 	// wait, and where requests are not ordered.
-	ticket *waiting.Ticket
+	waiter *waiting.Waiter
 	// reserve is how much earlier than for requests of the highest rank a server is full,
 	// in requests.
 	reserve float64
--- a/node/gateway/place.go
+++ b/node/gateway/place.go
@@ -28,7 +28,7 @@
 		if queued {
 			g.leaveLimitedQueue(req.service)
 		}
-		g.leaveLine(req)
+		g.leaveQueue(req)
 	}()
 	for {
 		if verdict, found := g.quarantined(req.identity); found {
--- a/node/gateway/line.go
+++ b/node/gateway/queue.go
@@ -11,14 +11,14 @@
 // notItsTurn is the miss of a request before which another one gets the next place.
 const notItsTurn placement.Miss = "not_its_turn"
 
-// line returns the line of a service. The caller holds mu.
-func (g *Gateway) line(service string) *waiting.Line {
-	line := g.lines[service]
-	if line == nil {
-		line = waiting.NewLine()
-		g.lines[service] = line
+// queue returns the queue of a service. The caller holds mu.
+func (g *Gateway) queue(service string) *waiting.Queue {
+	queue := g.queues[service]
+	if queue == nil {
+		queue = waiting.NewQueue()
+		g.queues[service] = queue
 	}
-	return line
+	return queue
 }
 
 // choose chooses a server for a request, if it is its turn where requests are ordered. It
@@ -30,50 +30,50 @@
 		choice, miss = g.fleet.Choose(now, req.query())
 		return choice, miss, g.changed
 	}
-	line := g.line(req.service)
-	if req.ticket == nil {
-		req.ticket = line.Join(req.waitingRequest())
+	queue := g.queue(req.service)
+	if req.waiter == nil {
+		req.waiter = queue.Join(req.waitingRequest())
 	}
-	if line.First() != req.ticket {
+	if queue.First() != req.waiter {
 		return placement.Choice{}, notItsTurn, g.changed
 	}
 	choice, miss = g.fleet.Choose(now, req.query())
 	if miss == placement.Found {
-		line.Grant(req.ticket, now)
-		req.ticket = nil
+		queue.Grant(req.waiter, now)
+		req.waiter = nil
 	} else {
-		line.RecordMiss(req.ticket)
+		queue.RecordMiss(req.waiter)
 	}
-	if line.First() != nil {
+	if queue.First() != nil {
 		// It is the turn of the next one.
 		g.wakeWaiters()
 	}
 	return choice, miss, g.changed
 }
 
-// leaveLine takes a request out of the line, if it is still there.
-func (g *Gateway) leaveLine(req *request) {
-	if req.ticket == nil {
+// leaveQueue takes a request out of the queue, if it is still there.
+func (g *Gateway) leaveQueue(req *request) {
+	if req.waiter == nil {
 		return
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	line := g.line(req.service)
-	line.Leave(req.ticket)
-	req.ticket = nil
-	if line.First() != nil {
+	queue := g.queue(req.service)
+	queue.Leave(req.waiter)
+	req.waiter = nil
+	if queue.First() != nil {
 		g.wakeWaiters()
 	}
 }
 
 // recordElapsedPause records that a pause of a server has ended, which no message tells.
 func (g *Gateway) recordElapsedPause(req *request) {
-	if req.ticket == nil {
+	if req.waiter == nil {
 		return
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.line(req.service).Changed()
+	g.queue(req.service).Changed()
 }
 
 // waitingRequest returns what the order of waiting requests depends on.
@@ -87,22 +87,22 @@
 // maxWait returns how long a request may wait after a miss.
 func (g *Gateway) maxWait(req *request, miss placement.Miss, remaining time.Duration) time.Duration {
 	usual := placement.MaxWait(miss, req.pastTarget, req.route.Target, remaining)
-	inLine := miss == placement.AllFull || miss == placement.AllCold || miss == notItsTurn
-	if req.ticket == nil || !inLine {
+	ordered := miss == placement.AllFull || miss == placement.AllCold || miss == notItsTurn
+	if req.waiter == nil || !ordered {
 		return usual
 	}
 	now := bootclock.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.line(req.service).MaxWait(req.ticket, usual, remaining, now)
+	return g.queue(req.service).MaxWait(req.waiter, usual, remaining, now)
 }
 
-// returnInLine returns when a caller that was refused for lack of places may return.
-func (g *Gateway) returnInLine(req *request) time.Duration {
+// returnFromQueue returns when a caller that was refused for lack of places may return.
+func (g *Gateway) returnFromQueue(req *request) time.Duration {
 	now := bootclock.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.line(req.service).ReturnAfter(time.Until(req.deadline)/honouredShare, now)
+	return g.queue(req.service).ReturnAfter(time.Until(req.deadline)/honouredShare, now)
 }
 
 // honouredShare divides the time that a caller has left; callers wait no longer for a
--- a/node/gateway/retryafter.go
+++ b/node/gateway/retryafter.go
@@ -37,7 +37,7 @@
 	mean := meanRetryAfter(reason)
 	switch {
 	case reason == ReasonAllFull && g.cfg.OrderedWaiting:
-		return g.returnInLine(req)
+		return g.returnFromQueue(req)
 	case reason == ReasonLimited:
 		return g.limitedReturn(req, req.availableIn)
 	case reason == ReasonQuarantined:
