gateway: requests behind a miss take its reason and its times

The others knew only that it was not their turn: they were refused as all_full with the queue's time to return, also where the one before had found no server, or only limited ones. Three faults of the same kind were found with it: a request too large for all engines, or for the memory left, kept smaller ones from trying until the next change; so did a request for one model those for another; and a request behind one that was about to try was refused at once if no place had been given in the last seconds, before anybody knew whether there was one.

Change: the last miss that covers others is kept for each service and holds for them, with the time that is left of it; a miss by size, or of another model, covers nobody; without a miss nobody is refused at once.

Conclusion: the reasons of refusals and their times hold again.

--- a/core/waiting/waiting.go
+++ b/core/waiting/waiting.go
@@ -51,6 +51,8 @@
 	// of the route; 0 is the highest.
 	Rank, RouteRank int
 	Workspace       string
+	// Model is the model that a server must have loaded.
+	Model string
 	// Late means that the target has passed, so that only a late answer is possible.
 	Late bool
 	// Returning means that the caller was refused before.
@@ -76,6 +78,8 @@
 	// failedAt is the number of the last change of the servers after which the request
 	// found no place.
 	failedAt uint64
+	// covered means that the miss was another request's.
+	covered bool
 	// usage is that of the workspace.
 	usage *usage
 }
@@ -179,24 +183,31 @@
 // Changed records that servers may have room that they did not have before.
 func (q *Queue) Changed() { q.changes++ }
 
-// RecordMiss records that a request found no place. If it can use all servers, no other
-// one would find a place until the next change.
-func (q *Queue) RecordMiss(w *Waiter) {
-	w.failedAt = q.changes + 1
-	if w.Particular {
+// RecordMiss records that a request found no place. If it can use all servers, and
+// nothing of its own such as its size kept it from them, no other one that needs at least
+// as much would find a place until the next change.
+func (q *Queue) RecordMiss(w *Waiter, ofItsOwn bool) {
+	w.failedAt, w.covered = q.changes+1, false
+	if w.Particular || ofItsOwn {
 		return
 	}
 	for _, other := range q.waiters {
-		if !q.before(w, other) {
-			continue
+		if other != w && covers(w, other) {
+			other.failedAt, other.covered = q.changes+1, true
 		}
-		other.failedAt = q.changes + 1
 	}
 }
 
-// before reports whether a finds a place wherever b does.
-func (q *Queue) before(a, b *Waiter) bool {
-	return a == b || b.Late || !a.Late && a.Reserve() <= b.Reserve()
+// Missed reports whether a request would find no place before the next change, and
+// whether another one's miss tells so.
+func (q *Queue) Missed(w *Waiter) (missed, covered bool) {
+	missed = w.failedAt > q.changes
+	return missed, missed && w.covered
+}
+
+// covers reports whether a finds a place wherever b does.
+func covers(a, b *Waiter) bool {
+	return a.Model == b.Model && (b.Late || !a.Late && a.Reserve() <= b.Reserve())
 }
 
 // First returns the request that should get the next place, or nil if none can before the
@@ -211,7 +222,7 @@
 		order = compareWithoutRank
 	}
 	for _, w := range q.waiters {
-		if w.failedAt > q.changes {
+		if missed, _ := q.Missed(w); missed {
 			continue
 		}
 		if first == nil || order(w, first) < 0 {
--- a/core/waiting/waiting_test.go
+++ b/core/waiting/waiting_test.go
@@ -64,7 +64,7 @@
 	var tried []*Waiter
 	for first := q.First(); first != nil; first = q.First() {
 		tried = append(tried, first)
-		q.RecordMiss(first)
+		q.RecordMiss(first, false)
 	}
 	c.Assert(slices.Equal(tried, waiters[:2]), qt.IsTrue)
 	q.Changed()
@@ -92,6 +92,35 @@
 	c.Assert(q.MaxWait(last, usual, remaining, start.Add(time.Minute)), qt.Equals, usual)
 }
 
+// A miss must not keep a request from trying that may find a place all the same.
+func TestWhomAMissCovers(t *testing.T) {
+	c := qt.New(t)
+	for _, test := range []struct {
+		name          string
+		first, second Request
+		ofItsOwn      bool
+		covered       bool
+	}{
+		{name: "alike", covered: true},
+		{name: "needs more room", second: Request{Rank: 1, RouteRank: 1}, covered: true},
+		{name: "needs less room", first: Request{Rank: 1, RouteRank: 1}, second: Request{Rank: 2}},
+		{name: "another model", second: Request{Model: "b"}},
+		{name: "too large for all", ofItsOwn: true},
+		{name: "few servers", first: Request{Particular: true}},
+	} {
+		q := NewQueue()
+		waiters := join(q, test.first, test.second)
+		q.RecordMiss(waiters[0], test.ofItsOwn)
+		missed, covered := q.Missed(waiters[1])
+		c.Check([]bool{missed, covered}, qt.DeepEquals, []bool{test.covered, test.covered}, qt.Commentf(test.name))
+		missed, covered = q.Missed(waiters[0])
+		c.Check(missed && !covered, qt.IsTrue, qt.Commentf(test.name))
+		q.Changed()
+		missed, _ = q.Missed(waiters[0])
+		c.Check(missed, qt.IsFalse)
+	}
+}
+
 // Callers that are refused together must not return together, nor later than they can.
 func TestReturnsAreSpread(t *testing.T) {
 	c := qt.New(t)
@@ -191,7 +220,7 @@
 			w := waiting[i]
 			// Late requests leave the last places to those on time.
 			if full := len(busy) >= r.places-1; w.r.Late && full {
-				if q.RecordMiss(w.waiter); r.ordered {
+				if q.RecordMiss(w.waiter, false); r.ordered {
 					continue
 				}
 				break
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -22,7 +22,6 @@
 	"github.com/laburnumloft/laburnumloft/core/quarantine"
 	"github.com/laburnumloft/laburnumloft/core/route"
 	"github.com/laburnumloft/laburnumloft/core/shutdown"
-	"github.com/laburnumloft/laburnumloft/core/waiting"
 	"github.com/laburnumloft/laburnumloft/node/decision"
 	"github.com/laburnumloft/laburnumloft/node/lib/bootclock"
 	"github.com/laburnumloft/laburnumloft/node/lib/intake"
@@ -176,7 +175,7 @@
 	limitedWaiting map[string]int
 	evacuations    *evacuation.Zones
 	// queues hold the waiting requests by service if they are ordered.
-	queues map[string]*waiting.Queue
+	queues map[string]*serviceQueue
 	// entriesViewAt is when the fleet last got the view of the entries.
 	entriesViewAt time.Time
 }
@@ -195,7 +194,7 @@
 	placementConfig.Backpressure = g.pressure
 	placementConfig.Regions, placementConfig.CheckMemory = cfg.Regions, cfg.CheckEngineMemory
 	placementConfig.SpreadByRoom, placementConfig.OnEstimate = cfg.SpreadByRoom, recordEstimate
-	g.evacuations, g.queues = evacuation.NewZones(), map[string]*waiting.Queue{}
+	g.evacuations, g.queues = evacuation.NewZones(), map[string]*serviceQueue{}
 	g.fleet = placement.NewFleet(placementConfig, g.published, cfg.Seed)
 	g.setEntryCount(initialEntryCount)
 	return g
--- a/node/gateway/handler.go
+++ b/node/gateway/handler.go
@@ -104,9 +104,11 @@
 	// returning means that the caller's time had begun to run before the request
 	// arrived, because it was refused or failed before.
 	returning bool
-	// ticket is the place among the waiting requests; nil while the request does not
-	// wait, and where requests are not ordered.
+	// waiter is the request's place in the queue; nil while it does not wait, and where
+	// requests are not ordered.
 	waiter *waiting.Waiter
+	// missed is the request's own last decision in the queue.
+	missed missed
 	// reserve is how much earlier than for requests of the highest rank a server is full,
 	// in requests.
 	reserve float64
--- a/node/gateway/place.go
+++ b/node/gateway/place.go
@@ -21,8 +21,8 @@
 	remaining := req.deadline.Sub(started)
 	// queued is set while the request counts as waiting for a limited server.
 	queued := false
-	// lastMiss is the reason of the last decision for this request; requests that wait
-	// behind others have none.
+	// lastMiss is the reason of the last decision that holds for this request. There is
+	// none if others tried first all the time.
 	lastMiss := placement.AllFull
 	defer func() {
 		if queued {
