--- a/bench/fleet/fleet_test.go
+++ b/bench/fleet/fleet_test.go
@@ -221,8 +221,22 @@
 	return path
 }
 
+// deployedArguments returns the arguments with which the deployment file starts a program,
+// so that the tests play what is deployed.
+func (f *fleet) deployedArguments(program string) []string {
+	text, err := os.ReadFile("../../deploy/system.toml")
+	f.c.Assert(err, qt.IsNil)
+	for line := range strings.Lines(string(text)) {
+		if _, command, found := strings.Cut(line, `run = "target/`+program+" "); found {
+			return strings.Fields(strings.TrimSuffix(strings.TrimSpace(command), `"`))
+		}
+	}
+	f.c.Fatalf("deploy/system.toml does not start %s", program)
+	return nil
+}
+
 func (f *fleet) spawn(program, settings string) *exec.Cmd {
-	cmd := exec.Command(filepath.Join(bin, program), "platform", "--log-routine-share", "1")
+	cmd := exec.Command(filepath.Join(bin, program), append(f.deployedArguments(program), "--log-routine-share", "1")...)
 	cmd.Env = append(os.Environ(), "LABURNUMLOFT_CONFIG="+settings)
 	cmd.Stdout, cmd.Stderr = &f.logs, &f.logs
 	f.c.Assert(cmd.Start(), qt.IsNil)
