placement, agents: the engines' own figures of their memory count

Cause: an engine's memory was estimated from the requests that entries know of, at their mean size. What other entries sent of another size did not count, though each engine says how much of its memory is in use.

Figures that make no sense leave the estimate and a log line.

Figures: TestEngineMemoryIsNotOverfilled with engines that report 0.8 of their memory in use, and few requests: chosen before, left out now. Reports without the figure have the same bytes as before (TestDatagramsRoundTrip, TestBundlesRoundTrip).

--- a/core/placement/filter.go
+++ b/core/placement/filter.go
@@ -125,7 +125,8 @@
 		s.WeightVersion, s.Loading = f.weightVersion(m), fresh && m.report.Loading
 		s.Load, s.MaxLoad = f.estimatedLoad(m, now), f.maxLoad(m, q)
 		if f.cfg.CheckMemory {
-			s.HeldTokens, s.MemoryTokens = f.heldTokens(m, s.Load), f.traits[m.server.Service].MemoryTokens
+			s.MemoryTokens = f.traits[m.server.Service].MemoryTokens
+			s.HeldTokens = f.heldTokens(m, s.Load, s.MemoryTokens, now)
 		}
 	}
 	if !f.tracksBackpressure() {
@@ -137,10 +138,15 @@
 }
 
 // heldTokens estimates what the requests at a server hold of its memory: this entry's
-// own by their size, those of other entries by the mean size of this entry's.
-func (f *Fleet) heldTokens(m *member, load float64) float64 {
+// own by their size, those of other entries by the mean size of this entry's, and no less
+// than what the engine reported and what this entry has sent since.
+func (f *Fleet) heldTokens(m *member, load, memory float64, now time.Time) float64 {
 	mean := f.meanTokens[m.server.Service]
-	return m.inFlightTokens + max(0, load-float64(m.inFlight))*mean
+	held := m.inFlightTokens + max(0, load-float64(m.inFlight))*mean
+	if !f.hasFreshReport(m, now) {
+		return held
+	}
+	return max(held, m.report.MemoryShare*memory+m.tokensSinceReport)
 }
 
 // tokensAveraged is the number of requests over which the mean size is taken.
--- a/core/placement/filter_test.go
+++ b/core/placement/filter_test.go
@@ -166,6 +166,20 @@
 	f.Report(report(2, 3), start.Add(time.Millisecond))
 	_, miss = f.Choose(start.Add(time.Millisecond), q)
 	c.Assert(miss, qt.Equals, AllFull)
+	// What the engines report of their memory counts, however few requests they have.
+	f = zonedEngines(func(cfg *Config) { cfg.CheckMemory = true })
+	f.SetTraits(map[string]Traits{"llm": {MemoryTokens: 1000}})
+	for i, share := range []float64{0.8, 0.8, 0.2} {
+		r := report(i, 1)
+		r.MemoryShare = share
+		f.Report(r, start)
+	}
+	q.Tokens = 250
+	for _, want := range []Miss{Found, Found, Found, AllFull} {
+		choice, miss := f.Choose(start, q)
+		c.Check(miss, qt.Equals, want)
+		c.Check(miss == Found, qt.Equals, choice.Server.ID == "e2")
+	}
 }
 
 // A deployment that configures none of these parts must be served as before: the same
--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -54,6 +54,9 @@
 	// Slowdown is the factor by which the engine is slower than normal; 1 is
 	// normal.
 	Slowdown float64
+	// MemoryShare is the part of the engine's memory that its requests hold, from 0 to
+	// 1; 0 also means unknown.
+	MemoryShare float64
 	// Born is the start time of the server instance, as in Server.
 	Born int64
 	// Sequence increases with each report until the agent restarts; 0 means
@@ -170,8 +173,9 @@
 	cold      coldState
 	// spread is what Config.SpreadByRoom keeps of the server.
 	spread spreadMember
-	// inFlightTokens estimates what this entry's requests hold of the memory.
-	inFlightTokens float64
+	// inFlightTokens estimates what this entry's requests hold of the memory, and
+	// tokensSinceReport the part of it that was sent since the report arrived.
+	inFlightTokens, tokensSinceReport float64
 }
 
 // Fleet holds the servers of all services.
@@ -316,7 +320,7 @@
 		f.cfg.OnEstimate(f.estimatedLoad(m, now), float64(r.Running+r.Queued))
 	}
 	m.report, m.reportedAt = r, now
-	m.sentSinceReport, m.doneSinceReport = 0, 0
+	m.sentSinceReport, m.doneSinceReport, m.tokensSinceReport = 0, 0, 0
 	f.recordRoom(m)
 }
 
@@ -428,6 +432,7 @@
 	f.recordSent(m, now)
 	if f.cfg.CheckMemory && q.Tokens > 0 {
 		m.inFlightTokens += q.Tokens
+		m.tokensSinceReport += q.Tokens
 		f.recordTokens(q.Service, q.Tokens)
 	}
 	m.cold.take(now)
@@ -587,6 +592,9 @@
 	m.doneSinceReport++
 	if f.cfg.CheckMemory {
 		m.inFlightTokens = max(0, m.inFlightTokens-h.tokens)
+		if !h.sentAt.Before(m.reportedAt) {
+			m.tokensSinceReport = max(0, m.tokensSinceReport-h.tokens)
+		}
 	}
 	if outcome == Succeeded {
 		f.recordServiceTime(m, now.Sub(h.sentAt))
--- a/node/mesh/collector_test.go
+++ b/node/mesh/collector_test.go
@@ -22,16 +22,26 @@
 		bundle.Reports = append(bundle.Reports, placement.Report{Address: fmt.Sprintf("10.0.0.%d:80", i), Running: i, Sequence: uint32(i) + 1, Slowdown: 1, Changed: i%2 == 0})
 		bundle.Hellos = append(bundle.Hellos, Hello{Member: uint64(i), Ready: i%3 == 0, ConfigurationVersion: int64(i)})
 	}
-	got := Bundle{Collector: 9, Relay: true}
-	for _, datagram := range EncodeBundle(bundle) {
-		c.Assert(len(datagram) <= maxBundleBytes, qt.IsTrue)
-		part, err := Decode(datagram)
-		c.Assert(err, qt.IsNil)
-		b := part.(*Bundle)
-		c.Assert(b.Collector == 9 && b.Relay, qt.IsTrue)
-		got.Reports, got.Hellos = append(got.Reports, b.Reports...), append(got.Hellos, b.Hellos...)
+	for _, withMemory := range []bool{false, true} {
+		for i := range bundle.Reports {
+			if withMemory {
+				bundle.Reports[i].MemoryShare = float64(i) / memoryScale
+			}
+		}
+		got := Bundle{Collector: 9, Relay: true}
+		for _, datagram := range EncodeBundle(bundle) {
+			c.Assert(len(datagram) <= maxBundleBytes, qt.IsTrue)
+			part, err := Decode(datagram)
+			c.Assert(err, qt.IsNil)
+			b := part.(*Bundle)
+			c.Assert(b.Collector == 9 && b.Relay, qt.IsTrue)
+			got.Reports, got.Hellos = append(got.Reports, b.Reports...), append(got.Hellos, b.Hellos...)
+		}
+		c.Assert(got, qt.DeepEquals, bundle)
+	}
+	for i := range bundle.Reports {
+		bundle.Reports[i].MemoryShare = 0
 	}
-	c.Assert(got, qt.DeepEquals, bundle)
 	// The largest region has 53 engines, whose reports must fit in one datagram.
 	c.Assert(EncodeBundle(Bundle{Reports: bundle.Reports[:53]}), qt.HasLen, 1)
 	// An empty bundle still needs a datagram, which identifies the collector.
--- a/node/mesh/datagram.go
+++ b/node/mesh/datagram.go
@@ -10,6 +10,7 @@
 	"encoding/json"
 	"errors"
 	"hash/fnv"
+	"math"
 	"net/netip"
 	"slices"
 
@@ -52,6 +53,8 @@
 	flagChanged
 	// flagRelay marks a bundle that the receiver forwards to its region.
 	flagRelay
+	// flagMemory marks reports with a byte of memory in use each, behind the others.
+	flagMemory
 )
 
 // ErrMalformedDatagram is returned for data that can't be encoded as, or decoded
@@ -277,9 +280,44 @@
 	if err != nil {
 		return nil, err
 	}
+	if r.MemoryShare > 0 {
+		w.Flags |= flagMemory
+		return slices.Concat([]byte{kindReport}, encode(w), []byte{wireMemory(r)}), nil
+	}
 	return append([]byte{kindReport}, encode(w)...), nil
 }
 
+func decodeReport(b []byte) (*placement.Report, error) {
+	var w wireReport
+	size := binary.Size(w)
+	if len(b) < size || decode(b[:size], &w) != nil || len(b)-size != memoryBytes(w.Flags, 1) {
+		return nil, ErrMalformedDatagram
+	}
+	r := w.report()
+	if len(b) > size {
+		r.MemoryShare = memoryShare(b[size])
+	}
+	return &r, nil
+}
+
+// memoryScale is the figure of memory that is all in use.
+const memoryScale = 255
+
+// wireMemory rounds up, so that no memory in use is missed.
+func wireMemory(r placement.Report) uint8 {
+	return uint8(math.Ceil(memoryScale * min(max(r.MemoryShare, 0), 1)))
+}
+
+func memoryShare(b uint8) float64 { return float64(b) / memoryScale }
+
+// memoryBytes returns the length of the figures of memory in a datagram.
+func memoryBytes(flags uint8, reports int) int {
+	if flags&flagMemory == 0 {
+		return 0
+	}
+	return reports
+}
+
 func toWireReport(r placement.Report) (wireReport, error) {
 	addr, err := netip.ParseAddrPort(r.Address)
 	if err != nil || !addr.Addr().Is4() {
@@ -309,23 +347,32 @@
 // whose address is not an IPv4 address with a port.
 func EncodeBundle(b Bundle) [][]byte {
 	var reports []wireReport
+	var memory []byte
+	known := false
 	for _, r := range b.Reports {
 		if w, err := toWireReport(r); err == nil {
-			reports = append(reports, w)
+			reports, memory = append(reports, w), append(memory, wireMemory(r))
+			known = known || r.MemoryShare > 0
 		}
 	}
+	if !known {
+		memory = nil
+	}
 	var hellos []wireHello
 	for _, h := range b.Hellos {
 		hellos = append(hellos, toWireHello(h))
 	}
-	header := wireBundle{Kind: kindBundle, Flags: flag(b.Relay, flagRelay), Collector: b.Collector}
+	header := wireBundle{Kind: kindBundle, Flags: flag(b.Relay, flagRelay) | flag(known, flagMemory), Collector: b.Collector}
+	reportSize := binary.Size(wireReport{}) + memoryBytes(header.Flags, 1)
 	space := maxBundleBytes - binary.Size(header)
 	var out [][]byte
 	for {
-		nr := min(len(reports), space/binary.Size(wireReport{}))
-		nh := min(len(hellos), (space-nr*binary.Size(wireReport{}))/binary.Size(wireHello{}))
+		nr := min(len(reports), space/reportSize)
+		nh := min(len(hellos), (space-nr*reportSize)/binary.Size(wireHello{}))
 		header.Reports, header.Hellos = uint16(nr), uint16(nh)
-		out = append(out, slices.Concat(encode(header), encode(reports[:nr]), encode(hellos[:nh])))
+		nm := memoryBytes(header.Flags, nr)
+		out = append(out, slices.Concat(encode(header), encode(reports[:nr]), encode(hellos[:nh]), memory[:nm]))
+		memory = memory[nm:]
 		reports, hellos = reports[nr:], hellos[nh:]
 		if len(reports)+len(hellos) == 0 {
 			return out
@@ -341,16 +388,22 @@
 	}
 	b = b[size:]
 	reportBytes := int(w.Reports) * binary.Size(wireReport{})
-	if len(b) != reportBytes+int(w.Hellos)*binary.Size(wireHello{}) {
+	helloBytes := int(w.Hellos) * binary.Size(wireHello{})
+	if len(b) != reportBytes+helloBytes+memoryBytes(w.Flags, int(w.Reports)) {
 		return nil, ErrMalformedDatagram
 	}
+	memory := b[reportBytes+helloBytes:]
 	reports, hellos := make([]wireReport, w.Reports), make([]wireHello, w.Hellos)
-	if decode(b[:reportBytes], reports) != nil || decode(b[reportBytes:], hellos) != nil {
+	if decode(b[:reportBytes], reports) != nil || decode(b[reportBytes:reportBytes+helloBytes], hellos) != nil {
 		return nil, ErrMalformedDatagram
 	}
 	bundle := &Bundle{Collector: w.Collector, Relay: w.Flags&flagRelay != 0}
-	for _, r := range reports {
-		bundle.Reports = append(bundle.Reports, r.report())
+	for i, r := range reports {
+		report := r.report()
+		if len(memory) > 0 {
+			report.MemoryShare = memoryShare(memory[i])
+		}
+		bundle.Reports = append(bundle.Reports, report)
 	}
 	for _, h := range hellos {
 		bundle.Hellos = append(bundle.Hellos, h.hello())
@@ -374,12 +427,7 @@
 		h := w.hello()
 		return &h, nil
 	case kindReport:
-		var w wireReport
-		if err := decode(b[1:], &w); err != nil {
-			return nil, err
-		}
-		r := w.report()
-		return &r, nil
+		return decodeReport(b[1:])
 	case kindHeld:
 		return decodeHeldPieces(b)
 	case kindJoin:
--- a/node/mesh/mesh_test.go
+++ b/node/mesh/mesh_test.go
@@ -31,6 +31,17 @@
 	got, err = Decode(b)
 	c.Assert(err, qt.IsNil)
 	c.Assert(*got.(*placement.Report), qt.Equals, report)
+	// Figures of memory cost a byte, and nothing where no engine has them.
+	plain := len(b)
+	report.MemoryShare = 1
+	b, err = EncodeReport(report)
+	c.Assert(err, qt.IsNil)
+	c.Assert(b, qt.HasLen, plain+1)
+	got, err = Decode(b)
+	c.Assert(err, qt.IsNil)
+	c.Assert(*got.(*placement.Report), qt.Equals, report)
+	_, err = Decode(b[:plain])
+	c.Assert(err, qt.Equals, ErrMalformedDatagram)
 	held := HeldPieces{Member: 9, Version: 3, Pieces: []bool{true, false, true, true, false, false, false, false, true}}
 	b, err = EncodeHeldPieces(held)
 	c.Assert(err, qt.IsNil)
--- a/node/stager/stager.go
+++ b/node/stager/stager.go
@@ -54,6 +54,9 @@
 	Digests []string `json:"digests"`
 }
 
+// MemoryUnreadable is the EngineState.MemoryShare of figures that make no sense.
+const MemoryUnreadable = -1
+
 // EngineState is the state that the engine reports.
 type EngineState struct {
 	Running, Queued int
@@ -64,6 +67,9 @@
 	Busy bool
 	// Slowdown is the factor by which the engine is slower than normal.
 	Slowdown float64
+	// MemoryShare is the part of its memory for requests that is in use, from 0 to 1; 0
+	// also means unknown, and MemoryUnreadable that the engine's figures make no sense.
+	MemoryShare float64
 	// StartTime is the start time of the server instance; it changes at a restart.
 	StartTime int64
 	// Signals is what the engine says about itself with its state.
@@ -338,11 +344,15 @@
 		if s.down || !s.stateKnown || s.state.StartTime != state.StartTime || s.state.Version != state.Version {
 			s.cfg.Log.Event("engine_state", "weights", state.Version, "born", state.StartTime, "running", state.Running, "queued", state.Queued, "busy", state.Busy)
 		}
+		if state.MemoryShare == MemoryUnreadable && s.state.MemoryShare != MemoryUnreadable {
+			s.cfg.Log.Event("engine_memory_unreadable", "kept", "estimate by requests")
+		}
 		s.failedCalls, s.down, s.stateKnown, s.state = 0, false, true, state
 	}
 	report := placement.Report{
 		Address: s.cfg.Address, Running: s.state.Running, Queued: s.state.Queued, WeightVersion: s.state.Version,
 		Loading: s.loading || s.state.Busy, Down: s.down, Slowdown: s.state.Slowdown, Born: s.state.StartTime,
+		MemoryShare: max(0, s.state.MemoryShare),
 	}
 	stateKnown := s.stateKnown || s.down
 	if stateKnown {
