coldstart: permits of a coordinator and of agents played, too

Cause: of the four ways to pace cold servers two had been weighed in words.

Change: the test plays permits for 1, 12 and 100 servers under 48 and 150 entries, with a granter that dies and with two views of who it is.

Conclusion: holders stay.

--- a/core/coldstart/coldstart_test.go
+++ b/core/coldstart/coldstart_test.go
@@ -80,6 +80,44 @@
 	return peak, float64(total) / (pace.PerSecond * pace.Duration.Seconds() * float64(servers))
 }
 
+// playPermits lets entries ask for a permit for each request: the granter of a server, an
+// entry or an agent, gives them in order, at the server's whole rate. Entries that don't
+// agree on the granter ask several. No permit is given from diesAt until another granter is
+// known.
+func playPermits(pace Pace, entries, servers, granters int, load float64, diesAt time.Duration) (peak int, used, messages float64) {
+	const step, takeover = 5 * time.Millisecond, 2 * time.Second
+	rng := rand.New(rand.NewPCG(1, 2))
+	allowances, asked := make([]Allowance, servers*granters), make([]int, servers*granters)
+	for i := range allowances {
+		allowances[i].Begin(start.Add(pace.Duration), start)
+	}
+	arrivals := make([][]time.Duration, servers)
+	waiting, total := 0.0, 0
+	for at := 50 * time.Millisecond; at < pace.Duration; at += step {
+		for waiting += load * float64(entries) * step.Seconds(); waiting >= 1; waiting-- {
+			asked[rng.IntN(len(asked))]++
+			messages++
+		}
+		now := start.Add(at)
+		for i := range allowances {
+			dead := diesAt > 0 && at >= diesAt && at < diesAt+takeover
+			if dead || asked[i] == 0 || allowances[i].Wait(pace.PerSecond, Share{Part: 1}, now) > 0 {
+				continue
+			}
+			allowances[i].Take(now)
+			asked[i]--
+			messages++
+			total++
+			// The permit and the request cross a link each.
+			arrivals[i/granters] = append(arrivals[i/granters], at+time.Duration(rng.Int64N(int64(6*time.Millisecond))))
+		}
+	}
+	for _, times := range arrivals {
+		peak = max(peak, largestSecond(times))
+	}
+	return peak, float64(total) / (pace.PerSecond * pace.Duration.Seconds() * float64(servers)), messages / float64(total)
+}
+
 // largestSecond returns the largest number of times within any second.
 func largestSecond(times []time.Duration) (most int) {
 	slices.Sort(times)
@@ -117,6 +155,14 @@
 			c.Check(used >= minUse, qt.IsTrue)
 			peak, used = play(usualPace, sameView(entries), servers, load, part)
 			c.Logf("%d entries, %d servers: a part for each entry: largest second %d, used %.2f", entries, servers, peak, used)
+			for _, way := range []struct {
+				name     string
+				granters int
+				diesAt   time.Duration
+			}{{"permits", 1, 0}, {"permits, granter dies", 1, 500 * time.Millisecond}, {"permits, two views", 2, 0}} {
+				peak, used, messages := playPermits(usualPace, entries, servers, way.granters, load, way.diesAt)
+				c.Logf("%d entries, %d servers: %s: largest second %d, used %.2f, %.1f messages a request", entries, servers, way.name, peak, used, messages)
+			}
 		}
 	}
 }
