answerlength: the caller's hint counts towards an engine's memory

Cause: the memory of a request was estimated at the largest answer that its caller allows. The hint, which half of the answers exceed, was not used.

Change: hints are corrected for each route by a factor that covers nine in ten of its answers; until 32 answers are known, and without a hint, the largest answer counts, as it does for the refusal of a request that may outgrow every engine.

--- a/core/placement/filter.go
+++ b/core/placement/filter.go
@@ -93,7 +93,7 @@
 		return false
 	}
 	memory := f.traits[q.Service].MemoryTokens
-	return memory > 0 && q.Tokens > memory
+	return memory > 0 && max(q.Tokens, q.MaxTokens) > memory
 }
 
 // exclusion returns the reason for which a server may not get a request now.
--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -341,6 +341,9 @@
 	// Tokens estimates what the request will hold of an engine's memory; 0 means
 	// unknown.
 	Tokens float64
+	// MaxTokens is the most that it may hold; a request for which no engine has so much is
+	// refused.
+	MaxTokens float64
 	// Reserve is how much earlier an engine is full for the request than for those of
 	// the highest rank, in requests.
 	Reserve float64
--- a/core/route/route.go
+++ b/core/route/route.go
@@ -114,6 +114,8 @@
 	ReportLag time.Duration
 	// MemoryTokens is how many tokens of requests one engine holds; 0 means unknown.
 	MemoryTokens int `json:",omitempty"`
+	// UsualAnswer is the mean number of tokens of an answer; 0 means unknown.
+	UsualAnswer float64 `json:",omitempty"`
 }
 
 // Service is a group of backend servers or the origin server of weights.
--- a/node/configsync/syncer_test.go
+++ b/node/configsync/syncer_test.go
@@ -265,7 +265,7 @@
 	want, err := json.Marshal(cfg)
 	c.Assert(err, qt.IsNil)
 	c.Assert(string(plain), qt.Equals, string(want))
-	for _, name := range []string{"Homes", "Cold", "MemoryTokens", "Evacuations"} {
+	for _, name := range []string{"Homes", "Cold", "MemoryTokens", "UsualAnswer", "Evacuations"} {
 		c.Check(string(plain), qt.Not(qt.Contains), name)
 	}
 	running, starting := newTestEntry(c, "a", "r"), newTestEntry(c, "b", "r")
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -14,6 +14,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/laburnumloft/laburnumloft/core/answerlength"
 	"github.com/laburnumloft/laburnumloft/core/backpressure"
 	"github.com/laburnumloft/laburnumloft/core/evacuation"
 	"github.com/laburnumloft/laburnumloft/core/limits"
@@ -41,6 +42,8 @@
 	// PromptTokens and OutputTokens are the request's size; 0 if unknown.
 	// OutputTokens is the largest number that the answer may have.
 	PromptTokens, OutputTokens int
+	// LengthHint is the caller's estimate of the answer's tokens; 0 if there is none.
+	LengthHint int
 	// PromptParts lists the parts of the prompt that other requests may share.
 	PromptParts []prompt.Part
 	// OwnPart is the part of the prompt that only this request or its session has; 0 if
@@ -163,6 +166,7 @@
 
 	mu         sync.Mutex
 	fleet      *placement.Fleet
+	lengths    *answerlength.Estimator
 	budget     *limits.RetryBudget
 	entryCount int
 	changed    chan struct{}
@@ -195,6 +199,7 @@
 	placementConfig.Regions, placementConfig.CheckMemory = cfg.Regions, cfg.CheckEngineMemory
 	placementConfig.SpreadByRoom, placementConfig.OnEstimate = cfg.SpreadByRoom, recordEstimate
 	g.evacuations, g.queues = evacuation.NewZones(), map[string]*serviceQueue{}
+	g.lengths = answerlength.New()
 	g.fleet = placement.NewFleet(placementConfig, g.published, cfg.Seed)
 	g.setEntryCount(initialEntryCount)
 	return g
--- a/node/gateway/handler.go
+++ b/node/gateway/handler.go
@@ -97,8 +97,9 @@
 	availableIn time.Duration
 	// regions are those in which the request may be served.
 	regions eligibility.Regions
-	// tokens estimates what the request holds of an engine's memory.
-	tokens float64
+	// tokens estimates what the request holds of an engine's memory, and maxTokens is the
+	// most that it may hold.
+	tokens, maxTokens float64
 	// exclusions counts the servers that the last decision excluded.
 	exclusions eligibility.Exclusions
 	// returning means that the caller's time had begun to run before the request
@@ -202,7 +203,8 @@
 	}
 	req.model = service.ModelFor(req.call.Model)
 	req.regions = route.Regions(req.route, workspace)
-	req.tokens = float64(max(req.call.PromptTokens, 0) + max(req.call.OutputTokens, 0))
+	req.maxTokens = float64(max(req.call.PromptTokens, 0) + max(req.call.OutputTokens, 0))
+	req.tokens = g.estimateTokens(req)
 	req.setDeadline()
 	if g.cfg.OrderedWaiting {
 		req.reserve = req.waitingRequest().Reserve()
--- a/node/gateway/place.go
+++ b/node/gateway/place.go
@@ -89,7 +89,7 @@
 func (r *request) query() placement.Query {
 	return placement.Query{
 		Service: r.service, Model: r.model, Tried: r.tried, SpareCapacityOnly: r.pastTarget, Regions: r.regions, Tokens: r.tokens,
-		Reserve: r.reserve,
+		MaxTokens: r.maxTokens, Reserve: r.reserve,
 	}
 }
 
--- a/node/gateway/stream.go
+++ b/node/gateway/stream.go
@@ -46,6 +46,7 @@
 			return
 		}
 		g.recordAnswered(req, choice, e.resp.StatusCode, s.events)
+		g.recordLength(req, s.events)
 		return
 	}
 }
