placement: plain servers that are slow for a while get fewer requests

Cause: entries chose between two plain servers by their own requests in flight alone. A server that is slow for a spell fails nothing and reports nothing; an entry with 4 orders a second rarely has one in flight there.

--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -171,8 +171,9 @@
 	// evacuated means that the operator empties the availability zone.
 	evacuated bool
 	cold      coldState
-	// spread is what Config.SpreadByRoom keeps of the server.
+	// spread is what Config.SpreadByRoom keeps of an engine, and plain of a plain server.
 	spread spreadMember
+	plain  plainMember
 	// inFlightTokens estimates what this entry's requests hold of the memory, and
 	// tokensSinceReport the part of it that was sent since the report arrived.
 	inFlightTokens, tokensSinceReport float64
@@ -354,6 +355,8 @@
 	member *member
 	tokens float64
 	sentAt time.Time
+	// plain means that the time of the answer counts for a plain server.
+	plain bool
 }
 
 // Choice is a chosen server.
@@ -431,6 +434,10 @@
 	}
 	load := f.estimatedLoad(m, now)
 	m.inFlight++
+	plain := f.cfg.SpreadByRoom && q.Model == ""
+	if plain {
+		m.recordPlainSent(now)
+	}
 	m.sentSinceReport++
 	f.recordSent(m, now)
 	if f.cfg.CheckMemory && q.Tokens > 0 {
@@ -439,7 +446,7 @@
 		f.recordTokens(q.Service, q.Tokens)
 	}
 	m.cold.take(now)
-	choice := Choice{Handle: Handle{m, q.Tokens, now}, Server: m.server, Version: f.weightVersion(m), Load: load, ReportAge: m.reportAge(now)}
+	choice := Choice{Handle: Handle{m, q.Tokens, now, plain}, Server: m.server, Version: f.weightVersion(m), Load: load, ReportAge: m.reportAge(now)}
 	if f.tracksBackpressure() {
 		permit, taken := f.cfg.Backpressure.TakePermit(m.server.Instance(), now)
 		choice.Permit, choice.NeedsPermit = permit, !taken
@@ -575,7 +582,12 @@
 }
 
 func (f *Fleet) cost(m *member, now time.Time) float64 {
-	cost := f.estimatedLoad(m, now) / float64(max(m.server.Slots, 1))
+	load := f.estimatedLoad(m, now)
+	if f.cfg.SpreadByRoom {
+		// Engines are spread by sampleByRoom.
+		load = (load + 1) * f.slowness(m, now)
+	}
+	cost := load / float64(max(m.server.Slots, 1))
 	if m.report.Slowdown > 1 {
 		cost *= m.report.Slowdown
 	}
@@ -591,6 +603,9 @@
 	if m == nil {
 		return
 	}
+	if h.plain {
+		f.recordPlainDone(m, h, now, outcome == Succeeded)
+	}
 	m.inFlight--
 	m.doneSinceReport++
 	if f.cfg.CheckMemory {
--- a/core/placement/spread.go
+++ b/core/placement/spread.go
@@ -56,6 +56,8 @@
 	// firstSentAt is when the first request was sent.
 	firstSentAt time.Time
 	serviceTime time.Duration
+	// plainSeconds is the mean time of the answers of plain servers; 0 until there is one.
+	plainSeconds float64
 }
 
 // rate returns the mean rate of this entry's requests, in requests a second.
