node/gossip, core/limits: one gossip loop and one mean rate instead of two each

Cause: node/evacuation and node/backpressure had the same ring and ticker, core/waiting and core/placement the same mean rate.

Change: shared packages; no behaviour.

Conclusion: less to read.

--- a/core/placement/spread.go
+++ b/core/placement/spread.go
@@ -1,10 +1,10 @@
 package placement
 
 import (
-	"math"
 	"time"
 
 	"github.com/laburnumloft/laburnumloft/core/eligibility"
+	"github.com/laburnumloft/laburnumloft/core/limits"
 )
 
 // Config.SpreadByRoom answers the load of many entries that choose at the same moment by
@@ -50,9 +50,8 @@
 type spreadService struct {
 	// weight and load are the sums of those of the engines.
 	weight, load float64
-	// sentPerSecond is the mean rate of this entry's requests as of sentAt.
-	sentPerSecond float64
-	sentAt        time.Time
+	// sent is the mean rate of this entry's requests.
+	sent limits.MeanRate
 	// firstSentAt is when the first request was sent.
 	firstSentAt time.Time
 	serviceTime time.Duration
@@ -62,21 +61,11 @@
 
 // rate returns the mean rate of this entry's requests, in requests a second.
 func (s *spreadService) rate(now time.Time) float64 {
-	if s.sentAt.IsZero() {
+	if s.firstSentAt.IsZero() {
 		return 0
 	}
 	observed := max(now.Sub(s.firstSentAt), minRateTime)
-	return s.decayed(now) / (1 - decay(observed))
-}
-
-// decayed returns the rate without the correction for a short time of observation.
-func (s *spreadService) decayed(now time.Time) float64 {
-	return s.sentPerSecond * decay(now.Sub(s.sentAt))
-}
-
-// decay returns the part of a rate that remains after a time.
-func decay(span time.Duration) float64 {
-	return math.Exp(-max(0, span).Seconds() / sentRateTime.Seconds())
+	return s.sent.PerSecond(now) / s.sent.Weight(observed)
 }
 
 // SetEntryCount sets the number of entries that send requests.
@@ -85,7 +74,7 @@
 func (f *Fleet) spreadOf(service string) *spreadService {
 	s := f.spread[service]
 	if s == nil {
-		s = &spreadService{serviceTime: usualServiceTime}
+		s = &spreadService{sent: limits.NewMeanRate(sentRateTime), serviceTime: usualServiceTime}
 		f.spread[service] = s
 	}
 	return s
@@ -129,7 +118,7 @@
 	if s.firstSentAt.IsZero() {
 		s.firstSentAt = now
 	}
-	s.sentPerSecond, s.sentAt = s.decayed(now)+1/sentRateTime.Seconds(), now
+	s.sent.Record(now)
 }
 
 // recordServiceTime records how long a request was at a server.
--- a/core/waiting/waiting.go
+++ b/core/waiting/waiting.go
@@ -13,6 +13,8 @@
 	"cmp"
 	"math"
 	"time"
+
+	"github.com/laburnumloft/laburnumloft/core/limits"
 )
 
 const (
@@ -91,8 +93,8 @@
 	// changes counts the changes of the servers.
 	changes uint64
 	grants  uint64
-	onTime  rate
-	late    rate
+	onTime  limits.MeanRate
+	late    limits.MeanRate
 	// used is each workspace's recent use of places.
 	used map[string]*usage
 	// started is the origin of the times in used.
@@ -101,7 +103,9 @@
 }
 
 // NewQueue returns an empty queue.
-func NewQueue() *Queue { return &Queue{used: map[string]*usage{}} }
+func NewQueue() *Queue {
+	return &Queue{onTime: limits.NewMeanRate(rateTime), late: limits.NewMeanRate(rateTime), used: map[string]*usage{}}
+}
 
 // usage is the logarithm of a number of places that decays with shareTime, raised by the
 // time in units of shareTime. All decay alike, so that values of different times compare.
@@ -129,24 +133,6 @@
 	return &u
 }
 
-// rate is a mean rate of events.
-type rate struct {
-	perSecond float64
-	at        time.Time
-}
-
-func (r *rate) record(now time.Time) {
-	r.perSecond = r.value(now) + 1/rateTime.Seconds()
-	r.at = now
-}
-
-func (r *rate) value(now time.Time) float64 {
-	if r.at.IsZero() {
-		return 0
-	}
-	return r.perSecond * math.Exp(-now.Sub(r.at).Seconds()/rateTime.Seconds())
-}
-
 // Join adds a request to the queue.
 func (q *Queue) Join(r Request) *Waiter {
 	q.sequence++
@@ -170,9 +156,9 @@
 	q.Leave(w)
 	q.grants++
 	if w.Late {
-		q.late.record(now)
+		q.late.Record(now)
 	} else {
-		q.onTime.record(now)
+		q.onTime.Record(now)
 	}
 	if q.started.IsZero() {
 		q.started = now
@@ -313,9 +299,9 @@
 
 func (q *Queue) placesPerSecond(w *Waiter, now time.Time) float64 {
 	if w.Late {
-		return q.late.value(now)
+		return q.late.PerSecond(now)
 	}
-	return q.onTime.value(now)
+	return q.onTime.PerSecond(now)
 }
 
 // NextReturn returns when the next refused caller may return: after those refused before
@@ -332,7 +318,7 @@
 	if q.next.After(at) || minReturn > limit {
 		return after
 	}
-	perSecond := max(returnShare*(q.onTime.value(now)+q.late.value(now)), 1/rateTime.Seconds())
+	perSecond := max(returnShare*(q.onTime.PerSecond(now)+q.late.PerSecond(now)), 1/rateTime.Seconds())
 	q.next = at.Add(time.Duration(float64(time.Second) / perSecond))
 	return after
 }
--- a/node/backpressure/backpressure.go
+++ b/node/backpressure/backpressure.go
@@ -4,22 +4,16 @@
 package backpressure
 
 import (
-	"context"
 	"math/rand/v2"
-	"time"
 
 	core "github.com/laburnumloft/laburnumloft/core/backpressure"
 	"github.com/laburnumloft/laburnumloft/node/decision"
 	"github.com/laburnumloft/laburnumloft/node/gateway"
-	"github.com/laburnumloft/laburnumloft/node/lib/ring"
+	"github.com/laburnumloft/laburnumloft/node/gossip"
 	"github.com/laburnumloft/laburnumloft/node/mesh"
 )
 
 const (
-	// gossipInterval is the time between two rounds in which an entry repeats its
-	// notices to gossipFanout others, for those that missed the first one.
-	gossipInterval = 500 * time.Millisecond
-	gossipFanout   = 3
 	// maxNoticesPerDatagram keeps a datagram within one packet.
 	maxNoticesPerDatagram = 6
 	// joinGreeters is how many entries on average tell one that starts what they know.
@@ -28,7 +22,7 @@
 	// has been read.
 	assumedEntries = 20
 	// queueCapacity bounds the notices that wait to be sent. More of them would mean
-	// that most servers of a fleet change at once; the rounds repeat what is dropped.
+	// that most servers of a fleet change at once.
 	queueCapacity = 64
 )
 
@@ -46,20 +40,19 @@
 
 // Sharer exchanges notices and permits with the other entries.
 type Sharer struct {
-	cfg     Config
-	notices *ring.Ring[[]core.Notice]
+	*gossip.Gossiper[core.Notice]
+	cfg Config
 }
 
 // New returns a sharer. Run starts it.
 func New(cfg Config) *Sharer {
-	return &Sharer{cfg: cfg, notices: ring.New[[]core.Notice]("server_notices", queueCapacity, ring.Refuse)}
-}
-
-// Announce tells all other entries what a server said. It doesn't block.
-func (s *Sharer) Announce(notices []core.Notice) {
-	if !s.notices.Push(context.Background(), notices) {
-		s.cfg.Log.Event("server_notices_dropped", "notices", len(notices))
-	}
+	return &Sharer{gossip.New(gossip.Config[core.Notice]{
+		Name: "server_notices", Capacity: queueCapacity, Log: cfg.Log,
+		Known: func() []core.Notice { return someNotices(cfg.Gateway.ServerNotices()) },
+		Send: func(notices []core.Notice, limit int) error {
+			return cfg.Mesh.SendServerNotices(notices, limit, func(mesh.Member) bool { return true })
+		},
+	}), cfg}
 }
 
 // Membership returns this entry's view of the entries.
@@ -86,35 +79,20 @@
 	s.cfg.Gateway.AdoptServerNotices(notices, "entry")
 }
 
-// Run sends notices and repeats them until ctx ends.
-func (s *Sharer) Run(ctx context.Context) {
-	tick := time.NewTicker(gossipInterval)
-	defer tick.Stop()
-	for {
-		select {
-		case notices := <-s.notices.Items():
-			s.send(notices, 0, anyEntry)
-		case <-tick.C:
-			s.gossip()
-		case <-ctx.Done():
-			return
-		}
-	}
-}
-
-// gossip repeats some of the notices to a few entries.
-func (s *Sharer) gossip() {
-	s.send(someNotices(s.cfg.Gateway.ServerNotices()), gossipFanout, anyEntry)
-}
-
 // HandleJoin tells an entry that has just started what is known; of a large fleet
 // only some entries do.
 func (s *Sharer) HandleJoin(joined mesh.Member) {
 	if _, live, _ := s.cfg.Mesh.EntryCounts(); rand.IntN(max(live, 1)) >= joinGreeters {
 		return
 	}
+	notices := someNotices(s.cfg.Gateway.ServerNotices())
+	if len(notices) == 0 {
+		return
+	}
 	isJoined := func(m mesh.Member) bool { return m.ID == joined.ID }
-	s.send(someNotices(s.cfg.Gateway.ServerNotices()), 0, isJoined)
+	if err := s.cfg.Mesh.SendServerNotices(notices, 0, isJoined); err != nil {
+		s.cfg.Log.Event("server_notices_unsent", "notices", len(notices), "cause", err.Error())
+	}
 }
 
 // someNotices returns as many of the notices as fit in a datagram, chosen at random.
@@ -122,14 +100,3 @@
 	rand.Shuffle(len(notices), func(i, j int) { notices[i], notices[j] = notices[j], notices[i] })
 	return notices[:min(len(notices), maxNoticesPerDatagram)]
 }
-
-func anyEntry(mesh.Member) bool { return true }
-
-func (s *Sharer) send(notices []core.Notice, limit int, match func(mesh.Member) bool) {
-	if len(notices) == 0 {
-		return
-	}
-	if err := s.cfg.Mesh.SendServerNotices(notices, limit, match); err != nil {
-		s.cfg.Log.Event("server_notices_unsent", "notices", len(notices), "cause", err.Error())
-	}
-}
--- a/node/evacuation/evacuation_test.go
+++ b/node/evacuation/evacuation_test.go
@@ -14,6 +14,7 @@
 	core "github.com/laburnumloft/laburnumloft/core/evacuation"
 	"github.com/laburnumloft/laburnumloft/node/decision"
 	"github.com/laburnumloft/laburnumloft/node/gateway"
+	"github.com/laburnumloft/laburnumloft/node/gossip"
 	"github.com/laburnumloft/laburnumloft/node/mesh"
 )
 
@@ -64,7 +65,7 @@
 	reader, other := newTestEntry(c, "a"), newTestEntry(c, "b")
 	reader.mesh.Put(other.member)
 	other.mesh.Put(reader.member)
-	<-time.After(2 * gossipInterval)
+	<-time.After(2 * gossip.Interval)
 	c.Assert(reader.notices.Load()+other.notices.Load(), qt.Equals, int32(0))
 	reader.gateway.AdoptEvacuations([]core.Notice{{Zone: "z", Evacuated: true, Offset: 3}}, "store")
 	eventually := func(what string, done func() bool) {
