--- a/core/placement/spread.go
+++ b/core/placement/spread.go
@@ -26,6 +26,13 @@
 	// may be well while its reports are lost, but little, because it may be full. One that
 	// has never reported has just started.
 	staleRoom = 1
+	// overdueAfter is the age of a report from which the next one is overdue: with the
+	// collectors' intervals and the ways between regions it is at most 0.5 s old. What keeps a
+	// report from arriving, such as a narrow link, keeps answers, too.
+	overdueAfter = 500 * time.Millisecond
+	// overdueWeight is the part of its room with which such an engine counts. It still gets
+	// requests where no other has room, or where all reports are overdue.
+	overdueWeight = 0.05
 	// serviceTimesAveraged is the number of requests over which the mean time at an engine
 	// is taken, and usualServiceTime that time until one has ended.
 	serviceTimesAveraged = 32
@@ -163,7 +170,7 @@
 			break
 		}
 		m := members[f.rng.IntN(len(members))]
-		if f.exclusion(m, q, r, now) == eligibility.Eligible && f.rng.Float64()*f.fullLoad(m) < f.room(m) {
+		if f.exclusion(m, q, r, now) == eligibility.Eligible && f.rng.Float64()*f.fullLoad(m) < f.room(m, now) {
 			return m, Found
 		}
 	}
@@ -178,7 +185,7 @@
 			}
 			continue
 		}
-		room := f.room(m)
+		room := f.room(m, now)
 		if total += room; chosen == nil || f.rng.Float64()*total < room {
 			chosen = m
 		}
@@ -193,8 +200,8 @@
 const minRoom = 0.01
 
 // room returns the room of the engine whose facts were gathered last, as a weight: an engine
-// in another zone has less, and so has a slow one.
-func (f *Fleet) room(m *member) float64 {
+// in another zone has less, and so has a slow one or one whose report is overdue.
+func (f *Fleet) room(m *member, now time.Time) float64 {
 	room := f.facts.MaxLoad - f.facts.Load
 	if m.server.Zone != f.cfg.Zone {
 		room -= f.cfg.CrossZonePenalty * float64(m.server.Slots)
@@ -202,5 +209,8 @@
 	if m.report.Slowdown > 1 {
 		room /= m.report.Slowdown
 	}
+	if !m.reportedAt.IsZero() && now.Sub(m.reportedAt) > overdueAfter {
+		room *= overdueWeight
+	}
 	return max(room, minRoom)
 }
--- a/core/placement/spread_test.go
+++ b/core/placement/spread_test.go
@@ -418,3 +418,39 @@
 		c.Check(float64(r.served) >= minGoodput*float64(results[twoChoices].served), qt.IsTrue, qt.Commentf("%s: %v", load.name, r))
 	}
 }
+
+// An engine behind a narrow link answers late, and its reports arrive late first. It must
+// get few requests while others have room, and as many as they where all are alike.
+func TestOverdueReportsCountLess(t *testing.T) {
+	c := qt.New(t)
+	const engines, requests, since = 20, 2000, 600 * time.Millisecond
+	for _, overdue := range []int{4, engines} {
+		cfg := DefaultConfig("z")
+		cfg.SpreadByRoom = true
+		f := NewFleet(cfg, NewPublishedVersions(time.Second, time.Second), 1)
+		f.SetEntryCount(1)
+		for i := range engines {
+			address := fmt.Sprintf("10.0.0.%d:80", i)
+			f.Put(Server{ID: fmt.Sprint(i), Address: address, Service: "llm", Zone: "z", Slots: 12, WeightVersion: 1})
+			at := start.Add(since)
+			if i < overdue {
+				at = start
+			}
+			f.Report(Report{Address: address, Running: 4, WeightVersion: 1, Sequence: 1}, at)
+		}
+		now, toOverdue := start.Add(since), 0
+		for range requests {
+			choice, miss := f.Choose(now, Query{Service: "llm", Model: "m"})
+			c.Assert(miss, qt.Equals, Found)
+			if choice.ReportAge > 0 {
+				toOverdue++
+			}
+			f.Done(now, choice.Handle, Succeeded)
+		}
+		if overdue == engines {
+			c.Check(toOverdue, qt.Equals, requests)
+		} else {
+			c.Check(toOverdue < requests/20, qt.IsTrue, qt.Commentf("%d of %d", toOverdue, requests))
+		}
+	}
+}
