placement: a slow engine's queue is shorter

Cause: an engine may hold two requests beyond its slots, whatever its pace.

A slow engine ended its queue at 14 requests before, at 13 now (TestSlowEnginesQueueLess).

--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -541,7 +541,7 @@
 	if q.SpareCapacityOnly {
 		return slots - 1
 	}
-	return slots + f.cfg.QueueAllowance - q.Reserve
+	return slots + f.queueAllowance(m) - q.Reserve
 }
 
 func (f *Fleet) hasFreshReport(m *member, now time.Time) bool {
--- a/core/placement/spread.go
+++ b/core/placement/spread.go
@@ -107,7 +107,16 @@
 
 // fullLoad returns the load from which an engine is full for requests of the highest rank.
 func (f *Fleet) fullLoad(m *member) float64 {
-	return float64(max(m.server.Slots, 1)) + f.cfg.QueueAllowance
+	return float64(max(m.server.Slots, 1)) + f.queueAllowance(m)
+}
+
+// queueAllowance returns how many requests may wait at an engine. It stands for a time, in
+// which a slow engine begins fewer.
+func (f *Fleet) queueAllowance(m *member) float64 {
+	if f.cfg.SpreadByRoom && m.report.Slowdown > 1 {
+		return f.cfg.QueueAllowance / m.report.Slowdown
+	}
+	return f.cfg.QueueAllowance
 }
 
 // endedWithin estimates how many of the requests that an engine reported end in a time.
--- a/core/placement/spread_test.go
+++ b/core/placement/spread_test.go
@@ -454,3 +454,22 @@
 		}
 	}
 }
+
+// Requests that wait at an engine must begin in time, also at one that is slow.
+func TestSlowEnginesQueueLess(t *testing.T) {
+	c := qt.New(t)
+	for slowdown, want := range map[float64]int{1: 14, 2: 13} {
+		cfg := DefaultConfig("z")
+		cfg.SpreadByRoom, cfg.QueueAllowance = true, 2
+		f := NewFleet(cfg, NewPublishedVersions(time.Second, time.Second), 1)
+		f.Put(Server{ID: "e", Address: "10.0.0.1:80", Service: "llm", Zone: "z", Slots: 12, WeightVersion: 1})
+		f.Report(Report{Address: "10.0.0.1:80", Slowdown: slowdown, WeightVersion: 1, Sequence: 1}, start)
+		sent := 0
+		for ; sent < 20; sent++ {
+			if _, miss := f.Choose(start, Query{Service: "llm", Model: "m"}); miss != Found {
+				break
+			}
+		}
+		c.Check(sent, qt.Equals, want, qt.Commentf("pace %v", slowdown))
+	}
+}
