laburnum-entry explain: equal numbers of tokens, and the hint

The caller's hint could not be given.

Change: numbers are read by their place; a third one is the hint.

Conclusion: a fault of the tool; it changed nothing for requests.

--- a/node/cmd/laburnum-entry/explain.go
+++ b/node/cmd/laburnum-entry/explain.go
@@ -34,7 +34,7 @@
 	Workspace string        `long:"workspace" description:"name of the caller's workspace"`
 	RequestID string        `long:"id" description:"id of the request; it decides between the services of a route"`
 	Model     string        `long:"model" description:"model that the request names"`
-	Tokens    string        `long:"tokens" description:"PROMPT,OUTPUT: the request's size in tokens"`
+	Tokens    string        `long:"tokens" description:"PROMPT,OUTPUT or PROMPT,OUTPUT,HINT: the request's size in tokens, at most and by the caller's hint"`
 	Deadline  time.Duration `long:"deadline" description:"how long the caller waits; 0 means as long as the route allows"`
 	Output    string        `long:"output" default:"text" description:"text or json"`
 	Args      struct {
@@ -109,10 +109,14 @@
 	if err != nil || c.Tokens == "" {
 		return q, err
 	}
-	prompt, output, _ := strings.Cut(c.Tokens, ",")
-	for text, number := range map[string]*int{prompt: &q.PromptTokens, output: &q.OutputTokens} {
-		if *number, err = strconv.Atoi(strings.TrimSpace(text)); err != nil || *number < 0 {
-			return q, &options.Invalid{Name: "tokens", Value: c.Tokens, Allowed: "PROMPT,OUTPUT, two numbers"}
+	texts, numbers := strings.Split(c.Tokens, ","), []*int{&q.PromptTokens, &q.OutputTokens, &q.LengthHint}
+	invalid := &options.Invalid{Name: "tokens", Value: c.Tokens, Allowed: "PROMPT,OUTPUT or PROMPT,OUTPUT,HINT, numbers"}
+	if len(texts) < 2 || len(texts) > len(numbers) {
+		return q, invalid
+	}
+	for i, text := range texts {
+		if *numbers[i], err = strconv.Atoi(strings.TrimSpace(text)); err != nil || *numbers[i] < 0 {
+			return q, invalid
 		}
 	}
 	return q, nil
--- a/node/gateway/explain.go
+++ b/node/gateway/explain.go
@@ -27,6 +27,8 @@
 	// PromptTokens and OutputTokens are the request's size; 0 means unknown.
 	PromptTokens int `url:"prompt_tokens,omitempty" json:"prompt_tokens,omitempty"`
 	OutputTokens int `url:"output_tokens,omitempty" json:"output_tokens,omitempty"`
+	// LengthHint is the caller's estimate of the answer's tokens; 0 if there is none.
+	LengthHint int `url:"length_hint,omitempty" json:"length_hint,omitempty"`
 	// DeadlineMS is how long the caller waits; 0 means as long as the route allows.
 	DeadlineMS int64 `url:"deadline_ms,omitempty" json:"deadline_ms,omitempty"`
 }
@@ -133,7 +135,7 @@
 // imagine returns the request that a question describes, as admit does for a real one.
 func (g *Gateway) imagine(table *route.Table, q ChoiceQuestion) (*request, Reason) {
 	req := &request{start: time.Now(), call: Call{
-		RequestID: q.ID, Model: q.Model, PromptTokens: q.PromptTokens, OutputTokens: q.OutputTokens, Deadline: time.Duration(q.DeadlineMS) * time.Millisecond,
+		RequestID: q.ID, Model: q.Model, PromptTokens: q.PromptTokens, OutputTokens: q.OutputTokens, LengthHint: q.LengthHint, Deadline: time.Duration(q.DeadlineMS) * time.Millisecond,
 	}}
 	if req.route = table.Match(q.Host, q.Path); req.route == nil {
 		return req, ReasonNoRoute
@@ -151,7 +153,7 @@
 	q := ChoiceQuestion{
 		Host: values.Get("host"), Path: values.Get("path"), Workspace: values.Get("workspace"), ID: values.Get("id"), Model: values.Get("model"),
 	}
-	for name, number := range map[string]*int{"prompt_tokens": &q.PromptTokens, "output_tokens": &q.OutputTokens} {
+	for name, number := range map[string]*int{"prompt_tokens": &q.PromptTokens, "output_tokens": &q.OutputTokens, "length_hint": &q.LengthHint} {
 		if text := values.Get(name); text != "" {
 			n, err := strconv.Atoi(text)
 			if err != nil || n < 0 {
