placement: the wait for a permit doesn't make a plain server slow

The time of a plain server's answers, which counts since, included the wait for a permit of its limit, so that entries took it for slow and stayed away.

Change: requests that need a permit don't count for a server's slowness.

--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -434,10 +434,6 @@
 	}
 	load := f.estimatedLoad(m, now)
 	m.inFlight++
-	plain := f.cfg.SpreadByRoom && q.Model == ""
-	if plain {
-		m.recordPlainSent(now)
-	}
 	m.sentSinceReport++
 	f.recordSent(m, now)
 	if f.cfg.CheckMemory && q.Tokens > 0 {
@@ -446,11 +442,16 @@
 		f.recordTokens(q.Service, q.Tokens)
 	}
 	m.cold.take(now)
-	choice := Choice{Handle: Handle{m, q.Tokens, now, plain}, Server: m.server, Version: f.weightVersion(m), Load: load, ReportAge: m.reportAge(now)}
+	choice := Choice{Handle: Handle{member: m, tokens: q.Tokens, sentAt: now}, Server: m.server, Version: f.weightVersion(m), Load: load, ReportAge: m.reportAge(now)}
 	if f.tracksBackpressure() {
 		permit, taken := f.cfg.Backpressure.TakePermit(m.server.Instance(), now)
 		choice.Permit, choice.NeedsPermit = permit, !taken
 	}
+	// The wait for a permit says nothing about the server.
+	if f.cfg.SpreadByRoom && q.Model == "" && !choice.NeedsPermit {
+		choice.Handle.plain = true
+		m.recordPlainSent(now)
+	}
 	if q.Model != "" {
 		choice.FirstEventTimeout, choice.HasFirstEventTimeout = f.published.FirstEventTimeout(q.Model, choice.Version, now)
 	}
