gateway: lines that tell why an attempt ended and what stood in its place

Cause: no line told who ended an attempt, how long its server had been silent, whether another server had room and the retry budget a retry at that moment, or that an answer could not be written.

Change: attempt_silent with the grounds of each decision, ended_by and silent_ms in attempt_failed and stream_cut, the configuration and the time left in stream_cut, answer_unwritten. Counters silent_kept, silent_moved, silent_outdated, answer_unwritten.

--- a/node/gateway/answers.go
+++ b/node/gateway/answers.go
@@ -79,14 +79,14 @@
 	}
 }
 
-// writeTo writes the body to the caller. Write errors are ignored because the
-// server has already completed the request.
-func (b blocks) writeTo(w io.Writer) {
+// writeTo writes the body.
+func (b blocks) writeTo(w io.Writer) error {
 	for _, block := range b {
 		if _, err := w.Write(block); err != nil {
-			return
+			return err
 		}
 	}
+	return nil
 }
 
 // read reads a body to its end and returns the number of bytes it reserved,
--- a/node/gateway/buffered.go
+++ b/node/gateway/buffered.go
@@ -156,7 +156,7 @@
 		w.Header().Set("Content-Length", strconv.Itoa(body.size()))
 	}
 	w.WriteHeader(e.resp.StatusCode)
-	body.writeTo(w)
+	g.logUnwritten(req, body.writeTo(w))
 	g.recordAnswered(req, e.choice, e.resp.StatusCode, 0)
 }
 
--- a/node/gateway/containment.go
+++ b/node/gateway/containment.go
@@ -46,7 +46,8 @@
 	} {
 		_, _ = io.WriteString(h, strconv.Quote(field))
 	}
-	r.body.writeTo(h)
+	// Write of a hash never returns an error.
+	_ = r.body.writeTo(h)
 	r.identity.Whole = prompt.Part(binary.BigEndian.Uint64(h.Sum(nil)))
 }
 
--- a/node/gateway/exchange.go
+++ b/node/gateway/exchange.go
@@ -33,6 +33,7 @@
 	// first one arrived, zero if there was none.
 	events       int64
 	firstEventAt time.Time
+	lastEventAt  time.Time
 	// crash is what a connection attempt after the exchange told about the engine.
 	crash engineState
 	// onSound is called once when the answer counts as sound; nil afterwards.
@@ -138,13 +139,14 @@
 	g.cfg.Log.Event("attempt_failed", "request", req.call.RequestID, "server", e.choice.Server.ID, "result", result,
 		"status", status, "cause", cause, "load", e.choice.Load, "report_age_ms", e.choice.ReportAge.Milliseconds(),
 		"weights", e.choice.Version, "ms", e.duration.Milliseconds(),
-		"events", e.events, "writing_ms", e.writingTime().Milliseconds(), "engine", string(e.crash), "parts", prompt.Format(req.call.PromptParts), "whole", req.identity.WholeID())
+		"events", e.events, "writing_ms", e.writingTime().Milliseconds(), "silent_ms", e.silence().Milliseconds(), "ended_by", e.endedBy(), "engine", string(e.crash), "parts", prompt.Format(req.call.PromptParts), "whole", req.identity.WholeID())
 }
 
 // recordEvent records an event of the server's stream.
 func (e *exchange) recordEvent() {
+	e.lastEventAt = time.Now()
 	if e.events == 0 {
-		e.firstEventAt = time.Now()
+		e.firstEventAt = e.lastEventAt
 	}
 	e.events++
 	if e.writingTime() >= soundAfter {
@@ -168,6 +170,24 @@
 	return time.Since(e.firstEventAt)
 }
 
+// silence is the time since the server's last event; 0 if it sent none.
+func (e *exchange) silence() time.Duration {
+	if e.lastEventAt.IsZero() {
+		return 0
+	}
+	return time.Since(e.lastEventAt)
+}
+
+// endedBy tells who ended a failed attempt, this entry or the server.
+func (e *exchange) endedBy() string {
+	for _, own := range []error{context.Canceled, context.DeadlineExceeded, errNoProgress, errQuarantined, errPermitExpired, errAnswerTooLarge} {
+		if errors.Is(e.err, own) {
+			return "entry"
+		}
+	}
+	return "server"
+}
+
 // copyHeader copies a server's header without its hop-by-hop fields.
 func copyHeader(dst, src http.Header) {
 	for name, values := range src {
--- a/node/gateway/handler.go
+++ b/node/gateway/handler.go
@@ -319,8 +319,19 @@
 	body := `{"error":"` + string(reason) + `"}`
 	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	w.WriteHeader(status)
-	// A write error means that the caller has disconnected.
-	_, _ = io.WriteString(w, body)
+	_, err := io.WriteString(w, body)
+	g.logUnwritten(req, err)
+}
+
+// logUnwritten logs that an answer could not be written to a caller that is not known to
+// have left.
+func (g *Gateway) logUnwritten(req *request, err error) {
+	if err == nil || req.in.Context().Err() != nil {
+		return
+	}
+	outcomes.Add("answer_unwritten", 1)
+	g.cfg.Log.Event("answer_unwritten", "request", req.call.RequestID, "service", req.service, "cause", err.Error(),
+		"ms", time.Since(req.start).Milliseconds(), "past_deadline_ms", time.Since(req.deadline).Milliseconds())
 }
 
 // unreadBodyTimeout is how long the rest of a body may take whose request was refused
--- a/node/gateway/progress.go
+++ b/node/gateway/progress.go
@@ -33,10 +33,15 @@
 // has sent no event by then.
 type progressWatch struct {
 	pauseTimeout time.Duration
+	startedAt    time.Time
+	// lastEventAt is when the last event arrived, in Unix nanoseconds; 0 if none did.
+	lastEventAt atomic.Int64
 	// firstEventDeadline is the time after which the engine's weights are too old
 	// for a first event; zero if there is none.
 	firstEventDeadline time.Time
-	mayRetry           func() bool
+	alternative        func() alternative
+	// onSilence logs what was decided on a silent attempt.
+	onSilence func(silent time.Duration, a alternative, decision string)
 	cancel             context.CancelFunc
 	started            atomic.Bool
 	// cancelled means that the watch cancelled the attempt; outdated means that
@@ -53,7 +58,9 @@
 	others.Tried = slices.Clone(req.tried)
 	p := &progressWatch{
 		pauseTimeout: max(minPauseTimeout, time.Duration(pauseTargets*float64(req.route.PauseTarget))),
-		cancel:       cancel, mayRetry: func() bool { return repeatable && g.canMove(others) },
+		startedAt:    time.Now(), cancel: cancel,
+		alternative: func() alternative { return g.findAlternative(repeatable, others) },
+		onSilence:   g.logSilence(req, choice),
 	}
 	if choice.HasFirstEventTimeout {
 		p.firstEventDeadline = time.Now().Add(choice.FirstEventTimeout)
@@ -80,10 +87,17 @@
 // check cancels the attempt, or restarts the timer for a later check.
 func (p *progressWatch) check() {
 	outdated := !p.firstEventDeadline.IsZero() && !p.started.Load() && !time.Now().Before(p.firstEventDeadline)
-	if !outdated && !p.mayRetry() {
+	a := p.alternative()
+	if !outdated && !a.usable() {
+		p.onSilence(p.silence(), a, "kept")
 		p.timer.Reset(p.capWait(p.pauseTimeout))
 		return
 	}
+	decision := "moved"
+	if outdated {
+		decision = "outdated"
+	}
+	p.onSilence(p.silence(), a, decision)
 	p.outdated.Store(outdated)
 	p.cancelled.Store(true)
 	p.cancel()
@@ -92,14 +106,46 @@
 // handleEvent restarts the timeout after an event of the engine.
 func (p *progressWatch) handleEvent() {
 	p.started.Store(true)
+	p.lastEventAt.Store(time.Now().UnixNano())
 	p.timer.Reset(p.pauseTimeout)
 }
 
 func (p *progressWatch) stop() { p.timer.Stop() }
 
-// canMove reports whether the retry budget allows a retry and a server can take it.
-func (g *Gateway) canMove(others placement.Query) bool {
+// silence returns the time since the last event, or since the start if there was none.
+func (p *progressWatch) silence() time.Duration {
+	if at := p.lastEventAt.Load(); at != 0 {
+		return time.Since(time.Unix(0, at))
+	}
+	return time.Since(p.startedAt)
+}
+
+// alternative is what another attempt beside or after a silent one would need.
+type alternative struct {
+	// runsLeft means that the request may run once more, retry that the retry budget
+	// holds a retry, and server that a server could take the request now.
+	runsLeft, retry, server bool
+}
+
+func (a alternative) usable() bool { return a.runsLeft && a.retry && a.server }
+
+// findAlternative looks for another attempt at the servers that a query allows.
+func (g *Gateway) findAlternative(runsLeft bool, others placement.Query) alternative {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.budget.CanRetry(limits.RetryKey{Service: others.Service}) && g.fleet.CanServe(bootclock.Now(), others)
+	return alternative{
+		runsLeft: runsLeft, retry: g.budget.CanRetry(limits.RetryKey{Service: others.Service}),
+		server: g.fleet.CanServe(bootclock.Now(), others),
+	}
+}
+
+// logSilence returns the function that logs what was decided on a silent attempt, and on
+// what grounds.
+func (g *Gateway) logSilence(req *request, choice placement.Choice) func(silent time.Duration, a alternative, decision string) {
+	id, service := req.call.RequestID, req.service
+	return func(silent time.Duration, a alternative, decision string) {
+		attempts.Add("silent_"+decision, 1)
+		g.cfg.Log.Event("attempt_silent", "request", id, "service", service, "server", choice.Server.ID, "silent_ms", silent.Milliseconds(),
+			"runs_left", a.runsLeft, "retry", a.retry, "server_free", a.server, "decision", decision)
+	}
 }
--- a/node/gateway/stream.go
+++ b/node/gateway/stream.go
@@ -23,6 +23,8 @@
 	// headerSent means that the caller was sent a header.
 	headerSent bool
 	events     int64
+	// lastAttempt is the attempt that failed last; nil if there was none.
+	lastAttempt *exchange
 }
 
 // serveStream forwards complete events as they arrive. When an engine fails, a
@@ -38,6 +40,7 @@
 		}
 		e := g.tryStream(ctx, req, choice, s)
 		reason, retry := g.decideAfterStream(ctx, req, e, s)
+		s.lastAttempt = e
 		if retry {
 			continue
 		}
@@ -60,8 +63,15 @@
 	}
 	outcomes.Add("stream_cut_"+string(reason), 1)
 	last, _ := s.sequence.Last()
-	g.cfg.Log.Event("stream_cut", "request", req.call.RequestID, "reason", string(reason), "events", s.events, "last_event", last,
-		"service", req.service, "offers", len(req.tried), "runs", req.runs, "ms", time.Since(req.start).Milliseconds())
+	args := []any{
+		"request", req.call.RequestID, "reason", string(reason), "events", s.events, "last_event", last,
+		"service", req.service, "offers", len(req.tried), "runs", req.runs, "ms", time.Since(req.start).Milliseconds(),
+		"configuration", req.configVersion, "left_ms", time.Until(req.deadline).Milliseconds(),
+	}
+	if e := s.lastAttempt; e != nil {
+		args = append(args, "server", e.choice.Server.ID, "ended_by", e.endedBy(), "silent_ms", e.silence().Milliseconds())
+	}
+	g.cfg.Log.Event("stream_cut", args...)
 	panic(http.ErrAbortHandler)
 }
 
@@ -221,6 +231,6 @@
 	copyHeader(s.w.Header(), e.resp.Header)
 	s.headerSent = true
 	s.w.WriteHeader(e.resp.StatusCode)
-	body.writeTo(s.w)
+	g.logUnwritten(req, body.writeTo(s.w))
 	return "", false
 }
