--- a/node/gateway/progress.go
+++ b/node/gateway/progress.go
@@ -42,8 +42,8 @@
 	alternative        func() alternative
 	// onSilence logs what was decided on a silent attempt.
 	onSilence func(silent time.Duration, a alternative, decision string)
-	cancel             context.CancelFunc
-	started            atomic.Bool
+	cancel    context.CancelFunc
+	started   atomic.Bool
 	// cancelled means that the watch cancelled the attempt; outdated means that
 	// the reason was the engine's old weights.
 	cancelled, outdated atomic.Bool
