gateway: a silent server is left only once another one goes on

What callers saw: a stream ended in the middle, or a request got 502, although its server was only silent for a second or two and would have finished.

Cause: check, then act. After 0.9 or 1.2 s of silence (a read: half of its time) the attempt was cancelled because at that moment some server had room and the budget a retry. Nothing was reserved, and nothing says that the other server goes on: it refuses, is dead, breaks off, fails or is silent as well, another stream or entry has taken its place, or the retry is gone. With two attempts a route, no server was left.

In each failing case the log shows attempt_silent with decision moved, then the failure of the second server, then stream_cut or 502, while the first server went on. None fails where the entry saw no other server.

Ruled out as the whole answer: more patience alone moves the time at which the same happens; reserving place and retry leaves servers that refuse or break; going back to the same server loses what it has done.

Change: another server is tried beside the silent one (node/gateway/hedge.go), within the route's attempts and the retry budget, whose retry is taken once there is a place. The first run that has an event, or a whole answer, wins (contest.go) and ends the others; if the other fails, the silent one goes on to the deadline. If the winner then breaks off, the request may return to the server that was left, which is no further server of it. The other one is tried only when callers would leave soon: after their patience (2 s, four targets or eight pauses) less the time to take over. Until then a silence only counts against the server in the choice for other requests, as it did before.

Tests: the stand-in that breaks off after its first event sent an event that the stream doesn't have when asked to resume at its end; it now breaks off without one.

That it is what the users saw is likely, not shown: no log of theirs is known.

--- a/core/placement/filter.go
+++ b/core/placement/filter.go
@@ -118,8 +118,8 @@
 	fresh := f.hasFreshReport(m, now)
 	*s = eligibility.Server{
 		Region: m.region, Draining: m.server.Draining, Misdirected: m.misdirected, Evacuated: m.evacuated,
-		Down: fresh && (m.report.Down || m.restarted()), SetAside: now.Before(m.excludedUntil),
-		Tried: len(q.Tried) > 0 && slices.Contains(q.Tried, m.server.ID), Cold: m.cold.begun && f.coldWait(m, now) > 0,
+		Down: fresh && (m.report.Down || m.restarted()), SetAside: now.Before(m.excludedUntil) && len(q.Only) == 0,
+		Tried: len(q.Tried) > 0 && slices.Contains(q.Tried, m.server.ID) || len(q.Only) > 0 && !slices.Contains(q.Only, m.server.ID), Cold: m.cold.begun && f.coldWait(m, now) > 0,
 	}
 	if q.Model != "" {
 		s.WeightVersion, s.Loading = f.weightVersion(m), fresh && m.report.Loading
--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -334,6 +334,9 @@
 	Model string
 	// Tried holds the ids of servers that must not be tried again.
 	Tried []string
+	// Only holds the ids of the only servers that may be chosen, also if they are set
+	// aside; empty for all.
+	Only []string
 	// SpareCapacityOnly restricts the request to capacity that would be idle,
 	// for example because its target has already passed.
 	SpareCapacityOnly bool
@@ -628,14 +631,26 @@
 	case Unreachable:
 		f.setAside(m, now)
 	case Broken:
-		m.consecutiveFailures++
-		if m.consecutiveFailures >= f.cfg.FailuresToSetAside {
-			f.setAside(m, now)
-		}
+		f.recordFailure(m, now)
 	case Canceled, Errored:
 	}
 }
 
+// RecordSilence records that a server sends nothing on a request in flight. It counts as a
+// failure, as servers that have died without a word are silent, too.
+func (f *Fleet) RecordSilence(now time.Time, h Handle) {
+	if h.member != nil {
+		f.recordFailure(h.member, now)
+	}
+}
+
+func (f *Fleet) recordFailure(m *member, now time.Time) {
+	m.consecutiveFailures++
+	if m.consecutiveFailures >= f.cfg.FailuresToSetAside {
+		f.setAside(m, now)
+	}
+}
+
 func (f *Fleet) setAside(m *member, now time.Time) {
 	m.setAsideDuration = min(max(2*m.setAsideDuration, f.cfg.SetAside), f.cfg.MaxSetAside)
 	m.excludedUntil = later(m.excludedUntil, now.Add(m.setAsideDuration))
--- a/node/gateway/buffered.go
+++ b/node/gateway/buffered.go
@@ -11,56 +11,105 @@
 	"github.com/laburnumloft/laburnumloft/core/route"
 )
 
-// attemptTimeoutTargets is the timeout of an attempt that a rerun may follow, as
-// a multiple of the route's target. The timeout is at least half of the time that
-// remains until the deadline.
-const attemptTimeoutTargets = 2
+// hedgeAfterTargets is how long a server may take for an answer that another one may
+// give as well, as a multiple of the route's target, until the other one is tried beside it.
+// The time is at least half of what remains until the deadline.
+const hedgeAfterTargets = 2
 
 // serveBuffered serves a request whose answer is buffered: nothing is forwarded
 // before the answer is complete, so that a broken answer leads to a retry or to
 // an error status.
 func (g *Gateway) serveBuffered(ctx context.Context, w http.ResponseWriter, req *request) {
 	g.recordFirstAttempt(req)
-	for {
-		choice, reason := g.place(ctx, req)
+	r := g.runBuffered(ctx, req, &contest{}, g.place)
+	defer r.release()
+	if r.reason != "" {
+		g.refuse(w, req, r.reason)
+		return
+	}
+	g.writeAnswer(w, req, r.e, r.body)
+}
+
+// runBuffered makes attempts until one has an answer, another run wins or no further
+// attempt is allowed. first chooses the server of the first one.
+func (g *Gateway) runBuffered(requestCtx context.Context, req *request, c *contest, first placer) result {
+	ctx, cancel := context.WithCancelCause(requestCtx)
+	defer cancel(nil)
+	run := c.enter(cancel)
+	defer c.leave(run)
+	for place := first; ; place = g.place {
+		choice, reason := place(ctx, req)
 		if reason != "" {
-			g.refuse(w, req, reason)
-			return
+			return result{reason: reason, release: releaseNothing}
+		}
+		runsBefore := req.runs
+		r, hedged := g.tryBuffered(ctx, requestCtx, req, choice, c, run)
+		if r.e.answered() && c.win(run) {
+			return r
+		}
+		if hedged != nil {
+			c.leave(run)
+			hedged.await(req, runsBefore)
+			if hedged.result.reason == "" || c.hasLost(run) {
+				g.logAttempt(req, r.e, "superseded")
+				req.verdict = hedged.req.verdict
+				r.release()
+				return hedged.result
+			}
+			c.reenter(run)
 		}
-		e, body, release := g.tryBuffered(ctx, req, choice)
-		reason, retry := g.decideAfterBuffered(ctx, req, e)
+		if c.hasLost(run) {
+			g.logAttempt(req, r.e, "superseded")
+			return r.failed(ReasonBroken)
+		}
+		reason, retry := g.decideAfterBuffered(ctx, req, r.e)
 		switch {
 		case retry:
+			r.release()
 		case reason != "":
-			g.refuse(w, req, reason)
+			return r.failed(reason)
+		case !c.isAlone(run):
+			// The run beside this one may still get an answer that is no failure.
+			return r.failed(ReasonBroken)
 		default:
-			g.writeAnswer(w, req, e, body)
-		}
-		release()
-		if !retry {
-			return
+			return r
 		}
 	}
 }
 
-// tryBuffered makes one attempt and reads the answer's body. The caller must
-// call release when it no longer needs the body.
-func (g *Gateway) tryBuffered(ctx context.Context, req *request, choice placement.Choice) (e *exchange, body blocks, release func()) {
+// failed returns the result without its body, for a reason.
+func (r result) failed(reason Reason) result {
+	r.release()
+	return result{e: r.e, reason: reason, release: releaseNothing}
+}
+
+func releaseNothing() {}
+
+// tryBuffered makes one attempt and reads the answer's body. While its server gives no
+// answer, other runs may begin beside it; the last of them is returned.
+func (g *Gateway) tryBuffered(ctx, requestCtx context.Context, req *request, choice placement.Choice, c *contest, run *contestant) (result, *hedge) {
 	req.tried = append(req.tried, choice.Server.ID)
-	if req.mayRerun() && req.runs+1 < req.route.MaxAttempts {
-		var cancel context.CancelFunc
-		ctx, cancel = context.WithTimeout(ctx, max(attemptTimeoutTargets*req.route.Target, time.Until(req.deadline)/2))
-		defer cancel()
+	beside := newHedges(req, func(other *request) result { return g.runBuffered(requestCtx, other, c, g.placeHedge) })
+	if beside.next.mayRerun() {
+		after := max(hedgeAfterTargets*req.route.Target, time.Until(req.deadline)/2)
+		watch := &progressWatch{firstTimeout: after, pauseTimeout: max(req.route.Target, minHedgeInterval), hedgeTimeout: after}
+		watch.onSuspect = func() { g.recordSilence(choice) }
+		watch.onSilence = func(silent time.Duration) { g.hedge(beside, choice, silent) }
+		watch.start()
+		defer watch.stop()
 	}
 	ctx, end := beginAttempt(ctx, req.body.size(), g.logReset(req, choice))
 	defer end()
-	e, release = g.send(ctx, req, choice, AttemptInfo{}), func() {}
+	r := result{e: g.send(ctx, req, choice, AttemptInfo{}), release: releaseNothing}
+	e := r.e
 	if e.err == nil {
-		body, release, e.err = g.readAnswer(e.resp)
+		r.body, r.release, e.err = g.readAnswer(e.resp)
 	}
 	switch {
 	case e.err == nil && e.outcome() == placement.Succeeded:
 		g.recordSound(req, req.identity, time.Now().Add(-e.duration))
+	case e.err != nil && c.hasLost(run):
+		e.err = errSuperseded
 	case e.err != nil && ctx.Err() == nil:
 		g.checkCrash(req, e, false)
 	}
@@ -68,11 +117,11 @@
 		req.runs++
 	}
 	outcome := e.outcome()
-	if e.err != nil && errors.Is(req.in.Context().Err(), context.Canceled) {
+	if e.err != nil && (errors.Is(req.in.Context().Err(), context.Canceled) || endedByEntry(e.err)) {
 		outcome = placement.Canceled
 	}
 	g.releaseServer(choice, outcome)
-	return e, body, release
+	return r, beside.close()
 }
 
 // decideAfterBuffered decides what follows an attempt: the answer (no reason),
--- a/node/gateway/errors.go
+++ b/node/gateway/errors.go
@@ -10,5 +10,6 @@
 	errQuarantined    = eris.New("the attempt was cancelled before its first event, because its prompt crashes engines")
 	errEmptyStream    = eris.New("the server's stream ended with its connection before the attempt's first event")
 	errStopping       = eris.New("the process is stopping and must answer the request now")
-	errNoProgress     = eris.New("the server made no progress on the stream within its timeout")
+	errSuperseded     = eris.New("another run of the request has answered or gone on first")
+	errOutdated       = eris.New("the server had not begun before its weights became outdated")
 )
--- a/node/gateway/exchange.go
+++ b/node/gateway/exchange.go
@@ -40,6 +40,16 @@
 	onSound func()
 }
 
+// settled reports whether the attempt has completed a stream.
+func (e *exchange) settled() bool {
+	return e.err == nil && e.resp.StatusCode == http.StatusOK
+}
+
+// answered reports whether the server has given a whole answer that is no failure.
+func (e *exchange) answered() bool {
+	return e.err == nil && !e.answer.NotRun && !e.answer.Misdirected && e.answer.Signed && e.resp.StatusCode < http.StatusInternalServerError
+}
+
 // mayHaveRun reports whether the server may have run the request.
 func (e *exchange) mayHaveRun() bool {
 	if !e.sent {
@@ -180,7 +190,7 @@
 
 // endedBy tells who ended a failed attempt, this entry or the server.
 func (e *exchange) endedBy() string {
-	for _, own := range []error{context.Canceled, context.DeadlineExceeded, errNoProgress, errQuarantined, errPermitExpired, errAnswerTooLarge} {
+	for _, own := range []error{context.Canceled, context.DeadlineExceeded, errSuperseded, errOutdated, errQuarantined, errPermitExpired, errAnswerTooLarge} {
 		if errors.Is(e.err, own) {
 			return "entry"
 		}
--- a/node/gateway/handler.go
+++ b/node/gateway/handler.go
@@ -85,8 +85,11 @@
 	model string
 	// tried lists the servers that were sent the request; runs counts those
 	// that may have run it.
-	tried         []string
-	runs          int
+	tried []string
+	runs  int
+	// left lists the servers that a run beside theirs has left because they were silent.
+	// only lists the servers that may be chosen; empty for all.
+	left, only    []string
 	configVersion int64
 	// identity is what a quarantine may match.
 	identity quarantine.Request
--- a/node/gateway/place.go
+++ b/node/gateway/place.go
@@ -87,8 +87,12 @@
 
 // query returns what the request asks of a server.
 func (r *request) query() placement.Query {
+	tried := r.tried
+	if len(r.only) > 0 {
+		tried = nil
+	}
 	return placement.Query{
-		Service: r.service, Model: r.model, Tried: r.tried, SpareCapacityOnly: r.pastTarget, Regions: r.regions, Tokens: r.tokens,
+		Service: r.service, Model: r.model, Tried: tried, Only: r.only, SpareCapacityOnly: r.pastTarget, Regions: r.regions, Tokens: r.tokens,
 		MaxTokens: r.maxTokens, Reserve: r.reserve,
 	}
 }
@@ -166,12 +170,8 @@
 
 // mayRerun reports whether a request that may have run may be sent to another
 // server.
-func (r *request) mayRerun() bool { return r.mayRerunAfter(0) }
-
-// mayRerunAfter is like mayRerun, but for the state after the given number of
-// further runs.
-func (r *request) mayRerunAfter(runs int) bool {
-	return r.route.Retryable() && r.runs+runs < max(r.route.MaxAttempts, 1)
+func (r *request) mayRerun() bool {
+	return r.route.Retryable() && r.runs < max(r.route.MaxAttempts, 1)
 }
 
 // urgency maps the priority to the engine's scale, on which 5 is the default.
--- a/node/gateway/progress.go
+++ b/node/gateway/progress.go
@@ -1,116 +1,134 @@
 package gateway
 
 import (
-	"context"
-	"slices"
 	"sync/atomic"
 	"time"
 
-	"github.com/laburnumloft/laburnumloft/core/limits"
 	"github.com/laburnumloft/laburnumloft/core/placement"
-	"github.com/laburnumloft/laburnumloft/node/lib/bootclock"
 )
 
 const (
-	// firstEventTargets is the timeout for an engine's first event as a multiple
-	// of the route's target; minFirstEventTimeout is its lower bound. When the
-	// timeout expires, the request goes to another engine.
-	firstEventTargets    = 2
+	// suspectTargets is the time without a first event after which an engine is suspected
+	// to have died, as a multiple of the route's target; minFirstEventTimeout is its lower
+	// bound.
+	suspectTargets       = 2
 	minFirstEventTimeout = 1200 * time.Millisecond
-	// pauseTargets is the timeout between two events as a multiple of the
-	// route's pause target. minPauseTimeout is its lower bound; it is longer
-	// than an engine's pass with a full batch and long prompts. When the timeout
-	// expires, the stream resumes on another engine.
-	pauseTargets    = 1.5
+	// suspectPauses is the same between two events, as a multiple of the route's pause
+	// target. minPauseTimeout is its lower bound; it is longer than an engine's pass with
+	// a full batch and long prompts.
+	suspectPauses   = 1.5
 	minPauseTimeout = 900 * time.Millisecond
+	// callerPatience, callerTargets and callerPauses say after which time without an event
+	// callers leave a stream: the longest of that time and of these multiples of the
+	// route's target and pause target.
+	callerPatience = 2 * time.Second
+	callerTargets  = 4
+	callerPauses   = 8
+	// takeoverTime is how long before its caller leaves another engine is tried beside a
+	// silent one. In that time it must connect and read the prompt. It is takeoverTargets
+	// of the route's target if that is longer.
+	takeoverTime    = 800 * time.Millisecond
+	takeoverTargets = 2
+	// minHedgeInterval is the least time after which a server is looked for again, if
+	// there was none to try beside a silent one.
+	minHedgeInterval = 100 * time.Millisecond
 )
 
-// progressWatch cancels an attempt at an engine that sends no events, if another
-// engine may take over. If none may or can, because the stream can't be resumed, the
-// retry budget is used up or no other engine has room, a slow engine is better than
-// none. The attempt then
-// ends only at the request's deadline, or at firstEventDeadline if the engine
-// has sent no event by then.
+// progressWatch watches the events of an attempt. If there are none for a while, it calls
+// onSuspect once, and onSilence when another engine must be tried for the caller to stay.
+// The attempt itself goes on: a sound engine may be silent for a second or two, and the
+// other one may refuse, break off or be silent as well. It ends only at the request's
+// deadline, when another run of the request wins, or at firstEventDeadline if the engine has
+// sent no event by then.
 type progressWatch struct {
-	pauseTimeout time.Duration
-	startedAt    time.Time
-	// lastEventAt is when the last event arrived, in Unix nanoseconds; 0 if none did.
+	// firstTimeout and pauseTimeout are the times without a first and without a further
+	// event until onSuspect is called, hedgeTimeout that until onSilence is.
+	firstTimeout, pauseTimeout, hedgeTimeout time.Duration
+	startedAt                                time.Time
+	// lastEventAt is when the last event was forwarded, in Unix nanoseconds; 0 if none was.
 	lastEventAt atomic.Int64
 	// firstEventDeadline is the time after which the engine's weights are too old
 	// for a first event; zero if there is none.
 	firstEventDeadline time.Time
-	alternative        func() alternative
-	// onSilence logs what was decided on a silent attempt.
-	onSilence func(silent time.Duration, a alternative, decision string)
-	cancel    context.CancelFunc
-	started   atomic.Bool
-	// cancelled means that the watch cancelled the attempt; outdated means that
-	// the reason was the engine's old weights.
-	cancelled, outdated atomic.Bool
-	timer               *time.Timer
+	onSuspect          func()
+	// onSilence is called after hedgeTimeout and then again and again, onOutdated at
+	// firstEventDeadline.
+	onSilence, onOutdated func(silent time.Duration)
+	suspected             atomic.Bool
+	outdated, stopped     atomic.Bool
+	timer                 *time.Timer
 }
 
-// watchProgress starts the watch of an attempt, which it ends with cancel.
-func (g *Gateway) watchProgress(req *request, choice placement.Choice, cancel context.CancelFunc) *progressWatch {
-	// When the watch fires, this attempt counts as a run.
-	repeatable := req.mayRerunAfter(1)
-	others := req.query()
-	others.Tried = slices.Clone(req.tried)
+// newStreamWatch returns the watch of an attempt at a stream.
+func newStreamWatch(req *request, choice placement.Choice) *progressWatch {
+	target, pause := req.route.Target, req.route.PauseTarget
+	patience := max(callerPatience, callerTargets*target, callerPauses*pause)
 	p := &progressWatch{
-		pauseTimeout: max(minPauseTimeout, time.Duration(pauseTargets*float64(req.route.PauseTarget))),
-		startedAt:    time.Now(), cancel: cancel,
-		alternative: func() alternative { return g.findAlternative(repeatable, others) },
-		onSilence:   g.logSilence(req, choice),
+		firstTimeout: max(minFirstEventTimeout, suspectTargets*target),
+		pauseTimeout: max(minPauseTimeout, time.Duration(suspectPauses*float64(pause))),
+		hedgeTimeout: patience - max(takeoverTime, takeoverTargets*target),
 	}
 	if choice.HasFirstEventTimeout {
 		p.firstEventDeadline = time.Now().Add(choice.FirstEventTimeout)
 	}
-	first := p.capWait(max(minFirstEventTimeout, firstEventTargets*req.route.Target))
+	return p
+}
+
+// start starts the first timeout.
+func (p *progressWatch) start() {
+	p.startedAt = time.Now()
 	// The timer's function may run before AfterFunc returns and p.timer is set.
 	armed := make(chan struct{})
-	p.timer = time.AfterFunc(first, func() {
+	p.timer = time.AfterFunc(p.capWait(p.firstTimeout), func() {
 		<-armed
 		p.check()
 	})
 	close(armed)
-	return p
 }
 
 // capWait returns wait, or the time until firstEventDeadline if that is shorter.
 func (p *progressWatch) capWait(wait time.Duration) time.Duration {
-	if p.firstEventDeadline.IsZero() || p.started.Load() {
+	if p.firstEventDeadline.IsZero() || p.started() {
 		return wait
 	}
 	return min(wait, max(0, time.Until(p.firstEventDeadline)))
 }
 
-// check cancels the attempt, or restarts the timer for a later check.
+// check reports the silence and restarts the timer.
 func (p *progressWatch) check() {
-	outdated := !p.firstEventDeadline.IsZero() && !p.started.Load() && !time.Now().Before(p.firstEventDeadline)
-	a := p.alternative()
-	if !outdated && !a.usable() {
-		p.onSilence(p.silence(), a, "kept")
-		p.timer.Reset(p.capWait(p.pauseTimeout))
+	if p.stopped.Load() {
 		return
 	}
-	decision := "moved"
-	if outdated {
-		decision = "outdated"
+	if !p.firstEventDeadline.IsZero() && !p.started() && !time.Now().Before(p.firstEventDeadline) {
+		p.outdated.Store(true)
+		p.onOutdated(p.silence())
+		return
 	}
-	p.onSilence(p.silence(), a, decision)
-	p.outdated.Store(outdated)
-	p.cancelled.Store(true)
-	p.cancel()
+	if p.suspected.CompareAndSwap(false, true) {
+		p.onSuspect()
+	}
+	silent, next := p.silence(), p.pauseTimeout
+	if left := p.hedgeTimeout - silent; left > 0 {
+		next = left
+	} else {
+		p.onSilence(silent)
+	}
+	p.timer.Reset(p.capWait(next))
 }
 
 // handleEvent restarts the timeout after an event of the engine.
 func (p *progressWatch) handleEvent() {
-	p.started.Store(true)
 	p.lastEventAt.Store(time.Now().UnixNano())
+	p.suspected.Store(false)
 	p.timer.Reset(p.pauseTimeout)
 }
 
-func (p *progressWatch) stop() { p.timer.Stop() }
+func (p *progressWatch) stop() {
+	p.stopped.Store(true)
+	p.timer.Stop()
+}
+
+func (p *progressWatch) started() bool { return p.lastEventAt.Load() != 0 }
 
 // silence returns the time since the last event, or since the start if there was none.
 func (p *progressWatch) silence() time.Duration {
@@ -119,33 +137,3 @@
 	}
 	return time.Since(p.startedAt)
 }
-
-// alternative is what another attempt beside or after a silent one would need.
-type alternative struct {
-	// runsLeft means that the request may run once more, retry that the retry budget
-	// holds a retry, and server that a server could take the request now.
-	runsLeft, retry, server bool
-}
-
-func (a alternative) usable() bool { return a.runsLeft && a.retry && a.server }
-
-// findAlternative looks for another attempt at the servers that a query allows.
-func (g *Gateway) findAlternative(runsLeft bool, others placement.Query) alternative {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return alternative{
-		runsLeft: runsLeft, retry: g.budget.CanRetry(limits.RetryKey{Service: others.Service}),
-		server: g.fleet.CanServe(bootclock.Now(), others),
-	}
-}
-
-// logSilence returns the function that logs what was decided on a silent attempt, and on
-// what grounds.
-func (g *Gateway) logSilence(req *request, choice placement.Choice) func(silent time.Duration, a alternative, decision string) {
-	id, service := req.call.RequestID, req.service
-	return func(silent time.Duration, a alternative, decision string) {
-		attempts.Add("silent_"+decision, 1)
-		g.cfg.Log.Event("attempt_silent", "request", id, "service", service, "server", choice.Server.ID, "silent_ms", silent.Milliseconds(),
-			"runs_left", a.runsLeft, "retry", a.retry, "server_free", a.server, "decision", decision)
-	}
-}
--- a/node/gateway/silence_test.go
+++ b/node/gateway/silence_test.go
@@ -168,10 +168,11 @@
 	}},
 }
 
-// breakAfterFirstEvent sends the event after the caller's last one and breaks off.
+// breakAfterFirstEvent sends the event after the caller's last one, if there is one, and
+// breaks off.
 func breakAfterFirstEvent(w http.ResponseWriter, r *http.Request) {
-	first, _ := strconv.Atoi(r.Header.Get("Last"))
-	events(first+1, true)(w, r)
+	last, _ := strconv.Atoi(r.Header.Get("Last"))
+	events(min(last+1, silentEvents), true)(w, r)
 }
 
 // closedAddress returns an address that refuses connections.
@@ -433,7 +434,7 @@
 	c.Assert(err, qt.IsNil)
 	defer func() { _ = resp.Body.Close() }()
 	r.addServer("other", other.URL, nil)
-	<-time.After(minPauseTimeout + 300*time.Millisecond)
+	<-time.After(callerPatience)
 	body, err := io.ReadAll(resp.Body)
 	c.Assert(err, qt.IsNil)
 	c.Assert(strings.Count(string(body), "id: "), qt.Equals, 400)
