gateway: a caller that reads slowly is no silent server

What callers saw: a caller that didn't read for a second had its stream moved to another server, or cut where that one failed.

Cause: the timeout between two events ran on while an event was being written to the caller.

Evidence: TestSlowCallerIsNoSilentServer failed on: the other server got a request although the first one had its next events ready.

Change: the watch is stopped during the write and starts anew after it.

--- a/node/gateway/progress.go
+++ b/node/gateway/progress.go
@@ -116,6 +116,10 @@
 	p.timer.Reset(p.capWait(next))
 }
 
+// pause stops the timeout while an event is written: a caller that reads slowly is no
+// silence of the engine.
+func (p *progressWatch) pause() { p.timer.Stop() }
+
 // handleEvent restarts the timeout after an event of the engine.
 func (p *progressWatch) handleEvent() {
 	p.lastEventAt.Store(time.Now().UnixNano())
--- a/node/gateway/stream.go
+++ b/node/gateway/stream.go
@@ -187,7 +187,7 @@
 		if n > 0 {
 			split.Write(buffer[:n])
 			before := e.events
-			forwarded, err := s.forwardEvents(e, run, &split)
+			forwarded, err := s.forwardEvents(e, run, watch, &split)
 			if before == 0 && e.events > 0 {
 				onFirst()
 			}
@@ -232,7 +232,7 @@
 
 // forwardEvents forwards the complete events that have arrived. The first one wins the
 // stream for this run.
-func (s *stream) forwardEvents(e *exchange, run *contestant, split *eventstream.Splitter) (forwarded bool, err error) {
+func (s *stream) forwardEvents(e *exchange, run *contestant, watch *progressWatch, split *eventstream.Splitter) (forwarded bool, err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for {
@@ -255,6 +255,7 @@
 			continue
 		}
 		s.winLocked(run)
+		watch.pause()
 		s.sendHeader(e.resp)
 		if _, err := s.w.Write(event.Raw); err != nil {
 			return forwarded, err
