gateway: a server that reads nothing for a while keeps its connection

What callers saw: an order, read or stream with a large body got 502 after about two seconds if its server read nothing for that long, although the server then read all and answered. An order can't be sent again.

Cause: TCP_USER_TIMEOUT of 1.5 s on the connections of attempts. It ends a connection whose bytes stay unacknowledged and also one whose window stays closed, so a socket was less patient than the request.

Change: attempts have no such limit. What ends them is the request's deadline, another run that goes on first, or their caller.

A server that dies without a word now holds an order until its deadline and not for 1.5 s: 504 in place of 502, and both promise nothing.

--- a/node/gateway/transport.go
+++ b/node/gateway/transport.go
@@ -6,11 +6,8 @@
 	"net"
 	"net/http"
 	"sync/atomic"
-	"syscall"
 	"time"
 
-	"golang.org/x/sys/unix"
-
 	"github.com/laburnumloft/laburnumloft/node/lib/lifecycle"
 )
 
@@ -18,14 +15,6 @@
 	// dialTimeout limits connecting to a server. A round trip between regions
 	// takes under 10 ms; a lost first packet is sent again after a second.
 	dialTimeout = 400 * time.Millisecond
-	// unackedTimeout is how long sent bytes may stay unacknowledged before the
-	// connection is closed.
-	unackedTimeout = 1500 * time.Millisecond
-	// keepAliveIdle, keepAliveInterval and keepAliveCount set the TCP keep-alive
-	// probes, which detect dead connections.
-	keepAliveIdle     = time.Second
-	keepAliveInterval = time.Second
-	keepAliveCount    = 3
 )
 
 // newTransport returns the transport to backend servers. Every request uses a
@@ -35,8 +24,10 @@
 func newTransport() *http.Transport {
 	// Keep-alive probes are off: they cost four system calls, and the request's
 	// timeout or deadline closes a dead connection long before the probes
-	// would detect it.
-	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: -1, Control: SetUnackedTimeout}
+	// would detect it. There is no limit on unacknowledged bytes either: it would
+	// also end the connection of a server that reads nothing for a while, and an
+	// order can't be sent again.
+	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: -1}
 	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
 		conn, err := dialer.DialContext(ctx, network, address)
 		if err != nil {
@@ -61,23 +52,6 @@
 	}
 }
 
-// KeepAliveConfig returns the keep-alive settings that detect dead connections.
-func KeepAliveConfig() net.KeepAliveConfig {
-	return net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount}
-}
-
-// SetUnackedTimeout sets TCP_USER_TIMEOUT on a socket to unackedTimeout.
-func SetUnackedTimeout(_, _ string, c syscall.RawConn) error {
-	var sockoptErr error
-	err := c.Control(func(fd uintptr) {
-		sockoptErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unackedTimeout.Milliseconds()))
-	})
-	if err != nil {
-		return err
-	}
-	return sockoptErr
-}
-
 // errAttemptDone is the cause of the end of an attempt's context after the attempt.
 var errAttemptDone = errors.New("the attempt is over")
 
