gateway: the rest of a begun stream waits for a place as long as its caller

What callers saw: a stream whose server broke off was cut 0.1 s later, with seconds left, though another server had a place soon.

Cause: the rest of a stream waited for a place like a new request, a fifth of the route's target. A new request can then be refused and come back; a begun stream can only be cut. The retry had been taken from the budget by then.

TestBegunStreamWaitsForAPlace failed before.

Change: the wait lasts until a server could no longer take the stream over before its caller leaves (takeoverAfter from the last event), unless no server may ever take it.

Conclusion: mended where a place comes in time.

--- a/node/gateway/handler.go
+++ b/node/gateway/handler.go
@@ -87,6 +87,9 @@
 	// that may have run it.
 	tried []string
 	runs  int
+	// placeBy is until when the rest of a begun stream waits for a server; zero for other
+	// requests.
+	placeBy time.Time
 	// left lists the servers that a run beside theirs has left because they were silent.
 	// only lists the servers that may be chosen; empty for all.
 	left, only    []string
--- a/node/gateway/place.go
+++ b/node/gateway/place.go
@@ -54,6 +54,9 @@
 			return choice, ""
 		}
 		remainingWait := g.maxWait(req, miss, remaining) - time.Since(started)
+		if miss != placement.NoHome && miss != placement.TooLarge {
+			remainingWait = max(remainingWait, time.Until(req.placeBy))
+		}
 		if miss == placement.Limited {
 			if !queued {
 				remainingWait -= g.joinLimitedQueue(req.service)
--- a/node/gateway/progress.go
+++ b/node/gateway/progress.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/laburnumloft/laburnumloft/core/placement"
+	"github.com/laburnumloft/laburnumloft/core/route"
 )
 
 const (
@@ -61,12 +62,10 @@
 
 // newStreamWatch returns the watch of an attempt at a stream.
 func newStreamWatch(req *request, choice placement.Choice) *progressWatch {
-	target, pause := req.route.Target, req.route.PauseTarget
-	patience := max(callerPatience, callerTargets*target, callerPauses*pause)
 	p := &progressWatch{
-		firstTimeout: max(minFirstEventTimeout, suspectTargets*target),
-		pauseTimeout: max(minPauseTimeout, time.Duration(suspectPauses*float64(pause))),
-		hedgeTimeout: patience - max(takeoverTime, takeoverTargets*target),
+		firstTimeout: max(minFirstEventTimeout, suspectTargets*req.route.Target),
+		pauseTimeout: max(minPauseTimeout, time.Duration(suspectPauses*float64(req.route.PauseTarget))),
+		hedgeTimeout: takeoverAfter(req.route),
 	}
 	if choice.HasFirstEventTimeout {
 		p.firstEventDeadline = time.Now().Add(choice.FirstEventTimeout)
@@ -74,6 +73,13 @@
 	return p
 }
 
+// takeoverAfter returns how long after an event of a stream another server must begin to
+// take it over for the caller to stay.
+func takeoverAfter(r *route.Route) time.Duration {
+	patience := max(callerPatience, callerTargets*r.Target, callerPauses*r.PauseTarget)
+	return patience - max(takeoverTime, takeoverTargets*r.Target)
+}
+
 // start starts the first timeout.
 func (p *progressWatch) start() {
 	p.startedAt = time.Now()
--- a/node/gateway/silence_test.go
+++ b/node/gateway/silence_test.go
@@ -440,3 +440,25 @@
 	c.Assert(strings.Count(string(body), "id: "), qt.Equals, 400)
 	c.Assert(other.count(), qt.Equals, 0)
 }
+
+// The rest of a stream whose server has broken off must wait for a place elsewhere as long
+// as its caller stays. It used to be cut after the wait of a new request, which can still be
+// refused.
+func TestBegunStreamWaitsForAPlace(t *testing.T) {
+	for _, place := range []struct {
+		name  string
+		after time.Duration
+		whole bool
+	}{{"in time", 800 * time.Millisecond, true}, {"too late", 4 * time.Second, false}} {
+		t.Run(place.name, func(t *testing.T) {
+			t.Parallel()
+			c := qt.New(t)
+			r := silenceGateway(c, newServer(c, events(2, true)))
+			other := newServer(c, events(silentEvents, false))
+			time.AfterFunc(place.after, func() { r.addServer("other", other.URL, nil) })
+			got := r.call(c, "/stream/1", "request")
+			c.Check(got.body == wholeStream && got.err == nil, qt.Equals, place.whole)
+			c.Check(got.took < callerPatience, qt.IsTrue, qt.Commentf("after %v; the caller has left", got.took))
+		})
+	}
+}
--- a/node/gateway/stream.go
+++ b/node/gateway/stream.go
@@ -25,6 +25,8 @@
 	// headerSent means that the caller was sent a header.
 	headerSent bool
 	events     int64
+	// lastEventAt is when the last event was forwarded.
+	lastEventAt time.Time
 }
 
 // serveStream forwards complete events as they arrive. When an engine fails, a
@@ -83,6 +85,7 @@
 			r.reason = reason
 			return r
 		}
+		req.placeBy = s.placeBy(req)
 	}
 }
 
@@ -168,6 +171,17 @@
 	return errors.Is(err, errOutdated) || errors.Is(err, errQuarantined) || errors.Is(err, errSuperseded)
 }
 
+// placeBy returns until when the rest of a begun stream may wait for a server. It can't be
+// refused any more, so that it waits as long as its caller does.
+func (s *stream) placeBy(req *request) time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.headerSent {
+		return time.Time{}
+	}
+	return s.lastEventAt.Add(takeoverAfter(req.route))
+}
+
 // position returns the last event that the caller has, from which an attempt resumes.
 func (s *stream) position() (last int64, resumes bool) {
 	s.mu.Lock()
@@ -261,6 +275,7 @@
 			return forwarded, err
 		}
 		s.events++
+		s.lastEventAt = time.Now()
 		forwarded = true
 	}
 	if forwarded {
