gateway: another server is tried while there is time for its answer

What callers saw: nothing new; with servers that are silent for good, more streams ran into their deadline since silent servers are left later.

Cause: the caller's patience alone decided when another server is tried, 2.2 s on routes with a pause target of 0.4 s, however little time was left.

Change: a silence may take a third of the time that was left when it began.

--- a/node/gateway/buffered.go
+++ b/node/gateway/buffered.go
@@ -92,7 +92,7 @@
 	beside := newHedges(req, func(other *request) result { return g.runBuffered(requestCtx, other, c, g.placeHedge) })
 	if beside.next.mayRerun() {
 		after := max(hedgeAfterTargets*req.route.Target, time.Until(req.deadline)/2)
-		watch := &progressWatch{firstTimeout: after, pauseTimeout: max(req.route.Target, minHedgeInterval), hedgeTimeout: after}
+		watch := &progressWatch{firstTimeout: after, pauseTimeout: max(req.route.Target, minHedgeInterval), deadline: req.deadline}
 		watch.onSuspect = func() { g.recordSilence(choice) }
 		watch.onSilence = func(silent time.Duration) { g.hedge(beside, choice, silent) }
 		watch.start()
--- a/node/gateway/hedge.go
+++ b/node/gateway/hedge.go
@@ -163,6 +163,7 @@
 
 // recordSilence records that a server is silent on an attempt that goes on.
 func (g *Gateway) recordSilence(choice placement.Choice) {
+	attempts.Add("silent", 1)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.fleet.RecordSilence(bootclock.Now(), choice.Handle)
--- a/node/gateway/progress.go
+++ b/node/gateway/progress.go
@@ -30,6 +30,9 @@
 	// of the route's target if that is longer.
 	takeoverTime    = 800 * time.Millisecond
 	takeoverTargets = 2
+	// hedgeTimeDivisor gives the part of the time until the deadline that a silence may
+	// take; the rest is left to another engine.
+	hedgeTimeDivisor = 3
 	// minHedgeInterval is the least time after which a server is looked for again, if
 	// there was none to try beside a silent one.
 	minHedgeInterval = 100 * time.Millisecond
@@ -45,7 +48,8 @@
 	// firstTimeout and pauseTimeout are the times without a first and without a further
 	// event until onSuspect is called, hedgeTimeout that until onSilence is.
 	firstTimeout, pauseTimeout, hedgeTimeout time.Duration
-	startedAt                                time.Time
+	// deadline is the request's deadline.
+	deadline, startedAt time.Time
 	// lastEventAt is when the last event was forwarded, in Unix nanoseconds; 0 if none was.
 	lastEventAt atomic.Int64
 	// firstEventDeadline is the time after which the engine's weights are too old
@@ -65,7 +69,7 @@
 	p := &progressWatch{
 		firstTimeout: max(minFirstEventTimeout, suspectTargets*req.route.Target),
 		pauseTimeout: max(minPauseTimeout, time.Duration(suspectPauses*float64(req.route.PauseTarget))),
-		hedgeTimeout: takeoverAfter(req.route),
+		hedgeTimeout: takeoverAfter(req.route), deadline: req.deadline,
 	}
 	if choice.HasFirstEventTimeout {
 		p.firstEventDeadline = time.Now().Add(choice.FirstEventTimeout)
@@ -114,7 +118,7 @@
 		p.onSuspect()
 	}
 	silent, next := p.silence(), p.pauseTimeout
-	if left := p.hedgeTimeout - silent; left > 0 {
+	if left := p.hedgeAfter(silent) - silent; left > 0 {
 		next = left
 	} else {
 		p.onSilence(silent)
@@ -122,6 +126,12 @@
 	p.timer.Reset(p.capWait(next))
 }
 
+// hedgeAfter returns the silence after which another engine must be tried. It also needs the
+// time to finish the answer.
+func (p *progressWatch) hedgeAfter(silent time.Duration) time.Duration {
+	return min(p.hedgeTimeout, (time.Until(p.deadline)+silent)/hedgeTimeDivisor)
+}
+
 // pause stops the timeout while an event is written: a caller that reads slowly is no
 // silence of the engine.
 func (p *progressWatch) pause() { p.timer.Stop() }
--- a/node/gateway/silence_test.go
+++ b/node/gateway/silence_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/laburnumloft/laburnumloft/core/limits"
 	"github.com/laburnumloft/laburnumloft/core/placement"
+	"github.com/laburnumloft/laburnumloft/core/route"
 	"github.com/laburnumloft/laburnumloft/core/shutdown"
 )
 
@@ -462,3 +463,18 @@
 		})
 	}
 }
+
+// Another server must be tried before the caller leaves, and while there is time left for
+// its answer.
+func TestHedgesLeaveTimeForAnotherServer(t *testing.T) {
+	c := qt.New(t)
+	for _, test := range []struct{ target, pause, left, want time.Duration }{
+		{200 * time.Millisecond, 0, 6 * time.Second, 1200 * time.Millisecond},
+		{500 * time.Millisecond, 400 * time.Millisecond, 9 * time.Second, 2200 * time.Millisecond},
+		{500 * time.Millisecond, 400 * time.Millisecond, 3 * time.Second, time.Second},
+	} {
+		req := &request{route: &route.Route{Target: test.target, PauseTarget: test.pause}, deadline: time.Now().Add(test.left)}
+		got := newStreamWatch(req, placement.Choice{}).hedgeAfter(0)
+		c.Check((got-test.want).Abs() < 20*time.Millisecond, qt.IsTrue, qt.Commentf("%v, want %v", got, test.want))
+	}
+}
