--- a/core/placement/filter.go
+++ b/core/placement/filter.go
@@ -1,7 +1,6 @@
 package placement
 
 import (
-	"slices"
 	"time"
 
 	"github.com/laburnumloft/laburnumloft/core/backpressure"
@@ -102,7 +101,7 @@
 	until := f.gather(s, m, q, now)
 	reason := eligibility.Check(s, r)
 	switch {
-	case reason == eligibility.SetAside && !f.hasFreshReport(m, now):
+	case reason == eligibility.SetAside && now.Before(m.excludedUntil) && !f.hasFreshReport(m, now):
 		f.pauseEndsAt = earlier(f.pauseEndsAt, m.excludedUntil)
 	case reason == eligibility.Paused:
 		f.availableAt = earlier(f.availableAt, until)
@@ -118,8 +117,8 @@
 	fresh := f.hasFreshReport(m, now)
 	*s = eligibility.Server{
 		Region: m.region, Draining: m.server.Draining, Misdirected: m.misdirected, Evacuated: m.evacuated,
-		Down: fresh && (m.report.Down || m.restarted()), SetAside: now.Before(m.excludedUntil) && len(q.Only) == 0,
-		Tried: len(q.Tried) > 0 && slices.Contains(q.Tried, m.server.ID) || len(q.Only) > 0 && !slices.Contains(q.Only, m.server.ID), Cold: m.cold.begun && f.coldWait(m, now) > 0,
+		Down: fresh && (m.report.Down || m.restarted()), SetAside: (now.Before(m.excludedUntil) || f.isSilent(m)) && len(q.Only) == 0,
+		Tried: q.excludes(m.server.ID), Cold: m.cold.begun && f.coldWait(m, now) > 0,
 	}
 	if q.Model != "" {
 		s.WeightVersion, s.Loading = f.weightVersion(m), fresh && m.report.Loading
--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -77,6 +77,8 @@
 	// Canceled means that the attempt ended without information about the
 	// server.
 	Canceled
+	// Silent means that the server was silent until another one answered.
+	Silent
 	// Shed means that the server refused the request without running it.
 	Shed
 	// Misdirected means that another server answers at the address, or that
@@ -159,8 +161,10 @@
 	sentSinceReport, doneSinceReport int
 
 	consecutiveFailures int
-	setAsideDuration    time.Duration
-	excludedUntil       time.Time
+	// silent is the number of requests in flight on which the server sends nothing.
+	silent           int
+	setAsideDuration time.Duration
+	excludedUntil    time.Time
 	// misdirected is set if another server answered at the address. It is reset
 	// when the registry's record changes.
 	misdirected bool
@@ -353,6 +357,14 @@
 	Reserve float64
 }
 
+// excludes reports whether the query itself rules a server out.
+func (q *Query) excludes(id string) bool {
+	if len(q.Only) > 0 {
+		return !slices.Contains(q.Only, id)
+	}
+	return slices.Contains(q.Tried, id)
+}
+
 // Handle identifies a chosen server until Done is called with it.
 type Handle struct {
 	member *member
@@ -630,18 +642,40 @@
 		m.misdirected = true
 	case Unreachable:
 		f.setAside(m, now)
-	case Broken:
+	case Broken, Silent:
 		f.recordFailure(m, now)
 	case Canceled, Errored:
 	}
 }
 
-// RecordSilence records that a server sends nothing on a request in flight. It counts as a
-// failure, as servers that have died without a word are silent, too.
-func (f *Fleet) RecordSilence(now time.Time, h Handle) {
+// RecordSilence records that a server sends nothing on a request in flight, which goes on.
+// EndSilence records that this is over.
+func (f *Fleet) RecordSilence(h Handle) {
+	if h.member != nil {
+		h.member.silent++
+	}
+}
+
+// EndSilence is the counterpart of RecordSilence.
+func (f *Fleet) EndSilence(h Handle) {
 	if h.member != nil {
-		f.recordFailure(h.member, now)
+		h.member.silent--
+	}
+}
+
+// isSilent reports whether a server is silent on so many requests that it gets no more,
+// unless most servers of its service are.
+func (f *Fleet) isSilent(m *member) bool {
+	if m.silent < f.cfg.FailuresToSetAside {
+		return false
+	}
+	members, silent := f.services[m.server.Service], 0
+	for _, other := range members {
+		if other.silent >= f.cfg.FailuresToSetAside {
+			silent++
+		}
 	}
+	return float64(silent) <= f.cfg.MaxSetAsideShare*float64(len(members))
 }
 
 func (f *Fleet) recordFailure(m *member, now time.Time) {
--- a/node/gateway/buffered.go
+++ b/node/gateway/buffered.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"github.com/laburnumloft/laburnumloft/core/placement"
-	"github.com/laburnumloft/laburnumloft/core/route"
 )
 
 // hedgeAfterTargets is how long a server may take for an answer that another one may
@@ -16,12 +15,14 @@
 // The time is at least half of what remains until the deadline.
 const hedgeAfterTargets = 2
 
-// serveBuffered serves a request whose answer is buffered: nothing is forwarded
-// before the answer is complete, so that a broken answer leads to a retry or to
-// an error status.
+// buffered makes exchanges whose answers are buffered: nothing is forwarded before the
+// answer is complete, so that a broken answer leads to a retry or to an error status.
+type buffered struct{}
+
+// serveBuffered serves a request whose answer is buffered.
 func (g *Gateway) serveBuffered(ctx context.Context, w http.ResponseWriter, req *request) {
 	g.recordFirstAttempt(req)
-	r := g.runBuffered(ctx, req, &contest{}, g.place)
+	r := g.newChain(ctx, req, &race{}, buffered{}).run(g.place)
 	defer r.release()
 	if r.reason != "" {
 		g.refuse(w, req, r.reason)
@@ -30,107 +31,41 @@
 	g.writeAnswer(w, req, r.e, r.body)
 }
 
-// runBuffered makes attempts until one has an answer, another run wins or no further
-// attempt is allowed. first chooses the server of the first one.
-func (g *Gateway) runBuffered(requestCtx context.Context, req *request, c *contest, first placer) result {
-	ctx, cancel := context.WithCancelCause(requestCtx)
-	defer cancel(nil)
-	run := c.enter(cancel)
-	defer c.leave(run)
-	for place := first; ; place = g.place {
-		choice, reason := place(ctx, req)
-		if reason != "" {
-			return result{reason: reason, release: releaseNothing}
-		}
-		runsBefore := req.runs
-		r, hedged := g.tryBuffered(ctx, requestCtx, req, choice, c, run)
-		if r.e.answered() && c.win(run) {
-			return r
-		}
-		if hedged != nil {
-			c.leave(run)
-			hedged.await(req, runsBefore)
-			if hedged.result.reason == "" || c.hasLost(run) {
-				g.logAttempt(req, r.e, "superseded")
-				req.verdict = hedged.req.verdict
-				r.release()
-				return hedged.result
-			}
-			c.reenter(run)
-		}
-		if c.hasLost(run) {
-			g.logAttempt(req, r.e, "superseded")
-			return r.failed(ReasonBroken)
-		}
-		reason, retry := g.decideAfterBuffered(ctx, req, r.e)
-		switch {
-		case retry:
-			r.release()
-		case reason != "":
-			return r.failed(reason)
-		case !c.isAlone(run):
-			// The run beside this one may still get an answer that is no failure.
-			return r.failed(ReasonBroken)
-		default:
-			return r
-		}
+// watch implements exchanger.
+func (buffered) watch(req *request, _ placement.Choice) *progressWatch {
+	if !req.route.Retryable() {
+		return nil
 	}
+	after := max(hedgeAfterTargets*req.route.Target, time.Until(req.deadline)/2)
+	return &progressWatch{suspectFirst: after, hedgeAfterStart: after, lookInterval: hedgeLookInterval}
 }
 
-// failed returns the result without its body, for a reason.
-func (r result) failed(reason Reason) result {
-	r.release()
-	return result{e: r.e, reason: reason, release: releaseNothing}
-}
-
-func releaseNothing() {}
-
-// tryBuffered makes one attempt and reads the answer's body. While its server gives no
-// answer, other runs may begin beside it; the last of them is returned.
-func (g *Gateway) tryBuffered(ctx, requestCtx context.Context, req *request, choice placement.Choice, c *contest, run *contestant) (result, *hedge) {
-	req.tried = append(req.tried, choice.Server.ID)
-	beside := newHedges(req, func(other *request) result { return g.runBuffered(requestCtx, other, c, g.placeHedge) })
-	if beside.next.mayRerun() {
-		after := max(hedgeAfterTargets*req.route.Target, time.Until(req.deadline)/2)
-		watch := &progressWatch{firstTimeout: after, pauseTimeout: max(req.route.Target, minHedgeInterval), deadline: req.deadline}
-		watch.onSuspect = func() { g.recordSilence(choice) }
-		watch.onSilence = func(silent time.Duration) { g.hedge(beside, choice, silent) }
-		watch.start()
-		defer watch.stop()
-	}
-	ctx, end := beginAttempt(ctx, req.body.size(), g.logReset(req, choice))
-	defer end()
-	r := result{e: g.send(ctx, req, choice, AttemptInfo{}), release: releaseNothing}
+// exchange implements exchanger.
+func (buffered) exchange(ctx context.Context, _ context.CancelCauseFunc, c *chain, choice placement.Choice, _ *progressWatch) result {
+	r := result{e: c.g.send(ctx, c.req, choice, AttemptInfo{}), release: releaseNothing}
 	e := r.e
 	if e.err == nil {
-		r.body, r.release, e.err = g.readAnswer(e.resp)
-	}
-	switch {
-	case e.err == nil && e.outcome() == placement.Succeeded:
-		g.recordSound(req, req.identity, time.Now().Add(-e.duration))
-	case e.err != nil && c.hasLost(run):
-		e.err = errSuperseded
-	case e.err != nil && ctx.Err() == nil:
-		g.checkCrash(req, e, false)
+		r.body, r.release, e.err = c.g.readAnswer(e.resp)
 	}
-	if e.mayHaveRun() {
-		req.runs++
+	if e.err == nil && e.outcome() == placement.Succeeded {
+		c.g.recordSound(c.req, c.req.identity, time.Now().Add(-e.duration))
 	}
-	outcome := e.outcome()
-	if e.err != nil && (errors.Is(req.in.Context().Err(), context.Canceled) || endedByEntry(e.err)) {
-		outcome = placement.Canceled
-	}
-	g.releaseServer(choice, outcome)
-	return r, beside.close()
+	return r
 }
 
-// decideAfterBuffered decides what follows an attempt: the answer (no reason),
-// another attempt (retry), or a refusal with the reason.
-func (g *Gateway) decideAfterBuffered(ctx context.Context, req *request, e *exchange) (reason Reason, retry bool) {
+// accepts implements exchanger.
+func (buffered) accepts(*exchange) bool { return true }
+
+// prepareNext implements exchanger.
+func (buffered) prepareNext(*request) {}
+
+// decideAfterAttempt decides what follows an attempt that has not answered the request: the
+// server's own failure (no reason), another attempt (retry), or a refusal with the reason.
+func (g *Gateway) decideAfterAttempt(ctx context.Context, req *request, e *exchange) (reason Reason, retry bool) {
 	if reason, retry, failed := g.decideAfterFailure(ctx, req, e); failed {
 		return reason, retry
 	}
-	if e.resp.StatusCode >= http.StatusInternalServerError && req.route.Kind == route.Safe {
+	if e.resp.StatusCode >= http.StatusInternalServerError && req.route.Retryable() {
 		g.logAttempt(req, e, "errored")
 		if _, retry := g.allowRerun(req, ReasonBroken); retry {
 			return "", true
@@ -193,7 +128,7 @@
 // allowRerun decides whether an idempotent request that may have run is sent to
 // another server, and takes a retry from the budget if so.
 func (g *Gateway) allowRerun(req *request, fallback Reason) (Reason, bool) {
-	if !req.mayRerun() || time.Until(req.deadline) < req.route.Target/4 || !g.consumeRetry(req) {
+	if !req.mayRerun() || !req.hasTimeToRerun() || !g.consumeRetry(req) {
 		return fallback, false
 	}
 	return "", true
--- a/node/gateway/exchange.go
+++ b/node/gateway/exchange.go
@@ -34,17 +34,14 @@
 	events       int64
 	firstEventAt time.Time
 	lastEventAt  time.Time
+	// endedAt is when the attempt ended.
+	endedAt time.Time
 	// crash is what a connection attempt after the exchange told about the engine.
 	crash engineState
 	// onSound is called once when the answer counts as sound; nil afterwards.
 	onSound func()
 }
 
-// settled reports whether the attempt has completed a stream.
-func (e *exchange) settled() bool {
-	return e.err == nil && e.resp.StatusCode == http.StatusOK
-}
-
 // answered reports whether the server has given a whole answer that is no failure.
 func (e *exchange) answered() bool {
 	return e.err == nil && !e.answer.NotRun && !e.answer.Misdirected && e.answer.Signed && e.resp.StatusCode < http.StatusInternalServerError
@@ -177,15 +174,24 @@
 	if e.firstEventAt.IsZero() {
 		return 0
 	}
-	return time.Since(e.firstEventAt)
+	return e.until().Sub(e.firstEventAt)
+}
+
+// until is the end of the attempt, or now.
+func (e *exchange) until() time.Time {
+	if e.endedAt.IsZero() {
+		return time.Now()
+	}
+	return e.endedAt
 }
 
-// silence is the time since the server's last event; 0 if it sent none.
+// silence is the time from the server's last event to the end of the attempt; 0 if it sent
+// none.
 func (e *exchange) silence() time.Duration {
 	if e.lastEventAt.IsZero() {
 		return 0
 	}
-	return time.Since(e.lastEventAt)
+	return e.until().Sub(e.lastEventAt)
 }
 
 // endedBy tells who ended a failed attempt, this entry or the server.
--- a/node/gateway/handler.go
+++ b/node/gateway/handler.go
@@ -90,9 +90,8 @@
 	// placeBy is until when the rest of a begun stream waits for a server; zero for other
 	// requests.
 	placeBy time.Time
-	// left lists the servers that a run beside theirs has left because they were silent.
-	// only lists the servers that may be chosen; empty for all.
-	left, only    []string
+	// only lists the only servers that the next attempt may go to; empty for all.
+	only          []string
 	configVersion int64
 	// identity is what a quarantine may match.
 	identity quarantine.Request
--- a/node/gateway/hedge.go
+++ b/node/gateway/hedge.go
@@ -11,29 +11,17 @@
 	"github.com/laburnumloft/laburnumloft/node/lib/bootclock"
 )
 
-// result is how a run of a request ended: the attempt that decided it, nil if there was
-// none, and, if that has no answer for the caller, the reason.
-type result struct {
-	e      *exchange
-	reason Reason
-	// body is the answer of a buffered request; release must be called when it is no
-	// longer needed.
-	body    blocks
-	release func()
-}
-
-// hedge is a run beside an attempt whose server is silent.
+// hedge is a chain beside an attempt whose server is silent.
 type hedge struct {
 	all    *hedges
-	req    *request
+	chain  *chain
 	done   chan struct{}
 	result result
 }
 
-// hedges are the runs beside one attempt, one at a time.
+// hedges are the chains beside one attempt, one at a time.
 type hedges struct {
-	// run makes the attempts of a hedge.
-	run func(req *request) result
+	chain *chain
 
 	mu sync.Mutex
 	// closed means that the attempt is over.
@@ -44,30 +32,44 @@
 	last *hedge
 }
 
-// newHedges prepares the hedges of an attempt that is about to begin.
-func newHedges(req *request, run func(req *request) result) *hedges {
-	h := &hedges{run: run, next: *req}
-	h.next.waiter, h.next.runs = nil, req.runs+1
-	h.next.tried = slices.Clone(req.tried)
-	h.next.left = append(slices.Clone(req.left), req.tried[len(req.tried)-1])
+// newHedges prepares the hedges of a chain's attempt that is about to begin.
+func newHedges(c *chain) *hedges {
+	h := &hedges{chain: c, next: *c.req}
+	h.next.waiter, h.next.runs = nil, c.req.runs+1
+	h.next.tried = slices.Clone(c.req.tried)
 	return h
 }
 
-// start begins a hedge, unless one is running or the attempt is over.
-func (h *hedges) start() bool {
+// prepare returns the request of a hedge, or false if one is running or the attempt is over.
+// If no further server may get the request, it may return to those that were superseded.
+func (h *hedges) prepare() (*request, bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.closed || h.isRunning() {
-		return false
+		return nil, false
 	}
 	req := h.next
-	req.tried = slices.Clone(req.tried)
-	started := &hedge{all: h, req: &req, done: make(chan struct{})}
+	req.tried = slices.DeleteFunc(slices.Clone(req.tried), h.chain.race.mayReturnTo)
+	if !req.mayRerun() {
+		req.only = h.chain.race.supersededServers()
+	}
+	return &req, true
+}
+
+// start begins a hedge with a prepared request, unless the attempt is over.
+func (h *hedges) start(req *request) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.closed || h.isRunning() {
+		return false
+	}
+	c, g := h.chain, h.chain.g
+	started := &hedge{all: h, chain: g.newChain(c.requestCtx, req, c.race, c.exchanger), done: make(chan struct{})}
 	h.last = started
 	go func() {
-		started.result = h.run(started.req)
+		started.result = started.chain.run(g.placeHedge)
 		h.mu.Lock()
-		h.next.tried, h.next.runs = started.req.tried, started.req.runs
+		h.next.tried, h.next.runs = req.tried, req.runs
 		h.mu.Unlock()
 		close(started.done)
 	}()
@@ -105,23 +107,23 @@
 	req.runs += h.all.next.runs - runsBefore - 1
 }
 
-// hedge starts a run beside an attempt whose server has been silent, if there is what that
-// needs.
-func (g *Gateway) hedge(beside *hedges, choice placement.Choice, silent time.Duration) {
-	beside.mu.Lock()
-	busy, req := beside.closed || beside.isRunning(), beside.next
-	beside.mu.Unlock()
-	if busy {
+// hedge starts a chain beside an attempt whose server has been silent, if there is what
+// that needs. first means that it is the first look in this silence.
+func (g *Gateway) hedge(beside *hedges, choice placement.Choice, silent time.Duration, first bool) {
+	req, ok := beside.prepare()
+	if !ok {
 		return
 	}
-	a, decision := g.findAlternative(&req), "kept"
-	if a.usable() && beside.start() {
+	a, decision := g.findAlternative(req), "kept"
+	if a.usable() && beside.start(req) {
 		decision = "hedged"
 	}
-	g.logSilence(&req, choice, silent, a, decision)
+	if first || decision == "hedged" {
+		g.logSilence(beside.chain.req, choice, silent, decision, "runs_left", a.runsLeft, "retry", a.retry, "server_free", a.server)
+	}
 }
 
-// alternative is what a run beside a silent one needs.
+// alternative is what a chain beside a silent server needs.
 type alternative struct {
 	// runsLeft means that the request may run once more, retry that the retry budget
 	// holds a retry, and server that a server could take the request now.
@@ -135,36 +137,46 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	return alternative{
-		runsLeft: req.mayRerun(), retry: g.budget.CanRetry(limits.RetryKey{Service: req.service}),
+		runsLeft: req.mayRerun() || len(req.only) > 0, retry: g.budget.CanRetry(limits.RetryKey{Service: req.service}),
 		server: g.fleet.CanServe(bootclock.Now(), req.query()),
 	}
 }
 
 // placeHedge chooses a server for the first attempt of a hedge. The retry is taken from
-// the budget once there is a place, so that no place is given up for one without a retry.
+// the budget once there is a place, so that none is spent without an attempt.
 func (g *Gateway) placeHedge(ctx context.Context, req *request) (placement.Choice, Reason) {
 	choice, reason := g.place(ctx, req)
-	if reason != "" {
-		return choice, reason
-	}
-	if time.Until(req.deadline) < req.route.Target/4 || !g.consumeRetry(req) {
+	if reason == "" && (!req.hasTimeToRerun() || !g.consumeRetry(req)) {
 		g.releaseServer(choice, placement.Canceled)
-		return choice, ReasonRetryBudget
+		reason = ReasonRetryBudget
+	}
+	if reason != "" {
+		g.cfg.Log.Event("hedge_ended", "request", req.call.RequestID, "service", req.service, "reason", string(reason))
 	}
-	return choice, ""
+	return choice, reason
 }
 
 // logSilence logs what was decided on a silent attempt, and on what grounds.
-func (g *Gateway) logSilence(req *request, choice placement.Choice, silent time.Duration, a alternative, decision string) {
+func (g *Gateway) logSilence(req *request, choice placement.Choice, silent time.Duration, decision string, grounds ...any) {
 	attempts.Add("silent_"+decision, 1)
-	g.cfg.Log.Event("attempt_silent", "request", req.call.RequestID, "service", req.service, "server", choice.Server.ID,
-		"silent_ms", silent.Milliseconds(), "runs_left", a.runsLeft, "retry", a.retry, "server_free", a.server, "decision", decision)
+	g.cfg.Log.Event("attempt_silent", append([]any{
+		"request", req.call.RequestID, "service", req.service, "server", choice.Server.ID,
+		"silent_ms", silent.Milliseconds(), "decision", decision,
+	}, grounds...)...)
 }
 
-// recordSilence records that a server is silent on an attempt that goes on.
+// recordSilence records that a server is silent on an attempt that goes on, endSilence that
+// it isn't any more.
 func (g *Gateway) recordSilence(choice placement.Choice) {
 	attempts.Add("silent", 1)
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.fleet.RecordSilence(bootclock.Now(), choice.Handle)
+	g.fleet.RecordSilence(choice.Handle)
+}
+
+func (g *Gateway) endSilence(choice placement.Choice) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.fleet.EndSilence(choice.Handle)
+	g.notifyWaiters()
 }
--- a/node/gateway/review_test.go
+++ b/node/gateway/hedge_test.go
@@ -46,7 +46,7 @@
 
 // A run that has won and breaks off must return to the silent server also where the route
 // has attempts left but no further server exists. The stream was cut.
-func TestReviewReturnsToSilentServerWithAttemptsLeft(t *testing.T) {
+func TestStreamReturnsToTheSilentServer(t *testing.T) {
 	for _, attempts := range []int{2, 3} {
 		t.Run(fmt.Sprint(attempts, " attempts"), func(t *testing.T) {
 			t.Parallel()
@@ -63,7 +63,7 @@
 
 // A silent server that goes on ends the run beside it. If it then breaks off, the request
 // must return to the server of that run. The stream was cut.
-func TestReviewReturnsToServerOfEndedHedge(t *testing.T) {
+func TestStreamReturnsToTheServerOfAnEndedHedge(t *testing.T) {
 	c := qt.New(t)
 	silent := newServer(c, func(w http.ResponseWriter, r *http.Request) {
 		w.Header().Set("Id", r.Header.Get("Id"))
@@ -88,7 +88,7 @@
 
 // With one retry in the budget, a run beside a silent server that breaks off after its
 // first event must not cost the stream: the silent server would have finished.
-func TestReviewWinnerBreaksWithoutASecondRetry(t *testing.T) {
+func TestHedgeBreaksWithoutASecondRetry(t *testing.T) {
 	c := qt.New(t)
 	silent := newServer(c, silentStream(silentBetweenEvents, 2500*time.Millisecond))
 	r := silenceGateway(c, silent)
@@ -102,7 +102,7 @@
 
 // Streams of a sound server that was silent for a moment and finished all of them must not
 // exclude it for seconds.
-func TestReviewSoundServerIsNotSetAside(t *testing.T) {
+func TestSoundServerIsNotSetAside(t *testing.T) {
 	for _, streams := range []int{1, 2, 8} {
 		t.Run(fmt.Sprint(streams, " streams"), func(t *testing.T) {
 			t.Parallel()
@@ -139,7 +139,7 @@
 
 // A run that begins as another one wins must end, and the memory of its answer must be
 // released.
-func TestReviewLateHedgeReleasesItsAnswer(t *testing.T) {
+func TestLateHedgeReleasesItsAnswer(t *testing.T) {
 	c := qt.New(t)
 	s := newServer(c, answerWith(http.StatusOK))
 	r := newTestGateway(c, s)
@@ -149,12 +149,14 @@
 		call: r.cfg.Codec.Call(in.Header), in: in, start: time.Now(), deadline: time.Now().Add(2 * time.Second),
 		route: table.Match("h.example", "/read/1"), service: "svc", tried: []string{"another"},
 	}
-	race := &contest{}
-	first := race.enter(func(error) {})
-	beside := newHedges(req, func(other *request) result { return r.runBuffered(context.Background(), other, race, r.placeHedge) })
-	// The first run wins before the goroutine of the hedge enters the contest.
-	c.Assert(race.win(first), qt.IsTrue)
-	c.Assert(beside.start(), qt.IsTrue)
+	race := &race{}
+	first := r.newChain(context.Background(), req, race, buffered{})
+	beside := newHedges(first)
+	// The first chain finishes before the hedge begins.
+	c.Assert(race.finish(first), qt.IsTrue)
+	hedged, ok := beside.prepare()
+	c.Assert(ok, qt.IsTrue)
+	c.Assert(beside.start(hedged), qt.IsTrue)
 	<-beside.close().done
 	c.Check(s.count(), qt.Equals, 0, qt.Commentf("requests sent after the answer"))
 	c.Check(r.answers.used.Load(), qt.Equals, int64(0), qt.Commentf("bytes of answers reserved for good"))
@@ -162,7 +164,7 @@
 
 // An engine's final answer to a stream must reach the caller at once, also while another
 // run is silent.
-func TestReviewFinalAnswerBesideASilentRun(t *testing.T) {
+func TestFinalAnswerBesideASilentRun(t *testing.T) {
 	badRequest := func(w http.ResponseWriter, r *http.Request) { answerWith(http.StatusBadRequest)(w, r) }
 	late := func(w http.ResponseWriter, r *http.Request) {
 		<-time.After(1500 * time.Millisecond)
@@ -186,7 +188,7 @@
 
 // A server that becomes free a moment after the first look must be tried before callers
 // leave.
-func TestReviewServerFreeAfterTheFirstLook(t *testing.T) {
+func TestServerFreeAfterTheFirstLook(t *testing.T) {
 	for _, at := range silencePoints[:3] {
 		t.Run(string(at), func(t *testing.T) {
 			t.Parallel()
@@ -207,7 +209,7 @@
 
 // The time until a hedge begins must count from the caller's last event or its request,
 // not from the attempt: callers leave by that.
-func TestReviewPatienceCountsFromTheRequest(t *testing.T) {
+func TestPatienceCountsFromTheRequest(t *testing.T) {
 	c := qt.New(t)
 	breaks := newServer(c, func(http.ResponseWriter, *http.Request) {
 		<-time.After(900 * time.Millisecond)
@@ -229,7 +231,7 @@
 
 // A stream that two servers broke off must not be sent to the first one again, which was
 // not left for its silence.
-func TestReviewBrokenAtBothIsNotSentAgain(t *testing.T) {
+func TestBrokenAtBothIsNotSentAgain(t *testing.T) {
 	c := qt.New(t)
 	breakAfter := func(wait time.Duration) answerFunc {
 		return func(http.ResponseWriter, *http.Request) {
@@ -245,7 +247,7 @@
 }
 
 // The body of an engine's error to a stream may arrive after its header.
-func TestReviewErrorBodyAfterItsHeader(t *testing.T) {
+func TestErrorBodyAfterItsHeader(t *testing.T) {
 	c := qt.New(t)
 	s := newServer(c, func(w http.ResponseWriter, r *http.Request) {
 		w.Header().Set("Id", r.Header.Get("Id"))
@@ -264,7 +266,7 @@
 // Runs that begin, win and lose at about the same time, and callers that leave meanwhile,
 // must leave no place at a server, no reserved memory and no waiter behind, and no event
 // may be lost or repeated.
-func TestReviewStressLeavesNothingBehind(t *testing.T) {
+func TestHedgesLeaveNothingBehind(t *testing.T) {
 	c := qt.New(t)
 	jitter := func(from, spread time.Duration) time.Duration {
 		return from + time.Duration(rand.Int64N(int64(spread)))
@@ -368,7 +370,7 @@
 }
 
 // The lines on a silence that nothing can be done about must stay few.
-func TestReviewLinesOfOneSilentRead(t *testing.T) {
+func TestLinesOfOneSilentRead(t *testing.T) {
 	c := qt.New(t)
 	s := newServer(c, neverAnswer)
 	r := silenceGateway(c, s)
@@ -382,7 +384,7 @@
 
 // The silence that a failed attempt is logged with must not grow while a run beside it is
 // awaited.
-func TestReviewLoggedSilence(t *testing.T) {
+func TestLoggedSilence(t *testing.T) {
 	c := qt.New(t)
 	breaks := newServer(c, func(w http.ResponseWriter, r *http.Request) {
 		w.Header().Set("Id", r.Header.Get("Id"))
@@ -425,7 +427,7 @@
 
 // A run that has won with one event and is then silent for good must not keep the request
 // from the server that it was taken from. The stream was cut at its deadline.
-func TestReviewWinnerFallsSilentForGood(t *testing.T) {
+func TestHedgeFallsSilentForGood(t *testing.T) {
 	c := qt.New(t)
 	silent := newServer(c, silentStream(silentBetweenEvents, 2500*time.Millisecond))
 	r := silenceGateway(c, silent)
@@ -441,7 +443,7 @@
 
 // The run beside a failed one that wins and then breaks off is the one that the line on the
 // cut stream must name.
-func TestReviewCutStreamNamesItsLastServer(t *testing.T) {
+func TestCutStreamNamesItsLastServer(t *testing.T) {
 	c := qt.New(t)
 	breaks := newServer(c, func(http.ResponseWriter, *http.Request) {
 		<-time.After(1400 * time.Millisecond)
@@ -464,3 +466,25 @@
 		}
 	}
 }
+
+// A server that may be returned to but is gone must not use up the retry budget.
+func TestReturnToAServerThatIsGoneTakesOneRetry(t *testing.T) {
+	c := qt.New(t)
+	const budget = 20
+	silent := newServer(c, silentStream(silentBetweenEvents, 5*time.Second))
+	r := silenceGateway(c, silent)
+	r.mu.Lock()
+	r.budget = limits.NewRetryBudget(limits.RetryBudgetConfig{Ratio: 0, Burst: budget, MaxKeys: 4})
+	r.mu.Unlock()
+	besideSilent(c, r, "/stream/1", silent, newServer(c, func(w http.ResponseWriter, q *http.Request) {
+		r.RemoveServer("s0", "test")
+		breakAfterFirstEvent(w, q)
+	}))
+	used := budget
+	r.mu.Lock()
+	for r.budget.TryRetry(limits.RetryKey{Service: "svc"}) {
+		used--
+	}
+	r.mu.Unlock()
+	c.Check(used <= 2, qt.IsTrue, qt.Commentf("%d retries used", used))
+}
--- a/node/gateway/place.go
+++ b/node/gateway/place.go
@@ -177,6 +177,9 @@
 	return r.route.Retryable() && r.runs < max(r.route.MaxAttempts, 1)
 }
 
+// hasTimeToRerun reports whether enough time is left for another attempt.
+func (r *request) hasTimeToRerun() bool { return time.Until(r.deadline) >= r.route.Target/4 }
+
 // urgency maps the priority to the engine's scale, on which 5 is the default.
 // Requests past their target are served after all others, because one answer on
 // time is worth several late ones.
--- a/node/gateway/progress.go
+++ b/node/gateway/progress.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -33,43 +34,53 @@
 	// hedgeTimeDivisor gives the part of the time until the deadline that a silence may
 	// take; the rest is left to another engine.
 	hedgeTimeDivisor = 3
-	// minHedgeInterval is the least time after which a server is looked for again, if
-	// there was none to try beside a silent one.
-	minHedgeInterval = 100 * time.Millisecond
+	// hedgeLookInterval is the time until another server is looked for again, if there was
+	// none to try beside a silent one.
+	hedgeLookInterval = 200 * time.Millisecond
 )
 
-// progressWatch watches the events of an attempt. If there are none for a while, it calls
-// onSuspect once, and onSilence when another engine must be tried for the caller to stay.
-// The attempt itself goes on: a sound engine may be silent for a second or two, and the
-// other one may refuse, break off or be silent as well. It ends only at the request's
-// deadline, when another run of the request wins, or at firstEventDeadline if the engine has
-// sent no event by then.
+// progressWatch watches the progress of an attempt. If there is none for a while, it calls
+// onSuspect, and onSilence when another engine must be tried for the caller to stay. The
+// attempt itself goes on: a sound engine may be silent for a second or two, and the other
+// one may refuse, break off or be silent as well. It ends only at the request's deadline,
+// when another chain leads, or at firstEventDeadline if the engine has sent no event by
+// then.
 type progressWatch struct {
-	// firstTimeout and pauseTimeout are the times without a first and without a further
-	// event until onSuspect is called, hedgeTimeout that until onSilence is.
-	firstTimeout, pauseTimeout, hedgeTimeout time.Duration
-	// deadline is the request's deadline.
-	deadline, startedAt time.Time
-	// lastEventAt is when the last event was forwarded, in Unix nanoseconds; 0 if none was.
-	lastEventAt atomic.Int64
+	// suspectFirst and suspectNext are the times without a first and without a further
+	// event until onSuspect is called; hedgeAfterStart and hedgeAfterEvent are those until
+	// onSilence is called, which is then repeated every lookInterval.
+	suspectFirst, suspectNext        time.Duration
+	hedgeAfterStart, hedgeAfterEvent time.Duration
+	lookInterval                     time.Duration
+	startedAt                        time.Time
 	// firstEventDeadline is the time after which the engine's weights are too old
 	// for a first event; zero if there is none.
 	firstEventDeadline time.Time
-	onSuspect          func()
-	// onSilence is called after hedgeTimeout and then again and again, onOutdated at
-	// firstEventDeadline.
-	onSilence, onOutdated func(silent time.Duration)
-	suspected             atomic.Bool
-	outdated, stopped     atomic.Bool
-	timer                 *time.Timer
+	// onSuspect and onResume are called in turns.
+	onSuspect, onResume func()
+	onSilence           func(silent time.Duration, first bool)
+	onOutdated          func(silent time.Duration)
+	outdated            atomic.Bool
+
+	mu    sync.Mutex
+	timer *time.Timer
+	// lastEventAt is when the last event was forwarded; zero if none was.
+	lastEventAt time.Time
+	suspected   bool
+	// looked means that onSilence was called in this silence.
+	looked, stopped bool
 }
 
-// newStreamWatch returns the watch of an attempt at a stream.
-func newStreamWatch(req *request, choice placement.Choice) *progressWatch {
+// newStreamWatch returns the watch of an attempt at a stream whose caller has been without
+// an event since a time.
+func newStreamWatch(req *request, choice placement.Choice, callerSince time.Time) *progressWatch {
+	target, left := req.route.Target, time.Until(req.deadline)
+	after := takeoverAfter(req.route)
 	p := &progressWatch{
-		firstTimeout: max(minFirstEventTimeout, suspectTargets*req.route.Target),
-		pauseTimeout: max(minPauseTimeout, time.Duration(suspectPauses*float64(req.route.PauseTarget))),
-		hedgeTimeout: takeoverAfter(req.route), deadline: req.deadline,
+		suspectFirst:    max(minFirstEventTimeout, suspectTargets*target),
+		suspectNext:     max(minPauseTimeout, time.Duration(suspectPauses*float64(req.route.PauseTarget))),
+		hedgeAfterStart: min(max(after-time.Since(callerSince), takeoverTargets*target), left/hedgeTimeDivisor),
+		hedgeAfterEvent: min(after, left/hedgeTimeDivisor), lookInterval: hedgeLookInterval,
 	}
 	if choice.HasFirstEventTimeout {
 		p.firstEventDeadline = time.Now().Add(choice.FirstEventTimeout)
@@ -84,76 +95,113 @@
 	return patience - max(takeoverTime, takeoverTargets*r.Target)
 }
 
-// start starts the first timeout.
+// start starts the timeouts.
 func (p *progressWatch) start() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	p.startedAt = time.Now()
-	// The timer's function may run before AfterFunc returns and p.timer is set.
-	armed := make(chan struct{})
-	p.timer = time.AfterFunc(p.capWait(p.firstTimeout), func() {
-		<-armed
-		p.check()
-	})
-	close(armed)
+	p.timer = time.AfterFunc(p.next(0), p.check)
 }
 
-// capWait returns wait, or the time until firstEventDeadline if that is shorter.
-func (p *progressWatch) capWait(wait time.Duration) time.Duration {
-	if p.firstEventDeadline.IsZero() || p.started() {
-		return wait
+// next returns the time until the next timeout, after a silence. The caller holds mu.
+func (p *progressWatch) next(silent time.Duration) time.Duration {
+	suspectAfter, hedgeAfter := p.suspectFirst, p.hedgeAfterStart
+	if !p.lastEventAt.IsZero() {
+		suspectAfter, hedgeAfter = p.suspectNext, p.hedgeAfterEvent
+	}
+	next := hedgeAfter - silent
+	if p.looked {
+		next = p.lookInterval
+	}
+	if !p.suspected {
+		next = min(next, suspectAfter-silent)
+	}
+	if !p.firstEventDeadline.IsZero() && p.lastEventAt.IsZero() {
+		next = min(next, time.Until(p.firstEventDeadline))
 	}
-	return min(wait, max(0, time.Until(p.firstEventDeadline)))
+	return max(0, next)
 }
 
-// check reports the silence and restarts the timer.
+// check handles the timeouts that have expired and restarts the timer.
 func (p *progressWatch) check() {
-	if p.stopped.Load() {
-		return
+	silent, look, first := p.expired()
+	switch {
+	case p.outdated.Load():
+		p.onOutdated(silent)
+	case look:
+		p.onSilence(silent, first)
 	}
-	if !p.firstEventDeadline.IsZero() && !p.started() && !time.Now().Before(p.firstEventDeadline) {
+}
+
+// expired records the timeouts that have expired. It reports whether another server must be
+// looked for, for the first time in this silence or again.
+func (p *progressWatch) expired() (silent time.Duration, look, first bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	silent = p.silence()
+	if p.stopped {
+		return silent, false, false
+	}
+	suspectAfter, hedgeAfter := p.suspectFirst, p.hedgeAfterStart
+	if !p.lastEventAt.IsZero() {
+		suspectAfter, hedgeAfter = p.suspectNext, p.hedgeAfterEvent
+	} else if !p.firstEventDeadline.IsZero() && !time.Now().Before(p.firstEventDeadline) {
 		p.outdated.Store(true)
-		p.onOutdated(p.silence())
-		return
+		return silent, false, false
 	}
-	if p.suspected.CompareAndSwap(false, true) {
+	if silent >= suspectAfter && !p.suspected {
+		p.suspected = true
 		p.onSuspect()
 	}
-	silent, next := p.silence(), p.pauseTimeout
-	if left := p.hedgeAfter(silent) - silent; left > 0 {
-		next = left
-	} else {
-		p.onSilence(silent)
+	if silent >= hedgeAfter {
+		look, first = true, !p.looked
+		p.looked = true
 	}
-	p.timer.Reset(p.capWait(next))
+	p.timer.Reset(p.next(silent))
+	return silent, look, first
 }
 
-// hedgeAfter returns the silence after which another engine must be tried. It also needs the
-// time to finish the answer.
-func (p *progressWatch) hedgeAfter(silent time.Duration) time.Duration {
-	return min(p.hedgeTimeout, (time.Until(p.deadline)+silent)/hedgeTimeDivisor)
-}
-
-// pause stops the timeout while an event is written: a caller that reads slowly is no
+// pause stops the timeouts while an event is written: a caller that reads slowly is no
 // silence of the engine.
-func (p *progressWatch) pause() { p.timer.Stop() }
+func (p *progressWatch) pause() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.timer.Stop()
+}
 
-// handleEvent restarts the timeout after an event of the engine.
+// handleEvent restarts the timeouts after an event of the engine.
 func (p *progressWatch) handleEvent() {
-	p.lastEventAt.Store(time.Now().UnixNano())
-	p.suspected.Store(false)
-	p.timer.Reset(p.pauseTimeout)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.lastEventAt, p.looked = time.Now(), false
+	p.resume()
+	p.timer.Reset(p.next(0))
 }
 
-func (p *progressWatch) stop() {
-	p.stopped.Store(true)
-	p.timer.Stop()
+// resume ends the suspicion. The caller holds mu.
+func (p *progressWatch) resume() {
+	if p.suspected {
+		p.suspected = false
+		p.onResume()
+	}
 }
 
-func (p *progressWatch) started() bool { return p.lastEventAt.Load() != 0 }
+// stop ends the watch and reports whether the engine was suspected at last.
+func (p *progressWatch) stop() (suspected bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.stopped = true
+	p.timer.Stop()
+	suspected = p.suspected
+	p.resume()
+	return suspected
+}
 
-// silence returns the time since the last event, or since the start if there was none.
+// silence returns the time since the last event, or since the start if there was none. The
+// caller holds mu.
 func (p *progressWatch) silence() time.Duration {
-	if at := p.lastEventAt.Load(); at != 0 {
-		return time.Since(time.Unix(0, at))
+	if !p.lastEventAt.IsZero() {
+		return time.Since(p.lastEventAt)
 	}
 	return time.Since(p.startedAt)
 }
--- a/node/gateway/silence_test.go
+++ b/node/gateway/silence_test.go
@@ -474,7 +474,7 @@
 		{500 * time.Millisecond, 400 * time.Millisecond, 3 * time.Second, time.Second},
 	} {
 		req := &request{route: &route.Route{Target: test.target, PauseTarget: test.pause}, deadline: time.Now().Add(test.left)}
-		got := newStreamWatch(req, placement.Choice{}).hedgeAfter(0)
+		got := newStreamWatch(req, placement.Choice{}, time.Now()).hedgeAfterEvent
 		c.Check((got-test.want).Abs() < 20*time.Millisecond, qt.IsTrue, qt.Commentf("%v, want %v", got, test.want))
 	}
 }
--- a/node/gateway/stream.go
+++ b/node/gateway/stream.go
@@ -15,10 +15,10 @@
 // readBuffer is a buffer size in bytes that holds several events.
 const readBuffer = 8 << 10
 
-// stream is the state of one caller's stream across all attempts. The mutex of the contest
-// protects it, and only the run that has won writes to the caller.
+// stream is the state of one caller's stream across all attempts. The race's mutex protects
+// it, and only the chain that leads writes to the caller.
 type stream struct {
-	contest
+	*race
 	w          http.ResponseWriter
 	controller *http.ResponseController
 	sequence   *eventstream.Sequence
@@ -33,59 +33,20 @@
 // resumable stream continues on another engine within the same answer.
 func (g *Gateway) serveStream(ctx context.Context, w http.ResponseWriter, req *request) {
 	g.recordFirstAttempt(req)
-	s := &stream{w: w, controller: http.NewResponseController(w), sequence: eventstream.NewSequence(req.call.LastEvent, req.call.Resumes)}
-	r := g.runStream(ctx, req, s, g.place)
-	if r.reason != "" {
-		g.endStream(s, req, r)
-		return
+	s := &stream{
+		race: &race{}, w: w, controller: http.NewResponseController(w),
+		sequence: eventstream.NewSequence(req.call.LastEvent, req.call.Resumes),
 	}
-	g.recordAnswered(req, r.e.choice, r.e.resp.StatusCode, s.events)
-	g.recordLength(req, s.events)
-}
-
-// placer chooses the server of an attempt.
-type placer func(ctx context.Context, req *request) (placement.Choice, Reason)
-
-// runStream makes attempts until one completes the stream, another run wins or no further
-// attempt is allowed. first chooses the server of the first one.
-func (g *Gateway) runStream(requestCtx context.Context, req *request, s *stream, first placer) (r result) {
-	ctx, cancel := context.WithCancelCause(requestCtx)
-	defer cancel(nil)
-	run := s.enter(cancel)
-	defer s.leave(run)
-	for place := first; ; place = g.place {
-		choice, reason := place(ctx, req)
-		if reason != "" {
-			r.reason = reason
-			return r
-		}
-		runsBefore := req.runs
-		e, hedged := g.tryStream(ctx, requestCtx, req, choice, s, run)
-		r.e = e
-		if e.settled() {
-			return r
-		}
-		if hedged != nil {
-			s.leave(run)
-			hedged.await(req, runsBefore)
-			if hedged.result.reason == "" || s.hasLost(run) {
-				g.logAttempt(req, e, "superseded")
-				req.verdict = hedged.req.verdict
-				return hedged.result
-			}
-			s.reenter(run)
-		}
-		if s.hasLost(run) {
-			g.logAttempt(req, e, "superseded")
-			r.reason = ReasonBroken
-			return r
-		}
-		reason, retry := g.decideAfterStream(ctx, req, e, s, run)
-		if !retry {
-			r.reason = reason
-			return r
-		}
-		req.placeBy = s.placeBy(req)
+	r := g.newChain(ctx, req, s.race, s).run(g.place)
+	defer r.release()
+	switch {
+	case r.reason != "":
+		g.endStream(s, req, r)
+	case r.e.resp.StatusCode != http.StatusOK:
+		g.writeAnswer(w, req, r.e, r.body)
+	default:
+		g.recordAnswered(req, r.e.choice, http.StatusOK, s.events)
+		g.recordLength(req, s.events)
 	}
 }
 
@@ -111,75 +72,61 @@
 	panic(http.ErrAbortHandler)
 }
 
-// tryStream makes one attempt and forwards its events to the caller. While its engine is
-// silent, other runs may begin beside it; the last of them is returned.
-func (g *Gateway) tryStream(ctx, requestCtx context.Context, req *request, choice placement.Choice, s *stream, run *contestant) (*exchange, *hedge) {
-	req.tried = append(req.tried, choice.Server.ID)
-	beside := newHedges(req, func(other *request) result { return g.runStream(requestCtx, other, s, g.placeHedge) })
-	ctx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
-	ctx, end := beginAttempt(ctx, req.body.size(), g.logReset(req, choice))
-	defer end()
-	watch := newStreamWatch(req, choice)
-	watch.onSuspect = func() { g.recordSilence(choice) }
-	watch.onSilence = func(silent time.Duration) { g.hedge(beside, choice, silent) }
-	watch.onOutdated = func(silent time.Duration) {
-		g.logSilence(req, choice, silent, alternative{}, "outdated")
-		cancel(errOutdated)
+// watch implements exchanger.
+func (s *stream) watch(req *request, choice placement.Choice) *progressWatch {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	callerSince := req.start
+	if s.lastEventAt.After(callerSince) {
+		callerSince = s.lastEventAt
 	}
-	watch.start()
-	defer watch.stop()
+	return newStreamWatch(req, choice, callerSince)
+}
+
+// exchange implements exchanger.
+func (s *stream) exchange(ctx context.Context, end context.CancelCauseFunc, c *chain, choice placement.Choice, watch *progressWatch) result {
+	g, req := c.g, c.req
 	info := AttemptInfo{}
 	info.LastEvent, info.Resumes = s.position()
-	waiting := g.addWaiting(req.identity, func() { cancel(errQuarantined) })
+	waiting := g.addWaiting(req.identity, func() { end(errQuarantined) })
 	defer g.removeWaiting(waiting)
-	e := g.send(ctx, req, choice, info)
+	r := result{e: g.send(ctx, req, choice, info), release: releaseNothing}
+	e := r.e
 	// A part of an answer speaks for the parts of the prompt, only a whole one for the
 	// request itself: engines may crash late in an answer.
 	e.onSound = func() { g.recordSound(req, quarantine.Request{Parts: req.identity.Parts}, e.firstEventAt) }
-	if e.err == nil && e.resp.StatusCode == http.StatusOK {
-		e.err = s.forward(e, run, watch, func() { g.removeWaiting(waiting) })
-	}
 	switch {
+	case e.err != nil:
+	case e.resp.StatusCode == http.StatusOK:
+		e.err = s.forward(e, c, watch, func() { g.removeWaiting(waiting) })
+	case !e.answer.NotRun && !e.answer.Misdirected:
+		r.body, r.release, e.err = g.readAnswer(e.resp)
+	}
+	switch verdict := waiting.verdict.Load(); {
 	case e.err == nil && e.events > 0:
 		e.recordSound()
 		g.recordSound(req, quarantine.Request{Whole: req.identity.Whole}, e.firstEventAt)
-	case e.err != nil && waiting.verdict.Load() != nil:
-		e.err, req.verdict = errQuarantined, *waiting.verdict.Load()
-	case e.err != nil && s.hasLost(run):
-		e.err = errSuperseded
-	case e.err != nil && watch.outdated.Load():
-		e.err = errOutdated
-	case e.err != nil && ctx.Err() == nil:
-		beginning := e.resp != nil && e.resp.StatusCode == http.StatusOK && e.events == 0
-		g.checkCrash(req, e, !beginning)
+	case e.err != nil && verdict != nil:
+		e.err, req.verdict = errQuarantined, *verdict
 	}
-	if e.mayHaveRun() {
-		req.runs++
-	}
-	outcome := e.outcome()
-	if e.err != nil && (errors.Is(req.in.Context().Err(), context.Canceled) || endedByEntry(e.err)) {
-		outcome = placement.Canceled
-	}
-	g.releaseServer(choice, outcome)
-	return e, beside.close()
+	return r
 }
 
-// endedByEntry reports whether an attempt failed for a reason that says nothing about its
-// server.
-func endedByEntry(err error) bool {
-	return errors.Is(err, errOutdated) || errors.Is(err, errQuarantined) || errors.Is(err, errSuperseded)
+// accepts implements exchanger. After the first event there is only the stream's own end.
+func (s *stream) accepts(e *exchange) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !s.headerSent || e.resp.StatusCode == http.StatusOK
 }
 
-// placeBy returns until when the rest of a begun stream may wait for a server. It can't be
-// refused any more, so that it waits as long as its caller does.
-func (s *stream) placeBy(req *request) time.Time {
+// prepareNext implements exchanger. The rest of a begun stream can't be refused any more, so
+// that it waits for a server as long as its caller does.
+func (s *stream) prepareNext(req *request) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !s.headerSent {
-		return time.Time{}
+	if s.headerSent {
+		req.placeBy = s.lastEventAt.Add(takeoverAfter(req.route))
 	}
-	return s.lastEventAt.Add(takeoverAfter(req.route))
 }
 
 // position returns the last event that the caller has, from which an attempt resumes.
@@ -191,7 +138,7 @@
 
 // forward copies complete events to the caller until the engine ends the stream.
 // It calls onFirst at the first event.
-func (s *stream) forward(e *exchange, run *contestant, watch *progressWatch, onFirst func()) error {
+func (s *stream) forward(e *exchange, c *chain, watch *progressWatch, onFirst func()) error {
 	resp := e.resp
 	defer func() { _ = resp.Body.Close() }()
 	var split eventstream.Splitter
@@ -201,7 +148,7 @@
 		if n > 0 {
 			split.Write(buffer[:n])
 			before := e.events
-			forwarded, err := s.forwardEvents(e, run, watch, &split)
+			forwarded, err := s.forwardEvents(e, c, watch, &split)
 			if before == 0 && e.events > 0 {
 				onFirst()
 			}
@@ -219,7 +166,7 @@
 			if e.events == 0 && endsWithConnection(resp) {
 				return errEmptyStream
 			}
-			return s.complete(resp, run)
+			return s.complete(resp, c)
 		}
 		if readErr != nil {
 			return readErr
@@ -233,20 +180,20 @@
 	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
 }
 
-// complete ends the stream if no other run has won.
-func (s *stream) complete(resp *http.Response, run *contestant) error {
+// complete ends the stream if no other chain leads.
+func (s *stream) complete(resp *http.Response, c *chain) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !s.winLocked(run) {
+	if !s.finishLocked(c) {
 		return errSuperseded
 	}
 	s.sendHeader(resp)
 	return nil
 }
 
-// forwardEvents forwards the complete events that have arrived. The first one wins the
-// stream for this run.
-func (s *stream) forwardEvents(e *exchange, run *contestant, watch *progressWatch, split *eventstream.Splitter) (forwarded bool, err error) {
+// forwardEvents forwards the complete events that have arrived. With the first one
+// this chain leads.
+func (s *stream) forwardEvents(e *exchange, c *chain, watch *progressWatch, split *eventstream.Splitter) (forwarded bool, err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for {
@@ -257,7 +204,7 @@
 		if !ok {
 			break
 		}
-		if run.lost {
+		if c.lost.Load() {
 			return forwarded, errSuperseded
 		}
 		e.recordEvent()
@@ -268,7 +215,7 @@
 		if !forward {
 			continue
 		}
-		s.winLocked(run)
+		s.leadLocked(c)
 		watch.pause()
 		s.sendHeader(e.resp)
 		if _, err := s.w.Write(event.Raw); err != nil {
@@ -293,46 +240,3 @@
 	copyHeader(s.w.Header(), resp.Header)
 	s.w.WriteHeader(resp.StatusCode)
 }
-
-// decideAfterStream decides what follows an attempt, like decideAfterBuffered.
-func (g *Gateway) decideAfterStream(ctx context.Context, req *request, e *exchange, s *stream, run *contestant) (reason Reason, retry bool) {
-	if reason, retry, failed := g.decideAfterFailure(ctx, req, e); failed {
-		if reason == ReasonBroken && s.isAlone(run) && g.returnToSilent(req) {
-			return "", true
-		}
-		return reason, retry
-	}
-	return g.handleStreamError(req, e, s, run)
-}
-
-// returnToSilent makes a request whose last server has broken off return to those that it
-// left because they were silent, once. That is no further server of the request.
-func (g *Gateway) returnToSilent(req *request) bool {
-	if req.mayRerun() || len(req.left) == 0 || time.Until(req.deadline) < req.route.Target/4 || !g.consumeRetry(req) {
-		return false
-	}
-	req.only, req.left = req.left, nil
-	return true
-}
-
-// handleStreamError handles an engine's answer other than 200: it tries another
-// engine or forwards the answer.
-func (g *Gateway) handleStreamError(req *request, e *exchange, s *stream, run *contestant) (reason Reason, retry bool) {
-	body, release, err := g.readAnswer(e.resp)
-	defer release()
-	g.logAttempt(req, e, "errored")
-	if e.resp.StatusCode >= http.StatusInternalServerError {
-		if _, retry := g.allowRerun(req, ReasonBroken); retry {
-			return "", true
-		}
-	}
-	// A run beside this one may still get an answer with events.
-	if err != nil || !e.answer.Signed || !s.isAlone(run) || s.headerSent {
-		return ReasonBroken, false
-	}
-	copyHeader(s.w.Header(), e.resp.Header)
-	s.headerSent = true
-	s.w.WriteHeader(e.resp.StatusCode)
-	g.logUnwritten(req, body.writeTo(s.w))
-	return "", false
-}
