--- a/core/placement/placement_test.go
+++ b/core/placement/placement_test.go
@@ -358,3 +358,41 @@
 		})
 	}
 }
+
+// A server that is silent on two requests must get no more until one of them goes on, and
+// may get requests while most of its service is silent. It used to be set aside for seconds
+// after it had gone on.
+func TestSilentServerIsExcludedWhileItIsSilent(t *testing.T) {
+	c := qt.New(t)
+	f, _ := engines(4)
+	only := func(id string) Query {
+		q := query()
+		for i := range 4 {
+			if other := fmt.Sprint("e", i); other != id {
+				q.Tried = append(q.Tried, other)
+			}
+		}
+		return q
+	}
+	silence := func(id string) (handles []Handle) {
+		for range 2 {
+			choice, miss := f.Choose(start, only(id))
+			c.Assert(miss, qt.Equals, Found)
+			f.RecordSilence(choice.Handle)
+			handles = append(handles, choice.Handle)
+		}
+		return handles
+	}
+	first := silence("e0")
+	c.Assert(f.CanServe(start, only("e0")), qt.IsFalse)
+	q := query()
+	q.Only = []string{"e0"}
+	c.Assert(f.CanServe(start, q), qt.IsTrue, qt.Commentf("a request may return to it"))
+	f.EndSilence(first[0])
+	c.Assert(f.CanServe(start, only("e0")), qt.IsTrue)
+	f.RecordSilence(first[0])
+	silence("e1")
+	c.Assert(f.CanServe(start, only("e1")), qt.IsFalse)
+	silence("e2")
+	c.Assert(f.CanServe(start, only("e1")), qt.IsTrue, qt.Commentf("three of four are silent"))
+}
