--- a/bench/routing/cluster.go
+++ b/bench/routing/cluster.go
@@ -4,6 +4,7 @@
 package routing
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -42,8 +43,12 @@
 type ClusterConfig struct {
 	Entries, Engines int
 	Engine           engine.Config
+	// WrapEngine replaces the handler of an engine; nil leaves it as it is.
+	WrapEngine func(index int, e *engine.Engine) http.Handler
 	// StallTimeout of the agents; 0 means their default.
 	StallTimeout time.Duration
+	// DrainTimeout bounds planned stops; 0 means a second.
+	DrainTimeout time.Duration
 	// Workspaces are the names of the workspaces, each with share 1.
 	Workspaces []string
 }
@@ -55,23 +60,29 @@
 	EngineURLs, AgentAddresses []string
 	// EntryURLs are the addresses for callers.
 	EntryURLs []string
-	servers   []*httptest.Server
-	stop      context.CancelFunc
-	running   sync.WaitGroup
+	// StopEntry and StopAgent begin planned stops, by index.
+	StopEntry, StopAgent []context.CancelFunc
+	// EngineServers belong to Engines by index.
+	EngineServers []*httptest.Server
+	logURL        string
+	store         *weightstore.Store
+	servers       []*httptest.Server
+	stop          context.CancelFunc
+	running       sync.WaitGroup
 }
 
 // StartCluster starts a cluster and waits until every engine serves.
 func StartCluster(cfg ClusterConfig) (*Cluster, error) {
 	ctx, stop := context.WithCancel(context.Background())
-	c := &Cluster{stop: stop}
-	store := weightstore.New()
-	digest := store.Add(model, Version, 64<<10, 16<<10, 1)
-	logURL, weightsURL, membersURL := c.serve(logservice.New(logservice.Control{}).Handler()), c.serve(store.Handler()), c.serve(memberlist.New().Handler())
-	if err := publish(logURL, digest, cfg.Workspaces); err != nil {
+	cfg.DrainTimeout = cmp.Or(cfg.DrainTimeout, time.Second)
+	c := &Cluster{stop: stop, store: weightstore.New()}
+	weightsURL, membersURL := c.serve(c.store.Handler()).URL, c.serve(memberlist.New().Handler()).URL
+	c.logURL = c.serve(logservice.New(logservice.Control{}).Handler()).URL
+	if err := c.publish(cfg.Workspaces); err != nil {
 		return c, err
 	}
 	for i := range cfg.Entries {
-		if err := c.startEntry(ctx, fmt.Sprintf("entry-%d", i), logURL, membersURL); err != nil {
+		if err := c.startEntry(ctx, fmt.Sprintf("entry-%d", i), cfg, membersURL); err != nil {
 			return c, err
 		}
 	}
@@ -99,30 +110,38 @@
 	}
 }
 
-func (c *Cluster) serve(handler http.Handler) string {
+func (c *Cluster) serve(handler http.Handler) *httptest.Server {
 	s := httptest.NewServer(handler)
 	c.servers = append(c.servers, s)
-	return s.URL
+	return s
 }
 
-func publish(logURL, digest string, workspaces []string) error {
-	records := logURL + "/v1/streams/settings/records"
-	put := func(kind, name string, body any) error {
-		key := kind + "/" + name
-		return harness.PostJSON(records, map[string]any{"id": key, "kind": kind, "key": key, "base": 0, "body": body}, nil)
-	}
-	err := put("template", "notices", settings.Template{Name: "notices", Services: []settings.Service{{
-		Name: service, Kind: settings.KindEngine, Model: model, Version: Version, Manifest: digest,
+// PublishVersion puts a version of the model in force. base is the offset of the version
+// before, 0 if there is none.
+func (c *Cluster) PublishVersion(version string, base int64) error {
+	digest := c.store.Add(model, version, 64<<10, 16<<10, uint64(base+1))
+	return c.put("template", "notices", base, settings.Template{Name: "notices", Services: []settings.Service{{
+		Name: service, Kind: settings.KindEngine, Model: model, Version: version, Manifest: digest,
 	}}})
+}
+
+func (c *Cluster) put(kind, name string, base int64, body any) error {
+	key := kind + "/" + name
+	record := map[string]any{"id": fmt.Sprint(key, "-", base), "kind": kind, "key": key, "base": base, "body": body}
+	return harness.PostJSON(c.logURL+"/v1/streams/settings/records", record, nil)
+}
+
+func (c *Cluster) publish(workspaces []string) error {
+	err := c.PublishVersion(Version, 0)
 	for _, w := range workspaces {
 		if err == nil {
-			err = put("parameters", w, settings.Parameters{Workspace: w, Template: "notices", Share: 1})
+			err = c.put("parameters", w, 0, settings.Parameters{Workspace: w, Template: "notices", Share: 1})
 		}
 	}
 	return err
 }
 
-func (c *Cluster) startEntry(ctx context.Context, id, logURL, membersURL string) error {
+func (c *Cluster) startEntry(ctx context.Context, id string, cfg ClusterConfig, membersURL string) error {
 	address, err := harness.FreeAddress()
 	if err != nil {
 		return err
@@ -132,9 +151,11 @@
 		return err
 	}
 	e := entry.New(entry.Config{
-		ID: id, Region: region, Zone: zone, Listen: address, PeerListen: peer, LogURL: logURL, MembershipURL: membersURL,
-		MaxBodyBytes: 1 << 20, DrainTimeout: time.Second, Logger: hclog.NewNullLogger(),
+		ID: id, Region: region, Zone: zone, Listen: address, PeerListen: peer, LogURL: c.logURL, MembershipURL: membersURL,
+		MaxBodyBytes: 1 << 20, DrainTimeout: cfg.DrainTimeout, Logger: hclog.NewNullLogger(),
 	})
+	ctx, stop := context.WithCancel(ctx)
+	c.StopEntry = append(c.StopEntry, stop)
 	c.running.Go(func() { _ = e.Run(ctx) })
 	c.EntryURLs = append(c.EntryURLs, "http://"+address)
 	return harness.PostJSON(membersURL+"/v1/members", wire.Member{
@@ -148,15 +169,22 @@
 		return err
 	}
 	backend := engine.New(cfg.Engine)
-	url := c.serve(backend.Handler())
+	handler := backend.Handler()
+	if cfg.WrapEngine != nil {
+		handler = cfg.WrapEngine(len(c.Engines), backend)
+	}
+	server := c.serve(handler)
 	a := agent.New(agent.Config{
 		ID: id, Region: region, Zone: zone, Service: service, Kind: settings.KindEngine, Listen: address,
-		BackendURL: url, WeightsURL: weightsURL, MembershipURL: membersURL,
-		MemoryCeiling: 1 << 20, DrainTimeout: time.Second, StallTimeout: cfg.StallTimeout, Logger: hclog.NewNullLogger(),
+		BackendURL: server.URL, WeightsURL: weightsURL, MembershipURL: membersURL,
+		MemoryCeiling: 1 << 20, DrainTimeout: cfg.DrainTimeout, StallTimeout: cfg.StallTimeout, Logger: hclog.NewNullLogger(),
 	})
+	ctx, stop := context.WithCancel(ctx)
+	c.StopAgent = append(c.StopAgent, stop)
 	c.running.Go(func() { _ = a.Run(ctx) })
 	c.Engines = append(c.Engines, backend)
-	c.EngineURLs = append(c.EngineURLs, url)
+	c.EngineURLs = append(c.EngineURLs, server.URL)
+	c.EngineServers = append(c.EngineServers, server)
 	c.AgentAddresses = append(c.AgentAddresses, address)
 	return harness.PostJSON(membersURL+"/v1/members", wire.Member{
 		ID: id, Role: wire.RoleAgent, Address: address, Region: region, Zone: zone, Service: service, State: wire.MemberLive,
--- a/bench/routing/fault_test.go
+++ b/bench/routing/fault_test.go
@@ -33,6 +33,8 @@
 	status int
 	id     string
 	tokens int
+	// version is the one that the start named.
+	version string
 	// last is the name of the last event.
 	last    string
 	failure wire.Error
@@ -80,13 +82,14 @@
 		if json.Unmarshal(data, &start) != nil || start.RequestID != a.id {
 			a.problem = "start of another request"
 		}
+		a.version = start.Version
 	case "token":
-		if json.Unmarshal(data, &token) != nil || token.Index != a.tokens || token.Text != fmt.Sprintf("v1-%d ", a.tokens) {
+		if json.Unmarshal(data, &token) != nil || token.Index != a.tokens || token.Text != fmt.Sprintf("%s-%d ", a.version, a.tokens) {
 			a.problem = fmt.Sprintf("token %d is %s", a.tokens, data)
 		}
 		a.tokens++
 	case "end":
-		if json.Unmarshal(data, &end) != nil || end.RequestID != a.id || end.Version != "v1" || end.Tokens != a.tokens {
+		if json.Unmarshal(data, &end) != nil || end.RequestID != a.id || end.Version != a.version || end.Tokens != a.tokens {
 			a.problem = "end does not fit the answer"
 		}
 	case "error":
@@ -101,6 +104,9 @@
 // explicit error.
 func checkAnswer(c *qt.C, a answer, want int) {
 	c.Check(a.problem, qt.Equals, "")
+	if a.last != "" {
+		c.Check(a.version, qt.Equals, "v1")
+	}
 	switch {
 	case a.status != http.StatusOK:
 		c.Check(a.failure.Kind, qt.Not(qt.Equals), wire.ErrorKind(""))
