entry: a refused request waits for room instead of being refused

What callers saw: 503 with "the engine refuses" or "backend server can't be reached" for a request with two minutes left, while another agent served and was only full. Beside an engine that refuses or is dead, every request beyond the limit of the sound engine met this: the refusing agent has room and gets it.

Cause: a retry is taken from the budget and the place given up before another agent has room. If all that remain are full, placeNext answered with the last refusal; a request that was never refused waits in the same case.

Change: such a request is held outside the fair queue, so that it holds up none behind it, and is placed as soon as an agent that has not refused it has room. Its place is given back when its caller leaves. Retries and attempts are counted as before.

New tests of the dispatcher: with no request held they fail, with the change they pass with -race.

--- a/node/entry/requests_dispatch.go
+++ b/node/entry/requests_dispatch.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"expvar"
+	"math"
+	"slices"
 	"strings"
 	"time"
 
@@ -26,6 +28,9 @@
 	membersMinInterval = 10 * time.Millisecond
 	// idlePool is how long an unused pool is kept.
 	idlePool = 10 * time.Minute
+	// maxHeld bounds the refused requests of a lane that wait for room at another agent.
+	// Each one costs a choice whenever something changes.
+	maxHeld = 32
 )
 
 var (
@@ -42,7 +47,9 @@
 	// reply takes one answer for each submission.
 	reply    chan placed
 	affinity uint64
-	tried    []routing.Handle
+	// maxUse is the utilization up to which a backend server may be filled.
+	maxUse float64
+	tried  []routing.Handle
 	// retry says that refusedBy refused the request with the last error.
 	retry     bool
 	last      *wire.Error
@@ -96,7 +103,10 @@
 	regions []string
 	queue   *limits.FairQueue
 	waiting map[uint64]*placement
-	length  int
+	// held are refused requests that are out of the queue, so that they hold up no others,
+	// and wait for room at an agent that has not refused them.
+	held   []*placement
+	length int
 }
 
 type eventKind int
@@ -273,7 +283,7 @@
 	}
 	l.waiting[p.item.ID] = p
 	if result.Displaced != 0 {
-		l.answer(result.Displaced, placed{failure: queueRefusal(limits.RefusedDisplaced, time.Second)})
+		l.answer(l.waiting[result.Displaced], placed{failure: queueRefusal(limits.RefusedDisplaced, time.Second)})
 	}
 }
 
@@ -301,6 +311,11 @@
 		delete(l.waiting, p.item.ID)
 		return
 	}
+	if i := slices.Index(l.held, p); i >= 0 {
+		l.held = slices.Delete(l.held, i, i+1)
+		l.queue.Done(now, p.item.ID, 0)
+		return
+	}
 	select {
 	case answer := <-p.reply:
 		if answer.failure == nil {
@@ -313,9 +328,8 @@
 	}
 }
 
-func (l *lane) answer(id uint64, answer placed) {
-	p := l.waiting[id]
-	delete(l.waiting, id)
+func (l *lane) answer(p *placement, answer placed) {
+	delete(l.waiting, p.item.ID)
 	p.reply <- answer
 }
 
@@ -330,9 +344,10 @@
 // pump places waiting requests as long as backend servers have room.
 func (d *dispatcher) pump(now time.Time, s *serviceState) {
 	for _, l := range s.lanes {
+		l.held = slices.DeleteFunc(l.held, func(p *placement) bool { return d.settle(now, s, l, p) })
 		for d.placeNext(now, s, l) {
 		}
-		length := l.queue.Len()
+		length := l.queue.Len() + len(l.held)
 		entryQueued.Add(int64(length - l.length))
 		l.length = length
 	}
@@ -350,43 +365,86 @@
 	}
 	item, ok, expired := l.queue.Pop(now, free, nil)
 	for _, id := range expired {
-		l.answer(id, placed{failure: queueRefusal(limits.RefusedDeadline, time.Second)})
+		l.answer(l.waiting[id], placed{failure: queueRefusal(limits.RefusedDeadline, time.Second)})
 	}
 	if !ok {
 		return false
 	}
 	p := l.waiting[item.ID]
-	maxUse := 1.0
+	p.maxUse = 1
 	if item.OverShare {
-		maxUse = 1 - headroomShare
+		p.maxUse = 1 - headroomShare
 	}
-	choice, miss := s.pool.Choose(now, routing.Request{
-		MaxUtilization: maxUse,
-		Version:        p.call.service.Version, OtherVersions: true, Affinity: p.affinity, Regions: l.regions, Tried: p.tried,
-	})
-	switch {
-	case miss == routing.Found:
+	if d.settle(now, s, l, p) {
+		return true
+	}
+	if len(p.tried) == 0 {
+		l.queue.Requeue(item)
+		return false
+	}
+	if len(l.held) >= maxHeld {
+		d.refuse(now, l, p)
+		return true
+	}
+	delete(l.waiting, item.ID)
+	l.held = append(l.held, p)
+	return true
+}
+
+// settle answers a request that is out of the queue, unless it has to wait for room.
+func (d *dispatcher) settle(now time.Time, s *serviceState, l *lane, p *placement) bool {
+	choice, status := s.choose(now, l, p)
+	switch status {
+	case routing.Found:
 		s.inFlight++
 		entryInFlight.Add(1)
-		l.answer(item.ID, placed{grant: grant{choice.Handle, choice.ID, choice.Address, choice.Version}})
-	case miss == routing.Full && len(p.tried) == 0:
-		l.queue.Requeue(item)
+		l.answer(p, placed{grant: grant{choice.Handle, choice.ID, choice.Address, choice.Version}})
+	case routing.Full:
 		return false
 	default:
-		l.queue.Done(now, item.ID, 0)
-		failure := p.last
-		if failure == nil {
-			entryRefusals.Add("no_backend_server", 1)
-			failure = &wire.Error{
-				Kind: wire.ErrorUnavailable, Message: "no backend server serves the service yet",
-				RetryAfterMS: jittered(time.Second), Run: wire.RunNotRun,
-			}
-		}
-		l.answer(item.ID, placed{failure: failure})
+		d.refuse(now, l, p)
 	}
 	return true
 }
 
+// refuse answers a request that is out of the queue and can't be placed.
+func (d *dispatcher) refuse(now time.Time, l *lane, p *placement) {
+	l.queue.Done(now, p.item.ID, 0)
+	failure := p.last
+	if failure == nil {
+		entryRefusals.Add("no_backend_server", 1)
+		failure = &wire.Error{
+			Kind: wire.ErrorUnavailable, Message: "no backend server serves the service yet",
+			RetryAfterMS: jittered(time.Second), Run: wire.RunNotRun,
+		}
+	}
+	l.answer(p, placed{failure: failure})
+}
+
+// choose chooses a backend server. For a request that was refused, Full means that one
+// which has not refused it is only at its limit, so that waiting has a prospect.
+func (s *serviceState) choose(now time.Time, l *lane, p *placement) (routing.Choice, routing.ChoiceStatus) {
+	r := routing.Request{
+		MaxUtilization: p.maxUse,
+		Version:        p.call.service.Version, OtherVersions: true, Affinity: p.affinity, Regions: l.regions, Tried: p.tried,
+	}
+	choice, status := s.pool.Choose(now, r)
+	if status == routing.Full && len(p.tried) > 0 && !s.takesRequests(now, r) {
+		status = routing.NoMember
+	}
+	return choice, status
+}
+
+// takesRequests reports whether some backend server takes the request once it has room.
+func (s *serviceState) takesRequests(now time.Time, r routing.Request) bool {
+	r.MaxUtilization = math.MaxFloat64
+	choice, status := s.pool.Choose(now, r)
+	if status == routing.Found {
+		s.pool.Done(now, choice.Handle, routing.Abandoned)
+	}
+	return status == routing.Found
+}
+
 // tick takes over member reports and forgets unused services.
 func (d *dispatcher) tick(now time.Time) {
 	for name, s := range d.services {
--- /dev/null
+++ b/node/entry/requests_dispatch_test.go
@@ -0,0 +1,94 @@
+package entry
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/laburnumloft/laburnumloft/core/routing"
+	"github.com/laburnumloft/laburnumloft/core/settings"
+	"github.com/laburnumloft/laburnumloft/node/lib/wire"
+	"github.com/laburnumloft/laburnumloft/node/rpc"
+)
+
+// granted is a request that has a place at an agent.
+type granted struct {
+	*placement
+	grant grant
+}
+
+// fullDispatcher returns a dispatcher of the agents a and b that are both full, and the
+// requests at each. Its goroutine doesn't run.
+func fullDispatcher(c *qt.C, now time.Time) (*dispatcher, map[string][]granted) {
+	reports := []*rpc.MemberReport{
+		{Id: "a", Region: "r", Version: "v1", Incarnation: 1, Sequence: 1}, {Id: "b", Region: "r", Version: "v1", Incarnation: 1, Sequence: 1},
+	}
+	d, at := newDispatcher("r", func(string) []*rpc.MemberReport { return reports }), map[string][]granted{}
+	for i := 0; ; i++ {
+		p := d.placement(&call{
+			service: settings.Service{Name: "s", Version: "v1"}, params: settings.Parameters{Workspace: fmt.Sprint("w", i)},
+			request: wire.Request{MaxTokens: 1}, deadline: now.Add(time.Hour),
+		})
+		d.handle(now, dispatchEvent{kind: eventSubmit, placement: p})
+		if len(p.reply) == 0 {
+			d.handle(now, dispatchEvent{kind: eventAbandon, placement: p})
+			return d, at
+		}
+		answer := <-p.reply
+		c.Assert(answer.failure == nil, qt.IsTrue)
+		at[answer.grant.agent] = append(at[answer.grant.agent], granted{p, answer.grant})
+	}
+}
+
+// retryRefused plays a refusal of a request by its agent.
+func (d *dispatcher) retryRefused(now time.Time, r granted, failure wire.Error) {
+	r.retry, r.last, r.refusedBy, r.refusedAs = true, &failure, r.grant.handle, routing.Refused
+	d.handle(now, dispatchEvent{kind: eventSubmit, placement: r.placement})
+}
+
+func (d *dispatcher) end(now time.Time, r granted) {
+	d.handle(now, dispatchEvent{kind: eventFinish, placement: r.placement, grant: r.grant, result: routing.Succeeded, tokens: 1})
+}
+
+// TestRefusedRequestWaitsForAFullAgent guards against a refusal to the caller while an
+// agent that would serve the request is only full, and against places that held requests
+// keep when their callers leave.
+func TestRefusedRequestWaitsForAFullAgent(t *testing.T) {
+	c := qt.New(t)
+	now := time.Now()
+	for _, leaves := range []bool{false, true} {
+		d, at := fullDispatcher(c, now)
+		refused, s := at["b"][0], d.services["s"]
+		d.retryRefused(now, refused, wire.Error{Kind: wire.ErrorUnavailable, Run: wire.RunNotRun})
+		c.Assert(refused.reply, qt.HasLen, 0)
+		if leaves {
+			d.handle(now, dispatchEvent{kind: eventAbandon, placement: refused.placement})
+		}
+		d.end(now, at["a"][0])
+		places := len(at["a"]) + len(at["b"]) - 1
+		if leaves {
+			places--
+		} else {
+			c.Assert((<-refused.reply).grant.agent, qt.Equals, "a")
+		}
+		c.Check([]int{s.inFlight, s.lanes[""].queue.Running(), len(s.lanes[""].held)}, qt.DeepEquals, []int{places, places, 0})
+	}
+}
+
+// TestRefusedRequestWithoutAProspectIsAnswered guards against a refused request that is
+// held although no agent is left that could serve it.
+func TestRefusedRequestWithoutAProspectIsAnswered(t *testing.T) {
+	c := qt.New(t)
+	now := time.Now()
+	d, at := fullDispatcher(c, now)
+	refused := at["b"][0]
+	d.retryRefused(now, refused, wire.Error{Kind: wire.ErrorUnavailable, Run: wire.RunNotRun})
+	c.Assert(refused.reply, qt.HasLen, 0)
+	remaining := d.serving("s")[1:]
+	d.serving = func(string) []*rpc.MemberReport { return remaining }
+	d.tick(now)
+	c.Assert(refused.reply, qt.HasLen, 1)
+	c.Check((<-refused.reply).failure, qt.Equals, refused.last)
+}
