agent: no cancel order for a request that the engine refused

What callers see: nothing yet; found by reading. A request that an engine refuses as busy may come back to the same agent after a second. The cancel order that the agent sent for the refused run has the same id; a silent engine handles it up to 2 s late, later still behind other orders, and would end the second run.

Cause: generate sent a cancel order for every request without an answer, also if the engine had stated that it doesn't run it.

An answer that was ended this way was not seen in a run.

Change: the order is sent only if the outcome is unknown.

Conclusion: a request that comes back is not ended by its own past.

--- a/node/agent/requests.go
+++ b/node/agent/requests.go
@@ -121,7 +121,6 @@
 	defer watchdog.Stop()
 	resp, err := a.engine.generate(ctx, req)
 	if err != nil {
-		a.cancels.Push(ctx, req.RequestID)
 		return 0, a.failBeforeStart(ctx, w, req, err)
 	}
 	defer resp.Body.Close()
@@ -143,9 +142,12 @@
 func (a *Agent) failBeforeStart(ctx context.Context, w http.ResponseWriter, req wire.AgentRequest, err error) error {
 	var refused *wire.Error
 	if errors.As(err, &refused) {
+		// The request may come back, so a cancel order that the engine gets late would
+		// end its next run.
 		a.refuse(w, req.RequestID, wire.Error{Kind: refused.Kind, Message: refused.Message, RetryAfterMS: jittered(refused.RetryAfterMS)})
 		return err
 	}
+	a.cancels.Push(ctx, req.RequestID)
 	agentRequests.Add("failed", 1)
 	kind := wire.ErrorUpstream
 	if cause := context.Cause(ctx); cause != nil {
