entry: waiting requests outlast a version change of the only backend server

What callers saw: 503 "no backend server serves the service yet" for requests that waited with two minutes left, as soon as the only server of their service began to load another version after a change of settings.

Cause: without a member the dispatcher refused all that waited at once, also when the last member had gone a moment before and came back a moment later.

Change: requests wait for a member for 3 s after the last one has gone, then they are refused as before. A service that never had a member at this entry refuses at once, as before. The price: when the last server of a service really goes, its callers get their 503 up to 3 s later, or a time-out if their deadline is shorter.

TestWaitingRequestsOutlastTheOnlyMember fails with no wait and passes with it. Larger versions, which load for longer than 3 s, were not tried; their requests are refused after the wait.

Conclusion: a change of settings no longer refuses waiting requests if the server is back within 3 s.

--- a/bench/routing/silence_test.go
+++ b/bench/routing/silence_test.go
@@ -158,6 +158,9 @@
 	{name: "new version meanwhile", entries: 1, engines: 2, meanwhile: func(cluster *bench.Cluster, _ []*silentEngine) error {
 		return cluster.PublishVersion("v2", 1)
 	}},
+	{name: "new version at the only server meanwhile", entries: 1, engines: 1, meanwhile: func(cluster *bench.Cluster, _ []*silentEngine) error {
+		return cluster.PublishVersion("v2", 1)
+	}},
 	{name: "entry stops meanwhile", entries: 2, engines: 1, meanwhile: func(cluster *bench.Cluster, _ []*silentEngine) error {
 		cluster.StopEntry[0]()
 		return nil
--- a/node/entry/requests_dispatch.go
+++ b/node/entry/requests_dispatch.go
@@ -31,6 +31,10 @@
 	// maxHeld bounds the refused requests of a lane that wait for room at another agent.
 	// Each one costs a choice whenever something changes.
 	maxHeld = 32
+	// memberWait is how long requests wait for a member after the last one has gone: the
+	// only backend server of a service serves nothing while it loads a new version. It is
+	// the longest silence that a sound server is expected to make.
+	memberWait = 3 * time.Second
 )
 
 var (
@@ -95,9 +99,11 @@
 	pool      *routing.Pool
 	lanes     map[string]*lane
 	refreshed time.Time
-	used      time.Time
-	setAside  int
-	inFlight  int
+	// hadMemberAt is when the pool last had a member.
+	hadMemberAt time.Time
+	used        time.Time
+	setAside    int
+	inFlight    int
 }
 
 // lane queues the requests of a service that may use the same regions, so
@@ -368,7 +374,10 @@
 	summary := s.pool.Summary(now)
 	free := summary.Free
 	if summary.Members == 0 {
-		// Without a member every request gets its refusal at once.
+		if s.awaitsMember(now) {
+			return false
+		}
+		// Without a member for a while every request gets its refusal at once.
 		free = l.queue.Len()
 	}
 	item, ok, expired := l.queue.Pop(now, free, nil)
@@ -410,11 +419,19 @@
 	case routing.Full:
 		return false
 	default:
+		if s.awaitsMember(now) {
+			return false
+		}
 		d.refuse(now, l, p)
 	}
 	return true
 }
 
+// awaitsMember reports whether the last member has gone so recently that it may come back.
+func (s *serviceState) awaitsMember(now time.Time) bool {
+	return s.pool.Summary(now).Members == 0 && now.Sub(s.hadMemberAt) < memberWait
+}
+
 // refuse answers a request that is out of the queue and can't be placed.
 func (d *dispatcher) refuse(now time.Time, l *lane, p *placement) {
 	l.queue.Done(now, p.item.ID, 0)
@@ -485,6 +502,9 @@
 			Running: int(r.GetRunning()), Queued: int(r.GetQueued()),
 		})
 	}
+	if len(d.backends) > 0 {
+		s.hadMemberAt = now
+	}
 	s.pool.Update(now, d.backends)
 	aside := s.pool.Summary(now).Ejected
 	entrySetAside.Add(int64(aside - s.setAside))
--- a/node/entry/requests_dispatch_test.go
+++ b/node/entry/requests_dispatch_test.go
@@ -115,3 +115,28 @@
 		c.Check((<-refused.reply).grant.agent, qt.Equals, "b")
 	}
 }
+
+// TestWaitingRequestsOutlastTheOnlyMember guards against a refusal of requests that wait
+// while the only agent loads another version, and against waiting long for one that is gone.
+func TestWaitingRequestsOutlastTheOnlyMember(t *testing.T) {
+	c := qt.New(t)
+	now := time.Now()
+	for _, returns := range []bool{true, false} {
+		d, at := fullDispatcher(c, now)
+		reports := d.serving("s")
+		d.serving = func(string) []*rpc.MemberReport { return nil }
+		queued := d.placement(at["a"][0].call)
+		d.handle(now, dispatchEvent{kind: eventSubmit, placement: queued})
+		d.tick(now)
+		d.tick(now.Add(memberWait - 1))
+		c.Assert(queued.reply, qt.HasLen, 0)
+		if returns {
+			reports[0].Version = "v2"
+			d.serving = func(string) []*rpc.MemberReport { return reports }
+		}
+		d.tick(now.Add(memberWait))
+		c.Assert(queued.reply, qt.HasLen, 1)
+		answer := <-queued.reply
+		c.Check(answer.failure == nil, qt.Equals, returns)
+	}
+}
