entry: the wait in an agent's queue is no silence of its backend server

What callers saw: 504 "agent was silent for too long" for an answer whose engine was silent for 1.5 s, at entries with the smallest stall timeout of 2 s, if the request had waited in the agent's queue before.

Cause: the watchdog of an answer starts when the request is sent. The agent's queue (up to 1 s) and the engine's silence add up against one timeout, although each is within its bound. The smallest timeout was chosen for the queue alone.

Change: the entry adds the 1 s of the queue until the answer begins.

Conclusion: with any allowed setting a silence shorter than the stall timeout ends no answer.

--- a/node/entry/requests_stream.go
+++ b/node/entry/requests_stream.go
@@ -20,6 +20,9 @@
 	callerWriteTimeout = 30 * time.Second
 	// maxAnswerBytes bounds an answer that is not streamed.
 	maxAnswerBytes = 4 << 20
+	// agentQueueWait is how long a request may wait in an agent's queue, which is no silence
+	// of its backend server.
+	agentQueueWait = time.Second
 )
 
 // Causes of a broken answer.
@@ -37,7 +40,7 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	stall := e.stallTimeout()
-	watchdog := time.AfterFunc(stall, func() { cancel(errSilent) })
+	watchdog := time.AfterFunc(agentQueueWait+stall, func() { cancel(errSilent) })
 	defer watchdog.Stop()
 	resp, err := e.post(ctx, c, g)
 	if err != nil {
