entry: a held request goes back into the queue before it is placed

What callers would see: a request that was refused, waited for room and is begun although it can't end by its deadline; its tokens are wasted and it ends in a time-out.

Cause: placed held requests without the queue's check of the run time, and before all that waited in the queue.

Evidence: TestHeldRequestIsNotBegunTooLate fails without the change.

Change: once there is room for it, a held request goes back to its place in the queue, which refuses it if its deadline can't be met.

Conclusion: waiting costs no work that comes too late.

--- a/node/entry/requests_dispatch.go
+++ b/node/entry/requests_dispatch.go
@@ -358,7 +358,7 @@
 // pump places waiting requests as long as backend servers have room.
 func (d *dispatcher) pump(now time.Time, s *serviceState) {
 	for _, l := range s.lanes {
-		l.held = slices.DeleteFunc(l.held, func(p *placement) bool { return d.settle(now, s, l, p) })
+		l.held = slices.DeleteFunc(l.held, func(p *placement) bool { return d.release(now, s, l, p) })
 		for d.placeNext(now, s, l) {
 		}
 		length := l.queue.Len() + len(l.held)
@@ -408,6 +408,23 @@
 	return true
 }
 
+// release reports whether a held request need not be held any longer. One for which there is
+// room goes back into the queue, which knows whether its deadline can still be met.
+func (d *dispatcher) release(now time.Time, s *serviceState, l *lane, p *placement) bool {
+	choice, status := s.choose(now, l, p)
+	switch {
+	case status == routing.Found:
+		s.pool.Done(now, choice.Handle, routing.Abandoned)
+		l.queue.Requeue(p.item)
+		l.waiting[p.item.ID] = p
+	case status == routing.Full || s.awaitsMember(now):
+		return false
+	default:
+		d.refuse(now, l, p)
+	}
+	return true
+}
+
 // settle answers a request that is out of the queue, unless it has to wait for room.
 func (d *dispatcher) settle(now time.Time, s *serviceState, l *lane, p *placement) bool {
 	choice, status := s.choose(now, l, p)
--- a/node/entry/requests_dispatch_test.go
+++ b/node/entry/requests_dispatch_test.go
@@ -7,6 +7,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/laburnumloft/laburnumloft/core/limits"
 	"github.com/laburnumloft/laburnumloft/core/routing"
 	"github.com/laburnumloft/laburnumloft/core/settings"
 	"github.com/laburnumloft/laburnumloft/node/lib/wire"
@@ -77,6 +78,22 @@
 	}
 }
 
+// TestHeldRequestIsNotBegunTooLate guards against a request that runs after its wait for room
+// although it can't end by its deadline.
+func TestHeldRequestIsNotBegunTooLate(t *testing.T) {
+	c := qt.New(t)
+	now := time.Now()
+	d, at := fullDispatcher(c, now)
+	refused := at["b"][0]
+	d.retryRefused(now, refused, wire.Error{Kind: wire.ErrorUnavailable, Run: wire.RunNotRun})
+	c.Assert(refused.reply, qt.HasLen, 0)
+	// The first request to end shows that one token takes 59 minutes.
+	d.end(now.Add(59*time.Minute), at["a"][0])
+	failure := (<-refused.reply).failure
+	c.Assert(failure != nil, qt.IsTrue)
+	c.Check(failure.Message, qt.Contains, string(limits.RefusedDeadline))
+}
+
 // TestRefusedRequestWithoutAProspectIsAnswered guards against a refused request that is
 // held although no agent is left that could serve it.
 func TestRefusedRequestWithoutAProspectIsAnswered(t *testing.T) {
