--- a/bench/routing/silence_test.go
+++ b/bench/routing/silence_test.go
@@ -69,10 +69,20 @@
 	arrivals        *arrivals
 	next            http.Handler
 	refuses, prompt atomic.Bool
+	// standstill, if it is set, holds up everything until it is closed.
+	standstill atomic.Pointer[chan struct{}]
+}
+
+// wait waits for the end of a standstill.
+func (s *silentEngine) wait() {
+	if end := s.standstill.Load(); end != nil {
+		<-*end
+	}
 }
 
 // ServeHTTP implements http.Handler.
 func (s *silentEngine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.wait()
 	if r.URL.Path != "/v1/generate" {
 		s.next.ServeHTTP(w, r)
 		return
@@ -102,6 +112,7 @@
 			case <-r.Context().Done():
 			}
 		}
+		s.wait()
 	}
 	version, frames, control := s.Status().Version, json.NewEncoder(w), http.NewResponseController(w)
 	pause(beforeHeader)
@@ -161,6 +172,14 @@
 	{name: "new version at the only server meanwhile", entries: 1, engines: 1, meanwhile: func(cluster *bench.Cluster, _ []*silentEngine) error {
 		return cluster.PublishVersion("v2", 1)
 	}},
+	{name: "all servers stand still and a new version comes meanwhile", entries: 2, engines: 2, meanwhile: func(cluster *bench.Cluster, engines []*silentEngine) error {
+		end := make(chan struct{})
+		for _, e := range engines {
+			e.standstill.Store(&end)
+		}
+		time.AfterFunc(silences[len(silences)-1], func() { close(end) })
+		return cluster.PublishVersion("v2", 1)
+	}},
 	{name: "entry stops meanwhile", entries: 2, engines: 1, meanwhile: func(cluster *bench.Cluster, _ []*silentEngine) error {
 		cluster.StopEntry[0]()
 		return nil
