--- a/bench/routing/silence_test.go
+++ b/bench/routing/silence_test.go
@@ -214,8 +214,8 @@
 			return engines[len(engines)-1]
 		},
 	})
-	defer cluster.Close()
 	c.Assert(err, qt.IsNil)
+	defer cluster.Close()
 	if s.before != nil {
 		c.Assert(s.before(cluster, engines), qt.IsNil)
 	}
