gateway: a whole answer written late still reaches its caller

What callers saw: a request that a server had answered whole, or a connection that just ended, without answer or refusal, when the process was held up (a slowed VM, a long pause) between the arrival of the server's answer and its write. The caller was still there. Only answers of more than about 4 KB: smaller ones, and all refusals, stay in the buffers of net/http until the handler has returned, and the limit ends before that.

Cause: the write deadline was set when the request was admitted, to 250 ms after the request's deadline, whenever the write came.

Evidence: TestLateWritesReachTheCaller holds a request up for 250 ms more than that, through the real listener.

Change: a refusal or a whole answer may take at least 1 s from the moment of its write, never less than before, unless the caller is known to have left, whose writes still fail at once. The place at the server is released before. A stream that is being forwarded keeps its limit.

Also: TestWholeRequestsGetAnAnswer, 24 callers on kept connections, 19 kinds of request, 40 configurations, one each 0.1 s, that change routes, timeouts, keys and limits, then a planned stop.

--- a/node/gateway/handler.go
+++ b/node/gateway/handler.go
@@ -134,6 +134,7 @@
 	defer end(nil)
 	defer context.AfterFunc(g.stopped, func() { end(errStopping) })()
 	defer g.watchCaller(w, req)()
+	w = answerWriter{w, req}
 	if req.route.Kind == route.Stream {
 		g.serveStream(ctx, w, req)
 		return
@@ -161,6 +162,46 @@
 	}
 }
 
+// wholeWriteTimeout is how long the write of a refusal or of a whole answer may last at
+// least. It counts from the write, because a process that is slowed down may come to it
+// after the request's deadline while the caller still waits. The place at the server has
+// been released by then.
+const wholeWriteTimeout = time.Second
+
+// answerWriter gives the write of a refusal or of a whole answer time. Streams keep the
+// limit of watchCaller.
+type answerWriter struct {
+	http.ResponseWriter
+	req *request
+}
+
+// Unwrap is for http.ResponseController.
+func (w answerWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+
+// WriteHeader implements http.ResponseWriter.
+func (w answerWriter) WriteHeader(status int) {
+	// Only the answer 200 of a stream is written while it arrives.
+	if w.req.route.Kind != route.Stream || status != http.StatusOK {
+		w.extendDeadline()
+	}
+	w.ResponseWriter.WriteHeader(status)
+}
+
+// extendDeadline sets the write deadline anew, unless the caller is known to have left.
+func (w answerWriter) extendDeadline() {
+	until := time.Now().Add(wholeWriteTimeout)
+	if usual := w.req.deadline.Add(lastWriteTimeout); usual.After(until) {
+		until = usual
+	}
+	controller := http.NewResponseController(w.ResponseWriter)
+	// Writers without deadlines, in tests, don't block.
+	_ = controller.SetWriteDeadline(until)
+	if w.req.in.Context().Err() != nil {
+		// The caller's end may have ended its writes just before.
+		_ = controller.SetWriteDeadline(time.Unix(1, 0))
+	}
+}
+
 // admit validates a request against the active configuration.
 func (g *Gateway) admit(w http.ResponseWriter, r *http.Request) (*request, Reason) {
 	req := &request{call: g.cfg.Codec.Call(r.Header), in: r, start: time.Now()}
--- /dev/null
+++ b/node/gateway/whole_request_test.go
@@ -0,0 +1,251 @@
+package gateway
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/laburnumloft/laburnumloft/core/route"
+	"github.com/laburnumloft/laburnumloft/core/shutdown"
+)
+
+// listenForCallers starts the listener for callers of a gateway and returns its address.
+func (r *testGateway) listenForCallers(c *qt.C) (server *http.Server, address string) {
+	free, err := net.Listen("tcp4", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	address = free.Addr().String()
+	c.Assert(free.Close(), qt.IsNil)
+	server, err = Listen(ListenConfig{Address: address, Idle: time.Minute, MaxConnections: 500}, r.Gateway)
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(func() { _ = server.Close() })
+	return server, address
+}
+
+// rawRequest is a request in the parts in which it is sent.
+type rawRequest struct {
+	method string
+	parts  []string
+}
+
+const (
+	// partInterval is the time between two parts of a request.
+	partInterval = 15 * time.Millisecond
+	// largeAnswer is the size of the answers that don't fit into the buffers of net/http.
+	largeAnswer = 40_000
+)
+
+// wholeRequests are the kinds of requests that callers send on kept connections.
+func wholeRequests(id string) []rawRequest {
+	head := func(method, path, further string) string {
+		return fmt.Sprintf("%s %s HTTP/1.1\r\nHost: h.example\r\nId: %s\r\nLeft: 1500\r\nKey: key\r\n%s\r\n", method, path, id, further)
+	}
+	length := func(path string, bytes int) string {
+		return head("POST", path, fmt.Sprintf("Content-Length: %d\r\n", bytes))
+	}
+	chunked := func(path string) string { return head("POST", path, "Transfer-Encoding: chunked\r\n") }
+	chunk := func(bytes int) string { return fmt.Sprintf("%x\r\n%s\r\n", bytes, strings.Repeat("b", bytes)) }
+	body := func(bytes int) string { return strings.Repeat("b", bytes) }
+	const end = "0\r\n\r\n"
+	short := strings.Replace(head("GET", "/read/hang", ""), "Left: 1500", "Left: 40", 1)
+	unknown := strings.Replace(length("/order/1", 900), "Key: key", "Key: none", 1)
+	return []rawRequest{
+		{"GET", []string{head("GET", "/read/1", "")}},
+		{"HEAD", []string{head("HEAD", "/read/1", "")}},
+		{"GET", []string{head("GET", "/read/1", "")[:40], head("GET", "/read/1", "")[40:]}},
+		{"GET", []string{head("GET", "/read/large", "")}},
+		{"GET", []string{head("GET", "/stream/1", "")}},
+		{"GET", []string{short}},
+		{"POST", []string{length("/order/1", 900) + body(900)}},
+		{"POST", []string{length("/order/slow", 900) + body(900) + "\r\n"}},
+		{"POST", []string{length("/order/1", 30_000), body(10_000), body(20_000)}},
+		{"POST", []string{chunked("/order/1") + chunk(700) + end}},
+		{"POST", []string{chunked("/read/large"), chunk(9000), chunk(300), end}},
+		{"POST", []string{length("/none/1", 900) + body(900)}},
+		{"POST", []string{length("/none/1", 900), body(900)}},
+		{"POST", []string{chunked("/none/1"), chunk(5000), end}},
+		{"POST", []string{unknown + body(900)}},
+		{"POST", []string{unknown, body(900)}},
+		{"POST", []string{length("/order/1", 70_000) + body(70_000)}},
+		{"POST", []string{chunked("/order/1") + chunk(70_000) + end}},
+		{"POST", []string{length("/stream/1", 900), body(900)}},
+	}
+}
+
+// exchangeRaw sends a request and reads its answer. whole means that all of the request was
+// sent, keep that the connection can be used again.
+func exchangeRaw(conn net.Conn, reader *bufio.Reader, request rawRequest) (whole, keep bool, err error) {
+	sent := make(chan error, 1)
+	go func() {
+		for n, part := range request.parts {
+			if n > 0 {
+				<-time.After(partInterval)
+			}
+			if _, err := io.WriteString(conn, part); err != nil {
+				sent <- err
+				return
+			}
+		}
+		sent <- nil
+	}()
+	_ = conn.SetReadDeadline(time.Now().Add(10 * time.Second))
+	resp, err := http.ReadResponse(reader, &http.Request{Method: request.method})
+	if err == nil {
+		_, err = io.ReadAll(resp.Body)
+		_ = resp.Body.Close()
+	}
+	whole = <-sent == nil
+	return whole, err == nil && whole && !resp.Close, err
+}
+
+// wholeRequestServer answers in all the ways that wholeRequests asks for.
+func wholeRequestServer(w http.ResponseWriter, r *http.Request) {
+	switch {
+	case strings.HasSuffix(r.URL.Path, "/hang"):
+		neverAnswer(w, r)
+	case strings.HasSuffix(r.URL.Path, "/slow"):
+		silentRead(60*time.Millisecond)(w, r)
+	case strings.HasSuffix(r.URL.Path, "/large"):
+		w.Header().Set("Id", r.Header.Get("Id"))
+		w.Header().Set("Signature", "s")
+		_, _ = io.WriteString(w, strings.Repeat("a", largeAnswer))
+	case strings.HasPrefix(r.URL.Path, "/stream/"):
+		events(5, false)(w, r)
+	default:
+		answerWith(http.StatusOK)(w, r)
+	}
+}
+
+// changedConfiguration returns one of a series in which routes, timeouts, keys and limits
+// change.
+func changedConfiguration(version int64) route.Configuration {
+	cfg := configuration(version)
+	timeouts := []time.Duration{2 * time.Second, 200 * time.Millisecond, 5 * time.Second}
+	for n := range cfg.Routes {
+		cfg.Routes[n].Timeout = timeouts[int(version)%len(timeouts)]
+	}
+	if version%4 == 1 {
+		cfg.Routes = cfg.Routes[1:]
+	}
+	if version%5 == 1 {
+		cfg.Workspaces[0].Keys = []string{"other"}
+	}
+	cfg.Limits.MaxBodyBytes = []int64{1 << 16, 1 << 12, 1 << 20}[int(version/2)%3]
+	return cfg
+}
+
+// Every request that is sent whole on a kept connection must get a whole answer or a
+// refusal, beside a series of configurations and a planned stop (incident LOST). Only a
+// stop may close a connection, and never after the request has been passed on.
+func TestWholeRequestsGetAnAnswer(t *testing.T) {
+	c := qt.New(t)
+	s := newServer(c, wholeRequestServer)
+	r := newTestGateway(c, s)
+	server, address := r.listenForCallers(c)
+	const callers, changes = 24, 40
+	var answered, cut, atStop atomic.Int32
+	var stopped sync.Map
+	var wait sync.WaitGroup
+	call := func(caller int) {
+		var conn net.Conn
+		var reader *bufio.Reader
+		for n := caller; ; n++ {
+			id := fmt.Sprint(caller, "-", n)
+			kinds := wholeRequests(id)
+			request := kinds[n%len(kinds)]
+			if conn == nil {
+				var err error
+				if conn, err = net.Dial("tcp4", address); err != nil {
+					return
+				}
+				reader = bufio.NewReader(conn)
+			}
+			whole, keep, err := exchangeRaw(conn, reader, request)
+			switch {
+			case err == nil:
+				answered.Add(1)
+			case whole && r.closing.Load():
+				atStop.Add(1)
+				stopped.Store(id, true)
+			case whole:
+				cut.Add(1)
+				c.Errorf("request %s %q: %v", id, request.parts[0][:40], err)
+			}
+			if !keep {
+				_ = conn.Close()
+				conn = nil
+			}
+		}
+	}
+	for n := range callers {
+		wait.Go(func() { call(n) })
+	}
+	for version := range int64(changes) {
+		c.Assert(r.Configure(changedConfiguration(version+2), "test"), qt.IsTrue)
+		<-time.After(100 * time.Millisecond)
+	}
+	plan := shutdown.NewPlan(time.Now(), 3*time.Second)
+	r.BeginDrain(plan)
+	c.Assert(Drain(server, r.Gateway, plan, r.cfg.Log), qt.IsNil)
+	wait.Wait()
+	c.Logf("%d answered, %d cut, %d cut at the stop", answered.Load(), cut.Load(), atStop.Load())
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, arrival := range s.arrivals {
+		_, was := stopped.Load(arrival.Header.Get("Id"))
+		c.Check(was, qt.IsFalse, qt.Commentf("request %s was passed on and got no answer", arrival.Header.Get("Id")))
+	}
+	c.Check(answered.Load() > 1000, qt.IsTrue)
+}
+
+// A process that is slowed down may write after the request's deadline. The caller, which
+// still waits, must get the refusal or the answer nevertheless.
+func TestLateWritesReachTheCaller(t *testing.T) {
+	for _, path := range []string{"/read/1", "/read/large"} {
+		for _, answered := range []bool{true, false} {
+			t.Run(fmt.Sprint(path, " answered ", answered), func(t *testing.T) {
+				c := qt.New(t)
+				arrived, locked := make(chan struct{}), make(chan struct{})
+				s := newServer(c, func(w http.ResponseWriter, r *http.Request) {
+					close(arrived)
+					<-locked
+					wholeRequestServer(w, r)
+				})
+				r := newTestGateway(c, s)
+				_, address := r.listenForCallers(c)
+				const left = 300 * time.Millisecond
+				deadline := time.Now().Add(left)
+				if !answered {
+					r.containment.mu.Lock()
+				}
+				result := make(chan error, 1)
+				go func() {
+					conn, err := net.Dial("tcp4", address)
+					if err == nil {
+						defer func() { _ = conn.Close() }()
+						text := fmt.Sprintf("GET %s HTTP/1.1\r\nHost: h.example\r\nId: 1\r\nLeft: %d\r\nKey: key\r\nParts: aa\r\n\r\n", path, left.Milliseconds())
+						_, _, err = exchangeRaw(conn, bufio.NewReader(conn), rawRequest{"GET", []string{text}})
+					}
+					result <- err
+				}()
+				if answered {
+					// The answer is read, and then the lock keeps the request from going on.
+					<-arrived
+					r.containment.mu.Lock()
+					close(locked)
+				}
+				<-time.After(time.Until(deadline.Add(2 * lastWriteTimeout)))
+				r.containment.mu.Unlock()
+				c.Check(<-result, qt.IsNil)
+			})
+		}
+	}
+}
