intake: a request is not handled once its connection is chosen to be closed

What callers saw: under the bound on connections, a request that had been sent whole was run by a server, and its connection closed without an answer.

Cause: of too many connections the one in the lowest state is closed. Between the reading of a whole request and the record that it is served, its connection still counts as idle or as sending. When it was chosen then, the request was handled nevertheless: it was passed on, and its answer could not be written.

Evidence: TestRequestsOfClosedConnectionsAreNotHandled opens another connection in that moment, with and without a body; before, "/first" was handled in both cases.

Change: the record tells whether the connection stays, under the lock of the choice. If not, a request without a body ends its connection, and the body of another one is not whole. It does not reach a server then.

Conclusion: the moment is short and needs the bound on connections to be reached. It can happen beside any configuration or none.

--- a/node/lib/intake/connections.go
+++ b/node/lib/intake/connections.go
@@ -142,12 +142,25 @@
 	}
 }
 
-// handler returns a handler that records when a request is whole.
+// serve records that a request is whole. It returns false if its connection has been chosen
+// to be closed for another one.
+func (c *connections) serve(key string) bool {
+	c.setState(key, serving)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.open[key] != nil
+}
+
+// handler returns a handler that records when a request is whole. A request whose
+// connection has been chosen to be closed is not handled, because its answer can't be
+// written.
 func (c *connections) handler(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		whole := func() { c.setState(r.RemoteAddr, serving) }
+		whole := func() bool { return c.serve(r.RemoteAddr) }
 		if r.ContentLength == 0 || r.Body == nil {
-			whole()
+			if !whole() {
+				panic(http.ErrAbortHandler)
+			}
 		} else {
 			r.Body = &watchedBody{r.Body, whole}
 		}
@@ -155,17 +168,18 @@
 	})
 }
 
-// watchedBody calls onEnd when its end has been read.
+// watchedBody calls onEnd when its end has been read. A body for which that returns false
+// is not whole.
 type watchedBody struct {
 	io.ReadCloser
-	onEnd func()
+	onEnd func() bool
 }
 
 // Read implements io.Reader.
 func (b *watchedBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
-	if errors.Is(err, io.EOF) {
-		b.onEnd()
+	if errors.Is(err, io.EOF) && !b.onEnd() {
+		return n, net.ErrClosed
 	}
 	return n, err
 }
--- a/node/lib/intake/intake_test.go
+++ b/node/lib/intake/intake_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -109,3 +110,86 @@
 	}
 	c.Check(answer(send(c, address, post("/", 4, "body"))), qt.Equals, "whole")
 }
+
+// victimOnce makes a listener with one connection close the first one, by opening another,
+// when called. It returns once the first one has been chosen.
+type victimOnce struct {
+	once    sync.Once
+	address string
+	closed  chan struct{}
+	other   chan net.Conn
+}
+
+func (v *victimOnce) close() {
+	v.once.Do(func() {
+		conn, err := net.Dial("tcp4", v.address)
+		if err == nil {
+			_, err = io.WriteString(conn, post("/second", 4, "body"))
+		}
+		if err == nil {
+			<-v.closed
+			v.other <- conn
+		}
+	})
+}
+
+// hookedBody calls atEnd before its reader learns of the end.
+type hookedBody struct {
+	io.ReadCloser
+	atEnd func()
+}
+
+func (b hookedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if errors.Is(err, io.EOF) {
+		b.atEnd()
+	}
+	return n, err
+}
+
+// A connection that is closed for another one between the reading of its whole request and
+// the record of that must not have the request handled: a server would run it, and its
+// answer could not be written (incident LOST).
+func TestRequestsOfClosedConnectionsAreNotHandled(t *testing.T) {
+	for _, withBody := range []bool{false, true} {
+		t.Run(fmt.Sprint("body ", withBody), func(t *testing.T) {
+			c := qt.New(t)
+			listener, err := net.Listen("tcp4", "127.0.0.1:0")
+			c.Assert(err, qt.IsNil)
+			victim := &victimOnce{address: listener.Addr().String(), closed: make(chan struct{}, 1), other: make(chan net.Conn, 1)}
+			handled := make(chan string, 2)
+			server := &http.Server{ReadHeaderTimeout: time.Minute, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				if _, err := io.Copy(io.Discard, r.Body); err == nil {
+					handled <- r.URL.Path
+				}
+				_, _ = fmt.Fprint(w, "whole")
+			})}
+			limited := Limit(server, listener, "test", 1, func(string, int) { victim.closed <- struct{}{} })
+			request := "GET /first HTTP/1.1\r\nHost: h\r\n\r\n"
+			if withBody {
+				request = post("/first", 4, "body")
+				next := server.Handler
+				server.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+					r.Body = hookedBody{r.Body, victim.close}
+					next.ServeHTTP(w, r)
+				})
+			} else {
+				recordState := server.ConnState
+				server.ConnState = func(conn net.Conn, state http.ConnState) {
+					recordState(conn, state)
+					if state == http.StateActive {
+						victim.close()
+					}
+				}
+			}
+			limited = callerconn.Configure(server, limited)
+			go func() { _ = server.Serve(limited) }()
+			c.Cleanup(func() { _ = server.Close() })
+			c.Check(answer(send(c, victim.address, request)), qt.Equals, "closed")
+			other := <-victim.other
+			defer func() { _ = other.Close() }()
+			c.Check(answer(other), qt.Equals, "whole")
+			c.Check(<-handled, qt.Equals, "/second")
+		})
+	}
+}
