--- a/node/lib/callerconn/callerconn.go
+++ b/node/lib/callerconn/callerconn.go
@@ -15,6 +15,7 @@
 	"context"
 	"errors"
 	"expvar"
+	"io"
 	"net"
 	"net/http"
 	"os"
@@ -36,8 +37,6 @@
 	// ErrCallerLeft is the cause of the end of a request's context.
 	ErrCallerLeft = errors.New("the caller has closed its connection")
 
-	errTooFarAhead = errors.New("callers have sent too many bytes ahead of their answers")
-
 	unwatched = expvar.NewInt("callers_not_watched_total")
 
 	aheadTotal budget
@@ -66,7 +65,11 @@
 }
 
 // Listener wraps the accepted connections.
-type Listener struct{ net.Listener }
+type Listener struct {
+	net.Listener
+	// open are the connections of a server that Shutdown can stop; nil for others.
+	open *connections
+}
 
 // Accept implements net.Listener.
 func (l Listener) Accept() (net.Conn, error) {
@@ -74,7 +77,9 @@
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: c}, nil
+	accepted := &conn{Conn: c, all: l.open, betweenRequests: true}
+	l.open.add(accepted)
+	return accepted, nil
 }
 
 type connKey struct{}
@@ -104,9 +109,19 @@
 // Configure makes a server use this package, and returns the listener to serve. The
 // handler must be set before.
 func Configure(server *http.Server, l net.Listener) net.Listener {
+	listener := Listener{l, &connections{open: map[*conn]struct{}{}}}
 	server.ConnContext = ConnContext
-	server.Handler = Watch(server.Handler)
-	return Listener{l}
+	server.Handler = configuredHandler{Watch(server.Handler), listener}
+	recordState := server.ConnState
+	server.ConnState = func(c net.Conn, state http.ConnState) {
+		if wrapped := unwrap(c); wrapped != nil && state == http.StateIdle {
+			wrapped.recordIdle()
+		}
+		if recordState != nil {
+			recordState(c, state)
+		}
+	}
+	return listener
 }
 
 // Watch returns a handler whose requests' contexts end with the cause ErrCallerLeft as
@@ -165,8 +180,18 @@
 	ahead []byte
 	err   error
 	left  bool
+	// last holds the bytes of the read that reached the bound on all connections. They
+	// follow ahead, don't count, and end the reading ahead until they are used. They are
+	// part of a request that must not be lost.
+	last []byte
 	// closed means that Close was called, after which nothing is kept.
 	closed bool
+	// all holds the connection until it is closed; nil if it is not tracked.
+	all *connections
+	// betweenRequests means that no handler runs and the last answer is written, begun that
+	// a part of the next request has been read. stopped means that a read that would begin
+	// one finds the end instead.
+	betweenRequests, begun, stopped bool
 	// reader is closed when the goroutine that reads ahead has ended; nil if there is
 	// none.
 	reader   chan struct{}
@@ -178,7 +203,7 @@
 func (c *conn) watch(onEnd func()) (unwatch func()) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.onEnd = onEnd
+	c.onEnd, c.betweenRequests = onEnd, false
 	if c.left {
 		onEnd()
 	}
@@ -205,7 +230,11 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.stopReader()
+	if c.stopped && c.betweenRequests && !c.begun {
+		return 0, io.EOF
+	}
 	n, err := c.readNext(p)
+	c.begun = c.begun || c.betweenRequests && n > 0
 	c.looked = n > 0 && len(p) == 1
 	c.timedOut = errors.Is(err, os.ErrDeadlineExceeded)
 	c.readAhead()
@@ -222,6 +251,12 @@
 		aheadTotal.release(n)
 		return n, nil
 	}
+	if n := copy(p, c.last); n > 0 {
+		if c.last = c.last[n:]; len(c.last) == 0 {
+			c.last = nil
+		}
+		return n, nil
+	}
 	if c.err != nil {
 		return 0, c.err
 	}
@@ -254,18 +289,19 @@
 
 // Close implements net.Conn.
 func (c *conn) Close() error {
+	c.all.remove(c)
 	err := c.Conn.Close()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	aheadTotal.release(len(c.ahead))
-	c.ahead, c.closed = nil, true
+	c.ahead, c.last, c.closed = nil, nil, true
 	return err
 }
 
 // readAhead starts to read ahead if a handler runs and net/http no longer looks for the
 // end of the connection. The caller holds mu.
 func (c *conn) readAhead() {
-	if c.onEnd == nil || !c.looked || c.reads > 0 || c.reader != nil || c.err != nil || len(c.ahead) >= maxAhead {
+	if c.onEnd == nil || !c.looked || c.reads > 0 || c.reader != nil || c.err != nil || len(c.ahead) >= maxAhead || c.last != nil {
 		return
 	}
 	done := make(chan struct{})
@@ -316,18 +352,19 @@
 		return true
 	}
 	if len(data) > 0 && !aheadTotal.reserve(len(data)) {
-		// The bytes are lost, so that the connection ends after the current answer.
 		unwatched.Add(1)
-		c.err = errTooFarAhead
-		return true
+		c.last = data
+	} else {
+		c.ahead = append(c.ahead, data...)
 	}
-	c.ahead = append(c.ahead, data...)
 	switch {
 	case err != nil && c.stopping && errors.Is(err, os.ErrDeadlineExceeded):
 		return true
 	case err != nil:
 		c.err, c.left = err, true
 		return true
+	case c.last != nil:
+		return true
 	case len(c.ahead) >= maxAhead:
 		unwatched.Add(1)
 		return true
