gateway: no hedge takes the place of one that has answered

What callers saw: 502 for a read, or a stream cut after its last event, though a hedge had answered; the memory of that answer stayed reserved. And a silent stream was offered to up to 18 servers, each taking a retry.

Cause: the watch may look for another server after a hedge has answered and before the silent attempt has noticed. The new hedge ended at once, but the chain returned its result instead of the first one's. Hedges didn't keep the bound on servers tried.

Change: no hedge begins once the chain has lost, nor beyond maxServersTried except to superseded servers.

--- a/node/gateway/hedge.go
+++ b/node/gateway/hedge.go
@@ -40,27 +40,34 @@
 	return h
 }
 
-// prepare returns the request of a hedge, or false if one is running or the attempt is over.
-// If no further server may get the request, it may return to those that were superseded.
+// mayStart reports whether a hedge may begin. None may once one has led: the chain returns
+// the result of the last hedge. The caller holds mu.
+func (h *hedges) mayStart() bool {
+	return !h.closed && !h.chain.lost.Load() && !h.isRunning()
+}
+
+// prepare returns the request of a hedge, or false if none may begin. If no further server
+// may get the request, it may return to those that were superseded.
 func (h *hedges) prepare() (*request, bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.closed || h.isRunning() {
+	if !h.mayStart() {
 		return nil, false
 	}
 	req := h.next
 	req.tried = slices.DeleteFunc(slices.Clone(req.tried), h.chain.race.mayReturnTo)
-	if !req.mayRerun() {
+	enough := len(req.tried) >= maxServersTried
+	if enough || !req.mayRerun() {
 		req.only = h.chain.race.supersededServers()
 	}
-	return &req, true
+	return &req, !enough || len(req.only) > 0
 }
 
 // start begins a hedge with a prepared request, unless the attempt is over.
 func (h *hedges) start(req *request) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.closed || h.isRunning() {
+	if !h.mayStart() {
 		return false
 	}
 	c, g := h.chain, h.chain.g
--- a/node/gateway/hedge_test.go
+++ b/node/gateway/hedge_test.go
@@ -488,3 +488,93 @@
 	r.mu.Unlock()
 	c.Check(used <= 2, qt.IsTrue, qt.Commentf("%d retries used", used))
 }
+
+// lateReturn is a buffered exchanger whose ended exchanges return late, as on a busy
+// machine.
+type lateReturn struct {
+	buffered
+	by time.Duration
+}
+
+func (l lateReturn) exchange(ctx context.Context, end context.CancelCauseFunc, c *chain, choice placement.Choice, w *progressWatch) result {
+	r := l.buffered.exchange(ctx, end, c, choice, w)
+	if ctx.Err() != nil {
+		<-time.After(l.by)
+	}
+	return r
+}
+
+// A hedge that began after another one had answered took the place of its result: the caller
+// got 502, and the memory of the answer was never released.
+func TestAnswerOfAnEarlierHedgeIsKept(t *testing.T) {
+	c := qt.New(t)
+	silent := newServer(c, neverAnswer)
+	r := silenceGateway(c, silent)
+	in := r.request(c, http.MethodPost, "/read/1", "x")
+	req := &request{
+		call: r.cfg.Codec.Call(in.Header), in: in, start: time.Now(), deadline: time.Now().Add(2 * time.Second),
+		route: r.table.Load().Match("h.example", "/read/1"), service: "svc",
+	}
+	ctx, cancel := context.WithDeadline(context.Background(), req.deadline)
+	defer cancel()
+	done := make(chan result, 1)
+	go func() { done <- r.newChain(ctx, req, &race{}, lateReturn{by: 300 * time.Millisecond}).run(r.place) }()
+	waitFor(c, func() bool { return silent.count() == 1 })
+	r.addServer("other", newServer(c, answerWith(http.StatusOK)).URL, nil)
+	got := <-done
+	c.Check(got.reason, qt.Equals, Reason(""))
+	got.release()
+	c.Check(r.answers.used.Load(), qt.Equals, int64(0))
+}
+
+// Hedges must not offer a request to more servers than attempts that follow each other do.
+func TestHedgesKeepTheBoundOnOffers(t *testing.T) {
+	c := qt.New(t)
+	silent := newServer(c, silentStream(silentBetweenEvents, 4500*time.Millisecond))
+	r := silenceGateway(c, silent)
+	r.mu.Lock()
+	r.budget = limits.NewRetryBudget(limits.RetryBudgetConfig{Ratio: 0, Burst: 20, MaxKeys: 4})
+	r.mu.Unlock()
+	var others []*server
+	for range 25 {
+		others = append(others, newServer(c, notRun))
+	}
+	got := besideSilent(c, r, "/stream/1", silent, others...)
+	offers := 0
+	for _, o := range others {
+		offers += o.count()
+	}
+	c.Check(got.body, qt.Equals, wholeStream)
+	c.Check(offers < maxServersTried, qt.IsTrue, qt.Commentf("%d further servers were offered the request", offers))
+}
+
+// An attempt that is refused beside a silent hedge must go on at a free server; it waited
+// for the hedge until the deadline.
+func TestRefusedBesideASilentHedge(t *testing.T) {
+	for _, path := range []string{"/stream/1", "/read/1"} {
+		t.Run(path, func(t *testing.T) {
+			t.Parallel()
+			c := qt.New(t)
+			wait := 1500 * time.Millisecond
+			if path == "/read/1" {
+				wait = 3300 * time.Millisecond
+			}
+			first := newServer(c, func(w http.ResponseWriter, q *http.Request) {
+				<-time.After(wait)
+				notRun(w, q)
+			})
+			r := silenceGateway(c, first)
+			done := make(chan answered, 1)
+			go func() { done <- r.call(c, path, "request") }()
+			waitFor(c, func() bool { return first.count() == 1 })
+			hedge := newServer(c, neverAnswer)
+			r.addServer("hedge", hedge.URL, nil)
+			waitFor(c, func() bool { return hedge.count() == 1 })
+			third := newServer(c, events(silentEvents, false))
+			r.addServer("third", third.URL, nil)
+			got := <-done
+			c.Check(got.status, qt.Equals, http.StatusOK, qt.Commentf("%s after %v", got.body, got.took))
+			c.Check(third.count(), qt.Equals, 1)
+		})
+	}
+}
