--- a/node/gateway/hedge.go
+++ b/node/gateway/hedge.go
@@ -9,6 +9,7 @@
 	"github.com/laburnumloft/laburnumloft/core/limits"
 	"github.com/laburnumloft/laburnumloft/core/placement"
 	"github.com/laburnumloft/laburnumloft/node/lib/bootclock"
+	"github.com/laburnumloft/laburnumloft/node/lib/stall"
 )
 
 // hedge is a chain beside an attempt whose server is silent.
@@ -168,7 +169,7 @@
 	attempts.Add("silent_"+decision, 1)
 	g.cfg.Log.Event("attempt_silent", append([]any{
 		"request", req.call.RequestID, "service", req.service, "server", choice.Server.ID,
-		"silent_ms", silent.Milliseconds(), "decision", decision,
+		"silent_ms", silent.Milliseconds(), "decision", decision, "stalled_ms", stall.Total().Milliseconds(),
 	}, grounds...)...)
 }
 
