gateway: a stall of the entry is no silence of its servers

Cause: an entry that is not scheduled for a second finds all its timeouts expired when it goes on, and acts on them before it reads what has arrived. It suspected sound servers and tried others beside all their streams, which uses up the retry budget.

Change: the silence of a server doesn't contain the time for which this process did not run.

Evidence: TestOwnPauseIsNoSilenceOfServers, an entry stopped for 2 s four times with 24 streams of sound servers each: attempt_silent for nearly all of them before (2 runs, failed), none after (5 runs). TestOwnStallIsNoSilence fails without the change.

--- /dev/null
+++ b/bench/fleet/own_pause_test.go
@@ -0,0 +1,58 @@
+package fleet
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+const (
+	// ownPause is how long an entry is stopped. It is longer than any silence after which
+	// another server is tried.
+	ownPause = 2 * time.Second
+	// ownPauseRounds is how often that happens, and ownPauseCallers how many streams it
+	// meets.
+	ownPauseRounds  = 4
+	ownPauseCallers = 24
+)
+
+// An entry that was stopped for a while itself must not take that time for a silence of its
+// servers: it tried other ones beside sound streams, and suspected sound servers.
+func TestOwnPauseIsNoSilenceOfServers(t *testing.T) {
+	c := qt.New(t)
+	f := start(c)
+	f.startPauses()
+	for round := range ownPauseRounds {
+		var callers sync.WaitGroup
+		for n := range ownPauseCallers {
+			callers.Go(func() {
+				// The streams are at different points when the entry is stopped.
+				<-time.After(time.Duration(rand.Int64N(int64(time.Second))))
+				k := &keptCaller{}
+				o, ok := k.call("/notice/", fmt.Sprintf("notice-%d-%d", round, n), pauseDeadline, shortestTimeout, false)
+				c.Check(ok && o.whole, qt.IsTrue, qt.Commentf("%s: status %d", o.id, o.status))
+				if k.conn != nil {
+					k.close()
+				}
+			})
+		}
+		<-time.After(time.Second)
+		f.signalEntry(0, syscall.SIGSTOP)
+		<-time.After(ownPause)
+		f.signalEntry(0, syscall.SIGCONT)
+		callers.Wait()
+	}
+	for _, line := range strings.Split(f.logs.String(), "\n") {
+		if strings.Contains(line, "attempt_silent") || strings.Contains(line, "process_paused") {
+			c.Log(line)
+		}
+	}
+	c.Check(strings.Count(f.logs.String(), "attempt_silent"), qt.Equals, 0)
+	f.checkServers(nil)
+}
--- a/node/gateway/progress.go
+++ b/node/gateway/progress.go
@@ -7,6 +7,7 @@
 
 	"github.com/laburnumloft/laburnumloft/core/placement"
 	"github.com/laburnumloft/laburnumloft/core/route"
+	"github.com/laburnumloft/laburnumloft/node/lib/stall"
 )
 
 const (
@@ -66,7 +67,9 @@
 	timer *time.Timer
 	// lastEventAt is when the last event was forwarded; zero if none was.
 	lastEventAt time.Time
-	suspected   bool
+	// stalledBefore is for how long this process had been stalled when the silence began.
+	stalledBefore time.Duration
+	suspected     bool
 	// looked means that onSilence was called in this silence.
 	looked, stopped bool
 }
@@ -99,7 +102,7 @@
 func (p *progressWatch) start() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.startedAt = time.Now()
+	p.startedAt, p.stalledBefore = time.Now(), stall.Total()
 	p.timer = time.AfterFunc(p.next(0), p.check)
 }
 
@@ -173,7 +176,7 @@
 func (p *progressWatch) handleEvent() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.lastEventAt, p.looked = time.Now(), false
+	p.lastEventAt, p.stalledBefore, p.looked = time.Now(), stall.Total(), false
 	p.resume()
 	p.timer.Reset(p.next(0))
 }
@@ -197,11 +200,13 @@
 	return suspected
 }
 
-// silence returns the time since the last event, or since the start if there was none. The
-// caller holds mu.
+// silence returns the time since the last event, or since the start if there was none,
+// without the time in which this process did not run: what arrived meanwhile is read only
+// now. The caller holds mu.
 func (p *progressWatch) silence() time.Duration {
+	since := p.startedAt
 	if !p.lastEventAt.IsZero() {
-		return time.Since(p.lastEventAt)
+		since = p.lastEventAt
 	}
-	return time.Since(p.startedAt)
+	return time.Since(since) - (stall.Total() - p.stalledBefore)
 }
--- a/node/gateway/silence_test.go
+++ b/node/gateway/silence_test.go
@@ -18,6 +18,7 @@
 	"github.com/laburnumloft/laburnumloft/core/placement"
 	"github.com/laburnumloft/laburnumloft/core/route"
 	"github.com/laburnumloft/laburnumloft/core/shutdown"
+	"github.com/laburnumloft/laburnumloft/node/lib/stall"
 )
 
 // silencePoint is the point of an answer at which a server falls silent.
@@ -478,3 +479,21 @@
 		c.Check((got-test.want).Abs() < 20*time.Millisecond, qt.IsTrue, qt.Commentf("%v, want %v", got, test.want))
 	}
 }
+
+// A stall of this process must not count as a silence of a server: after it all timeouts
+// expired at once, before what had arrived was read.
+func TestOwnStallIsNoSilence(t *testing.T) {
+	c := qt.New(t)
+	var called atomic.Int32
+	call := func() { called.Add(1) }
+	p := &progressWatch{
+		suspectFirst: 30 * time.Millisecond, hedgeAfterStart: 30 * time.Millisecond, lookInterval: time.Hour,
+		onSuspect: call, onResume: func() {}, onSilence: func(time.Duration, bool) { call() },
+	}
+	p.start()
+	stall.Add(time.Minute)
+	defer stall.Add(-time.Minute)
+	<-time.After(100 * time.Millisecond)
+	c.Check(p.stop(), qt.IsFalse)
+	c.Check(called.Load(), qt.Equals, int32(0))
+}
