gateway: an answer whose status ends no request is none

A server that sent a signed answer with a status under 100 made the handler panic in WriteHeader: the caller's connection was closed without an answer and without a line in the decision log. With 101 the caller got a head after which no answer follows. Found while looking for whole requests that get neither an answer nor a refusal; it needs no configuration and a faulty server.

The attempt now fails as one whose header is invalid: what may be repeated is repeated, the rest gets 502. TestAnswerWithoutFinalStatus failed in 12 of 12 cases before (000, 099 and 101; all kinds of routes) and passes with -race.

--- a/node/gateway/containment.go
+++ b/node/gateway/containment.go
@@ -128,7 +128,7 @@
 // against this request than against others. The parts of a prompt are no suspects once a
 // good part of its answer has spoken for them.
 func (g *Gateway) checkCrash(req *request, e *exchange, weak bool) {
-	if req.identity.IsZero() || !e.sent || errors.Is(e.err, errWrongRequestID) || errors.Is(e.err, errInvalidHeader) {
+	if req.identity.IsZero() || !e.sent || errors.Is(e.err, errWrongRequestID) || errors.Is(e.err, errInvalidHeader) || errors.Is(e.err, errNoFinalStatus) {
 		return
 	}
 	e.crash = g.containment.probes.state(e.choice.Server)
--- a/node/gateway/errors.go
+++ b/node/gateway/errors.go
@@ -6,6 +6,7 @@
 var (
 	errWrongRequestID = eris.New("the server's answer carries another request id: it belongs to another request")
 	errInvalidHeader  = eris.New("a 2xx answer of the server lacks a signature or a request id, or has a content encoding")
+	errNoFinalStatus  = eris.New("the status of the server's answer, under 200, does not end a request")
 	errAnswerTooLarge = eris.New("the answer exceeds the limit of one answer or of all buffered answers")
 	errQuarantined    = eris.New("the attempt was cancelled before its first event, because its prompt crashes engines")
 	errEmptyStream    = eris.New("the server's stream ended with its connection before the attempt's first event")
--- a/node/gateway/exchange.go
+++ b/node/gateway/exchange.go
@@ -116,6 +116,9 @@
 	if e.answer.RequestID != "" && e.answer.RequestID != req.call.RequestID {
 		_ = e.resp.Body.Close()
 		e.err = errWrongRequestID
+	} else if e.resp.StatusCode < http.StatusOK {
+		_ = e.resp.Body.Close()
+		e.err = errNoFinalStatus
 	} else if e.resp.StatusCode/100 == 2 && (!e.answer.Signed || e.answer.RequestID == "" || e.resp.Header.Get("Content-Encoding") != "") {
 		_ = e.resp.Body.Close()
 		e.err = errInvalidHeader
--- /dev/null
+++ b/node/gateway/status_test.go
@@ -0,0 +1,64 @@
+package gateway
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/laburnumloft/laburnumloft/core/placement"
+)
+
+// statusServer answers each request with a status line of its own and returns its address.
+func statusServer(c *qt.C, status string) (address string) {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = conn.Close() }()
+				req, err := http.ReadRequest(bufio.NewReader(conn))
+				if err != nil {
+					return
+				}
+				_, _ = io.Copy(io.Discard, req.Body)
+				_, _ = fmt.Fprintf(conn, "HTTP/1.1 %s\r\nId: %s\r\nSignature: s\r\nContent-Length: 4\r\n\r\nbody", status, req.Header.Get("Id"))
+			}()
+		}
+	}()
+	return listener.Addr().String()
+}
+
+// A status that ends no request is no answer. Passed on, one below 100 made the handler panic
+// and closed the caller's connection without an answer, and 101 left the caller waiting.
+func TestAnswerWithoutFinalStatus(t *testing.T) {
+	for _, status := range []string{"000 Zero", "099 Low", "101 Switching Protocols"} {
+		for _, path := range []string{"/order/1", "/read/1", "/stream/1", "/once/1"} {
+			t.Run(status+path, func(t *testing.T) {
+				c := qt.New(t)
+				r := newTestGateway(c)
+				r.PutServer(placement.Server{ID: "s0", Address: statusServer(c, status), Service: "svc", Zone: "z"})
+				_, address := r.listenForCallers(c, 0)
+				conn, err := net.Dial("tcp4", address)
+				c.Assert(err, qt.IsNil)
+				defer func() { _ = conn.Close() }()
+				_, err = fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: h.example\r\nId: 1\r\nLeft: 1500\r\nKey: key\r\nContent-Length: 4\r\n\r\nbody", path)
+				c.Assert(err, qt.IsNil)
+				_ = conn.SetReadDeadline(time.Now().Add(5 * time.Second))
+				resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+				c.Assert(err, qt.IsNil)
+				c.Check(resp.StatusCode, qt.Equals, http.StatusBadGateway)
+			})
+		}
+	}
+}
