gateway: a configuration wakes the requests that wait

A configuration that lifts the limit of cold servers let the requests that wait for them wait on: only messages about servers wake the queue, and a miss recorded before stands for later requests until then. With a long target they were refused at their deadline (503) although their server was free. The change of what services allow is now announced like any other change of the servers.

TestLiftedColdLimitWakesWaitingRequests failed before (503 after 1.5 s) and passes five times with -race. Found by reading for requests that wait while a configuration comes; it refuses, and leaves no request without an answer.

--- a/node/gateway/restrictions.go
+++ b/node/gateway/restrictions.go
@@ -47,6 +47,8 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.fleet.SetTraits(traits)
+	// Servers may bear more than they did.
+	g.notifyWaiters()
 }
 
 // PacesColdServers reports whether servers of a service bear only a low rate of requests
