gateway: configurations that come at once are applied in order

Two configurations may arrive at once, from the store and from another entry. The table was exchanged atomically, but what follows from it (limits of cold servers, the bound on bodies) was applied without order, so that the older one's values could stay beside the newer table until the next configuration: requests were refused for a limit or a size that no longer held.

Configure now holds a lock.

--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -147,6 +147,10 @@
 	cfg    Config
 	client *http.Transport
 	table  atomic.Pointer[route.Table]
+	// configuring is held while a configuration is activated. Two of them may come from
+	// the store and from an entry at once, and what the older one says of servers and
+	// bodies must not be applied last.
+	configuring sync.Mutex
 	// newestConfiguration is the newest version that any entry is known to have.
 	newestConfiguration atomic.Int64
 	// draining is set when a stop is requested; closing is set later, when the
@@ -208,21 +212,19 @@
 // Configure activates a configuration if its version is newer than that of the
 // active one, and reports whether it did.
 func (g *Gateway) Configure(cfg route.Configuration, source string) bool {
-	for {
-		old := g.table.Load()
-		if old != nil && old.Version() >= cfg.Version {
-			return false
-		}
-		if g.table.CompareAndSwap(old, route.NewTable(cfg)) {
-			g.applyTraits()
-			g.setEntriesView()
-			g.bodies.SetLargest(cfg.Limits.MaxBodyBytes)
-			g.cfg.Log.Event("configuration_taken", "version", cfg.Version, "store_era", cfg.StoreEra, "source", source,
-				"routes", len(cfg.Routes), "workspaces", len(cfg.Workspaces))
-			g.logUnknownHomes(cfg)
-			return true
-		}
+	g.configuring.Lock()
+	defer g.configuring.Unlock()
+	if old := g.table.Load(); old != nil && old.Version() >= cfg.Version {
+		return false
 	}
+	g.table.Store(route.NewTable(cfg))
+	g.applyTraits()
+	g.setEntriesView()
+	g.bodies.SetLargest(cfg.Limits.MaxBodyBytes)
+	g.cfg.Log.Event("configuration_taken", "version", cfg.Version, "store_era", cfg.StoreEra, "source", source,
+		"routes", len(cfg.Routes), "workspaces", len(cfg.Workspaces))
+	g.logUnknownHomes(cfg)
+	return true
 }
 
 // RecordNewestConfiguration records the newest version of the configuration that any entry
