--- a/bench/fleet/fleet_test.go
+++ b/bench/fleet/fleet_test.go
@@ -95,6 +95,8 @@
 	// cold how much longer servers say that they are cold, in milliseconds.
 	zones map[string]string
 	cold  map[string]int64
+	// services are the services of servers that serve another one than their kind does.
+	services map[string]string
 	// memoryMB and maxFDs are the memory and the descriptors of each VM, maxFDs 0 for no
 	// limit; maxBody is the largest body that callers may send, in bytes.
 	memoryMB, maxFDs, maxBody int
@@ -313,6 +315,9 @@
 func (f *fleet) writeBeat(id string, beat map[string]any) {
 	f.mu.Lock()
 	silent, draining, zone, cold := f.silent[id], f.draining[id], f.zones[id], f.cold[id]
+	if service := f.services[id]; service != "" {
+		beat["service"] = service
+	}
 	f.mu.Unlock()
 	if draining {
 		beat["state"] = "draining"
