gateway: log a request whose handler panics

A handler that panics closes its caller's connection. The decision log said nothing of it, so that such a request could not be told from one whose caller had left; that is how the status under 100 went unseen. The line handler_panicked names the request, the cause and the top of the stack. The panic goes on as before; the end of a begun stream (http.ErrAbortHandler) is not logged again.

TestPanicOfAHandlerIsLogged fails without the change, which it guards.

--- a/node/gateway/handler.go
+++ b/node/gateway/handler.go
@@ -4,8 +4,10 @@
 	"context"
 	"errors"
 	"expvar"
+	"fmt"
 	"io"
 	"net/http"
+	"runtime/debug"
 	"strconv"
 	"time"
 
@@ -125,6 +127,7 @@
 	if g.draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
+	defer g.logPanic(r)
 	req, reason := g.admit(w, r)
 	if reason != "" {
 		g.refuse(w, req, reason)
@@ -144,6 +147,25 @@
 	g.serveBuffered(ctx, w, req)
 }
 
+// maxLoggedStack is how many bytes of a stack a log line holds.
+const maxLoggedStack = 2 << 10
+
+// logPanic logs that a handler ends by a panic, which closes the caller's connection without
+// an answer. Nothing else tells of that request.
+func (g *Gateway) logPanic(r *http.Request) {
+	cause := recover()
+	if cause == nil {
+		return
+	}
+	// A stream that can't be completed ends this way, and has been logged.
+	if err, ok := cause.(error); !ok || !errors.Is(err, http.ErrAbortHandler) {
+		outcomes.Add("handler_panicked", 1)
+		stack := debug.Stack()
+		g.cfg.Log.Event("handler_panicked", "request", g.cfg.Codec.Call(r.Header).RequestID, "cause", fmt.Sprint(cause), "stack", string(stack[:min(len(stack), maxLoggedStack)]))
+	}
+	panic(cause)
+}
+
 // lastWriteTimeout is how long after a request's deadline a write to a caller that does
 // not read may last. Until it ends, the request keeps its place at the server.
 const lastWriteTimeout = 250 * time.Millisecond
--- a/node/gateway/status_test.go
+++ b/node/gateway/status_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -62,3 +63,24 @@
 		}
 	}
 }
+
+// panickingCodec panics where a request to a server is prepared.
+type panickingCodec struct{ testCodec }
+
+func (panickingCodec) Prepare(http.Header, AttemptInfo) { panic("codec") }
+
+// A handler that panics closes its caller's connection. The log must tell which request that
+// was: without a line it looks as if the caller had left.
+func TestPanicOfAHandlerIsLogged(t *testing.T) {
+	c := qt.New(t)
+	r := newTestGateway(c, newServer(c, answerWith(http.StatusOK)))
+	r.cfg.Codec = panickingCodec{}
+	ctx, stopLog := context.WithCancel(context.Background())
+	logged := make(chan struct{})
+	go func() { r.cfg.Log.Run(ctx); close(logged) }()
+	c.Check(func() { r.post("/order/1") }, qt.PanicMatches, "codec")
+	stopLog()
+	<-logged
+	c.Check(r.log.String(), qt.Contains, `"handler_panicked"`)
+	c.Check(r.log.String(), qt.Contains, `"request":"/order/1"`)
+}
