gateway: a planned stop answers callers that keep their connections

What callers saw: a planned stop closed idle kept connections 0.3 s after its listener, 2.8 s after the SIGTERM, though the grace period was longer.

The stop ended connections on a clock, whether callers still used them or not. And an answer of a server never ended its connection: ServeHTTP set "Connection: close", and copyHeader removed it together with the server's own hop-by-hop fields. Only refusals carried it, so a caller in constant use still held its connection when it was closed.

Change: copyHeader leaves the fields of the destination alone. Idle connections stay open until none is left, none that had answered before was used for 2 s, or 0.8 s before the end of the grace period. Meanwhile a request is taken if its deadline lies before the last answers are due, and refused with 503 otherwise; either answer ends the connection. New connections are refused after 2.5 s as before.

Weighed: closing idle connections only near the end of the grace period answers as many, but every restart with one idle connection would last 7.5 s. Callers learn of the stop from /v1/resolve within its ttl of 2 s and stop using their connections then, so 2 s without a use end the wait. An entry that stops is not ready from the SIGTERM on, so the DRAIN rule on a quarter of the machines is not touched. A stop lasts longer than before only while requests arrive on kept connections.

Requests that come on kept connections rarer than once in 2 s in all may still cross it.

--- a/bench/fleet/stop_test.go
+++ b/bench/fleet/stop_test.go
@@ -17,7 +17,7 @@
 )
 
 const (
-	// stopGrace is the grace period of the settings.
+	// stopGrace is the usual grace period of the settings.
 	stopGrace = 4 * time.Second
 	// stopTimeout is the timeout of the routes, which is shorter than the grace.
 	stopTimeout = 3 * time.Second
--- a/core/shutdown/shutdown.go
+++ b/core/shutdown/shutdown.go
@@ -14,8 +14,16 @@
 	// answerReserve the part before it in which the last answers are written.
 	exitReserve   = 300 * time.Millisecond
 	answerReserve = 200 * time.Millisecond
+	// keptReserve is the part before the last answers in which requests on open
+	// connections are refused and these connections are closed.
+	keptReserve = 300 * time.Millisecond
 )
 
+// QuietPeriod is the time without a request on a kept connection after which the others
+// are closed early. Callers that ask for the entries again stop using connections to this
+// one within the two seconds that an answer holds.
+const QuietPeriod = 2 * time.Second
+
 // Plan is the schedule of one planned stop.
 type Plan struct {
 	begun time.Time
@@ -28,11 +36,21 @@
 	return Plan{begun, max(grace, 0)}
 }
 
-// AcceptUntil returns when the process stops taking requests.
+// AcceptUntil returns when the process stops taking new connections.
 func (p Plan) AcceptUntil() time.Time {
 	return p.begun.Add(min(maxAcceptPeriod, p.grace/acceptDivisor))
 }
 
+// KeepUntil returns when the process stops taking requests on open connections and closes
+// idle ones at the latest.
+func (p Plan) KeepUntil() time.Time {
+	until := p.AnswerBy().Add(-keptReserve)
+	if accept := p.AcceptUntil(); accept.After(until) {
+		return accept
+	}
+	return until
+}
+
 // AnswerBy returns when requests in flight are ended, so that their callers get an
 // answer before the process exits.
 func (p Plan) AnswerBy() time.Time {
@@ -46,5 +64,5 @@
 // that might not end within the grace period is refused at once: its caller can go
 // elsewhere, and it has not run.
 func (p Plan) Takes(now, deadline time.Time) bool {
-	return now.Before(p.AcceptUntil()) && !deadline.After(p.AnswerBy())
+	return now.Before(p.KeepUntil()) && !deadline.After(p.AnswerBy())
 }
--- a/node/gateway/exchange.go
+++ b/node/gateway/exchange.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -204,12 +205,12 @@
 	return "server"
 }
 
-// copyHeader copies a server's header without its hop-by-hop fields.
+// copyHeader copies a server's header without its hop-by-hop fields. Those of dst stay: an
+// answer during a planned stop ends its connection.
 func copyHeader(dst, src http.Header) {
 	for name, values := range src {
-		dst[name] = values
-	}
-	for _, name := range hopByHopHeaders {
-		dst.Del(name)
+		if !slices.Contains(hopByHopHeaders, name) {
+			dst[name] = values
+		}
 	}
 }
--- a/node/gateway/server.go
+++ b/node/gateway/server.go
@@ -48,14 +48,18 @@
 	return server, nil
 }
 
-// Drain completes a planned stop: requests are taken for a while, then refused, and
-// those in flight are awaited until the plan ends them.
+// Drain completes a planned stop: new connections are taken for a while, requests on kept
+// connections as long as callers use these and the plan allows it. The rest is refused, and
+// requests in flight are awaited until the plan ends them.
 func Drain(server *http.Server, g *Gateway, plan shutdown.Plan, log *decision.Log) error {
 	started := time.Now()
 	time.Sleep(time.Until(plan.AcceptUntil()))
-	g.Close()
 	ctx, cancel := context.WithDeadline(context.Background(), plan.ExitBy())
 	defer cancel()
+	keep, cancelKeep := context.WithDeadline(ctx, plan.KeepUntil())
+	defer cancelKeep()
+	callerconn.AwaitUnused(keep, server, shutdown.QuietPeriod)
+	g.Close()
 	err := callerconn.Shutdown(ctx, server)
 	log.Event("stopped", "whole", err == nil, "ms", time.Since(started).Milliseconds())
 	return nil
--- a/node/gateway/stop_test.go
+++ b/node/gateway/stop_test.go
@@ -68,3 +68,25 @@
 	c.Check(keep, qt.IsFalse)
 	return true
 }
+
+// An answer during a stop must end its connection, also one that a server gave: the callers
+// of the others would go on using connections that the stop closes.
+func TestAnswersDuringAStopEndTheirConnections(t *testing.T) {
+	c := qt.New(t)
+	r := newTestGateway(c, newServer(c, wholeRequestServer))
+	_, address := r.listenForCallers(c, 0)
+	for kind, request := range wholeRequests("1") {
+		conn, err := net.Dial("tcp4", address)
+		c.Assert(err, qt.IsNil)
+		if kind == 0 {
+			_, keep, err := exchangeRaw(conn, bufio.NewReader(conn), request)
+			c.Assert(err, qt.IsNil)
+			c.Check(keep, qt.IsTrue)
+			r.BeginDrain(shutdown.NewPlan(time.Now(), time.Minute))
+		}
+		_, keep, err := exchangeRaw(conn, bufio.NewReader(conn), request)
+		c.Check(err, qt.IsNil, qt.Commentf("kind %d", kind))
+		c.Check(keep, qt.IsFalse, qt.Commentf("kind %d", kind))
+		c.Check(conn.Close(), qt.IsNil)
+	}
+}
--- a/node/lib/callerconn/callerconn.go
+++ b/node/lib/callerconn/callerconn.go
@@ -192,6 +192,8 @@
 	// a part of the next request has been read. stopped means that a read that would begin
 	// one finds the end instead.
 	betweenRequests, begun, stopped bool
+	// answered means that an answer was written on the connection.
+	answered bool
 	// reader is closed when the goroutine that reads ahead has ended; nil if there is
 	// none.
 	reader   chan struct{}
@@ -204,6 +206,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.onEnd, c.betweenRequests = onEnd, false
+	if c.answered {
+		c.all.recordKeptUse()
+	}
 	if c.left {
 		onEnd()
 	}
--- a/node/lib/callerconn/shutdown.go
+++ b/node/lib/callerconn/shutdown.go
@@ -30,6 +30,9 @@
 	mu      sync.Mutex
 	open    map[*conn]struct{}
 	stopped bool
+	// keptUsed is when the last request began on a connection that had answered one
+	// before; zero if there was none.
+	keptUsed time.Time
 }
 
 func (a *connections) add(c *conn) {
@@ -51,6 +54,23 @@
 	delete(a.open, c)
 }
 
+// recordKeptUse records that a request has begun on a connection that has answered one.
+func (a *connections) recordKeptUse() {
+	if a == nil {
+		return
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.keptUsed = time.Now()
+}
+
+// isQuiet reports whether no kept connection was used for a time.
+func (a *connections) isQuiet(period time.Duration) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.keptUsed.IsZero() || time.Since(a.keptUsed) >= period
+}
+
 // list returns the open connections.
 func (a *connections) list() (open []*conn) {
 	a.mu.Lock()
@@ -80,7 +100,12 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, most)
 	defer cancel()
-	for slices.ContainsFunc(a.list(), (*conn).isIdle) {
+	a.awaitIdle(ctx, func() bool { return false })
+}
+
+// awaitIdle waits until no connection is between requests, enough returns true or ctx ends.
+func (a *connections) awaitIdle(ctx context.Context, enough func() bool) {
+	for slices.ContainsFunc(a.list(), (*conn).isIdle) && !enough() {
 		select {
 		case <-ctx.Done():
 			return
@@ -93,6 +118,7 @@
 func (c *conn) recordIdle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.answered = true
 	c.betweenRequests, c.begun = true, c.looked || len(c.ahead) > 0 || c.last != nil
 }
 
@@ -113,6 +139,19 @@
 	}
 }
 
+// AwaitUnused closes the listener of a server of Configure and waits until no connection is
+// between requests, no kept connection was used for the quiet period, or ctx ends. The
+// handler must end each connection with its answer.
+func AwaitUnused(ctx context.Context, server *http.Server, quiet time.Duration) {
+	h, ok := server.Handler.(configuredHandler)
+	if !ok {
+		return
+	}
+	_ = h.listener.Close()
+	open := h.listener.open
+	open.awaitIdle(ctx, func() bool { return open.isQuiet(quiet) })
+}
+
 // Shutdown is http.Server.Shutdown for a server of Configure, without its loss of requests:
 // net/http drops a request whose head it reads while it shuts down. The handler must refuse
 // requests by now. It gets those that arrive within lastRequests on open connections; later
