entry, agent: a planned stop answers requests that cross it

What callers saw: on the own interface a request that arrived as a planned stop closed the listener, or of which a part had been read by then, got a closed connection instead of a refusal with another address. For a POST that may not be repeated this leaves open whether it ran.

Change: both use callerconn.Configure and callerconn.Shutdown as the platform's callers' port does. Connections with HTTP/2 carry several requests and are left to net/http: it may report one idle when the next request has been read. An idle HTTP/2 connection may therefore still be closed as a request arrives, as before; entries and agents use them for control traffic.

Tests: TestPlannedStopAnswersRequestsThatCrossIt fails before. TestShutdownLeavesRequestsOverHTTP2 fails without recordMultiplexed (the connection counts as idle). bench/membership, node/entry, node/agent, node/lib/intake, node/lib/callerconn with -race and TestPlannedStop of bench/operations pass.

--- a/node/agent/agent.go
+++ b/node/agent/agent.go
@@ -169,9 +169,9 @@
 	log := intake.Logger(a.logger)
 	bodies := intake.NewBodies(cmp.Or(a.cfg.HeldBodyBytes, intake.DefaultBodyBytes), intake.LogGivenUp(log))
 	server := lifecycle.NewServer(a.handler(), serverProtocols())
-	server.ConnContext = callerconn.ConnContext
 	limited := intake.Limit(server, listener, "agent", a.cfg.MaxConnections, intake.LogClosed(log))
-	server.Handler = callerconn.Watch(bodies.Handler(server.Handler))
+	server.Handler = bodies.Handler(server.Handler)
+	limited = callerconn.Configure(server, limited)
 	var duties sync.WaitGroup
 	dutyCtx, stopDuties := context.WithCancel(context.Background())
 	defer stopDuties()
@@ -185,8 +185,9 @@
 		a.state.setServing("")
 	}
 	duties.Go(func() {
-		// The connections of package callerconn lie below TLS.
-		if err := server.Serve(a.cfg.Channel.Listener(callerconn.Listener{Listener: limited})); !errors.Is(err, http.ErrServerClosed) {
+		// The connections of package callerconn lie below TLS. A planned stop closes the
+		// listener first.
+		if err := server.Serve(a.cfg.Channel.Listener(limited)); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 			a.logger.Error("server stopped", "error", err)
 		}
 	})
--- a/node/agent/drain.go
+++ b/node/agent/drain.go
@@ -9,6 +9,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/laburnumloft/laburnumloft/node/lib/callerconn"
 	"github.com/laburnumloft/laburnumloft/node/lib/lifecycle"
 	"github.com/laburnumloft/laburnumloft/node/lib/wire"
 	"github.com/laburnumloft/laburnumloft/node/rpc"
@@ -86,7 +87,7 @@
 	}
 	ctx, cancelClose := context.WithTimeout(ctx, closeTimeout)
 	defer cancelClose()
-	if server.Shutdown(ctx) != nil {
+	if callerconn.Shutdown(ctx, server) != nil {
 		// Only transfers to peers are left; they fetch from others.
 		_ = server.Close()
 	}
--- a/node/entry/drain.go
+++ b/node/entry/drain.go
@@ -11,6 +11,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/laburnumloft/laburnumloft/core/membership"
+	"github.com/laburnumloft/laburnumloft/node/lib/callerconn"
 	"github.com/laburnumloft/laburnumloft/node/lib/wire"
 )
 
@@ -126,7 +127,7 @@
 	ctx, cancelClose := context.WithTimeout(ctx, closeTimeout)
 	defer cancelClose()
 	for _, server := range servers {
-		if server.Shutdown(ctx) != nil {
+		if callerconn.Shutdown(ctx, server) != nil {
 			// Only reads and heartbeats are left.
 			_ = server.Close()
 		}
--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -135,10 +135,10 @@
 	duties.Go(func() { e.gossip(dutyCtx) })
 	duties.Go(func() { e.tailClaims(dutyCtx) })
 	duties.Go(func() { e.dispatcher.run(dutyCtx) })
-	limitedPublic, limitedPeer := e.limit(servers[0], public, "callers"), e.limit(servers[1], peer, "peers")
-	duties.Go(func() { e.serve(servers[0], callerconn.Listener{Listener: limitedPublic}) })
+	public, peer = e.limit(servers[0], public, "callers"), e.limit(servers[1], peer, "peers")
+	duties.Go(func() { e.serve(servers[0], public) })
 	// The connections of package callerconn lie below TLS.
-	duties.Go(func() { e.serve(servers[1], e.cfg.Channel.Listener(callerconn.Listener{Listener: limitedPeer})) })
+	duties.Go(func() { e.serve(servers[1], e.cfg.Channel.Listener(peer)) })
 	e.logger.Info("entry started", "listen", public.Addr(), "peer_listen", peer.Addr())
 	select {
 	case <-ctx.Done():
@@ -154,17 +154,17 @@
 	return err
 }
 
-// limit bounds the connections of a listener and the bodies of its requests.
+// limit bounds the connections of a listener and the bodies of its requests, and ends the
+// context of each request with its caller.
 func (e *Entry) limit(server *http.Server, listener net.Listener, name string) net.Listener {
 	limited := intake.Limit(server, listener, name, e.cfg.MaxConnections, intake.LogClosed(intake.Logger(e.logger)))
 	server.Handler = e.bodies.Handler(server.Handler)
-	return limited
+	return callerconn.Configure(server, limited)
 }
 
 func (e *Entry) serve(server *http.Server, listener net.Listener) {
-	server.ConnContext = callerconn.ConnContext
-	server.Handler = callerconn.Watch(server.Handler)
-	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+	// A planned stop closes the listener first.
+	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 		e.logger.Error("server stopped", "error", err)
 	}
 }
--- a/node/lib/callerconn/callerconn.go
+++ b/node/lib/callerconn/callerconn.go
@@ -131,6 +131,9 @@
 func Watch(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		c, _ := r.Context().Value(connKey{}).(*conn)
+		if c != nil && r.ProtoMajor != 1 {
+			c.recordMultiplexed()
+		}
 		if c == nil || r.ProtoMajor != 1 {
 			next.ServeHTTP(w, r)
 			return
@@ -192,6 +195,8 @@
 	// a part of the next request has been read. stopped means that a read that would begin
 	// one finds the end instead.
 	betweenRequests, begun, stopped bool
+	// multiplexed means that the connection carries several requests at once (HTTP/2).
+	multiplexed bool
 	// answered means that an answer was written on the connection.
 	answered bool
 	// reader is closed when the goroutine that reads ahead has ended; nil if there is
--- a/node/lib/callerconn/shutdown.go
+++ b/node/lib/callerconn/shutdown.go
@@ -118,10 +118,21 @@
 func (c *conn) recordIdle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.multiplexed {
+		return
+	}
 	c.answered = true
 	c.betweenRequests, c.begun = true, c.looked || len(c.ahead) > 0 || c.last != nil
 }
 
+// recordMultiplexed leaves the end of a connection to net/http, which tells the caller of an
+// HTTP/2 connection which of its requests are still served.
+func (c *conn) recordMultiplexed() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.multiplexed, c.betweenRequests = true, false
+}
+
 func (c *conn) isIdle() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -155,7 +166,7 @@
 // Shutdown is http.Server.Shutdown for a server of Configure, without its loss of requests:
 // net/http drops a request whose head it reads while it shuts down. The handler must refuse
 // requests by now. It gets those that arrive within lastRequests on open connections; later
-// ones are not read, and their callers see that.
+// ones are not read, and their callers see that. Connections with HTTP/2 are left to net/http.
 func Shutdown(ctx context.Context, server *http.Server) error {
 	h, ok := server.Handler.(configuredHandler)
 	if !ok {
