entry, agent: signals at the start of a process don't end it

One between the first read of the settings and the start of their watch was lost, and with it a change of the file that the watch then took for known. A SIGTERM that early ended the process by the signal instead of with code 0.

Cause: SIGHUP was caught in watchSettings, SIGTERM in lifecycle.Signals, after the packages, options and settings. Until then the Go runtime ends the process.

Change: node/lib/startsignal, which only the main packages import, catches both in its init. It depends on nothing but os/signal and is initialized right after it, as package 22 of some 200. lifecycle.Signals and watchSettings take over what has come. A process that got a SIGTERM by then ends with code 0 at once. Commands that run no entry give the signals back. SIGHUP no longer ends entries and agents on the own interface, which have no settings file to reload: it ended them without a planned stop.

What is left is the time of exec, the runtime and 21 packages; it can't be closed from inside.

Tests: TestSignalsBeforeTheSettings fails before (4 of 4 cases; a pipe as settings file holds the process there). TestSighupAtTheStart measures the window with a bound of 5 ms of the first thread's time, loose enough for a busy machine: it passed before, too. TestSignalsEndCommands guards the commands.

--- a/bench/fleet/pause_soak_test.go
+++ b/bench/fleet/pause_soak_test.go
@@ -239,7 +239,7 @@
 }
 
 // reloadEntry sends a SIGHUP to an entry that is ready. A process that is just being started
-// has no handler yet, so that the signal would end it.
+// has no handler yet for about a millisecond, in which the signal would end it.
 func (f *fleet) reloadEntry(random *rand.Rand) {
 	if i := random.IntN(entries); f.ready(i) {
 		f.signalEntry(i, syscall.SIGHUP)
--- a/node/cmd/laburnum-agent/main.go
+++ b/node/cmd/laburnum-agent/main.go
@@ -13,6 +13,7 @@
 	"github.com/laburnumloft/laburnumloft/node/lib/lifecycle"
 	"github.com/laburnumloft/laburnumloft/node/lib/options"
 	"github.com/laburnumloft/laburnumloft/node/lib/secure"
+	"github.com/laburnumloft/laburnumloft/node/lib/startsignal"
 	"github.com/laburnumloft/laburnumloft/node/lib/telemetry"
 )
 
@@ -50,8 +51,11 @@
 	if err := options.FirstError(options.NoArguments(rest), opts.check()); err != nil {
 		return options.Exit(err)
 	}
-	ctx, force, release := lifecycle.Signals()
+	ctx, force, release := lifecycle.Signals(startsignal.Stops())
 	defer release()
+	if ctx.Err() != nil {
+		return 0
+	}
 	tcfg := opts.Telemetry.Config("agent", opts.ID)
 	logger := telemetry.NewLogger(tcfg)
 	shutdown, err := telemetry.StartTracing(ctx, tcfg)
--- a/node/cmd/laburnum-agent/platform.go
+++ b/node/cmd/laburnum-agent/platform.go
@@ -9,6 +9,7 @@
 
 	"github.com/laburnumloft/laburnumloft/node/lib/lifecycle"
 	"github.com/laburnumloft/laburnumloft/node/lib/options"
+	"github.com/laburnumloft/laburnumloft/node/lib/startsignal"
 	"github.com/laburnumloft/laburnumloft/platform"
 )
 
@@ -30,9 +31,14 @@
 	if err != nil {
 		return options.Exit(err)
 	}
-	ctx, _, release := lifecycle.Signals()
+	ctx, _, release := lifecycle.Signals(startsignal.Stops())
 	defer release()
-	err = platform.RunAgent(ctx, settings, opts.Options("agent", path, os.Stdout))
+	if ctx.Err() != nil {
+		return 0
+	}
+	o := opts.Options("agent", path, os.Stdout)
+	o.Reloads = startsignal.Reloads()
+	err = platform.RunAgent(ctx, settings, o)
 	if errors.Is(err, platform.ErrSettings) {
 		return options.Exit(err)
 	}
--- a/node/cmd/laburnum-entry/main.go
+++ b/node/cmd/laburnum-entry/main.go
@@ -15,6 +15,7 @@
 	"github.com/laburnumloft/laburnumloft/node/lib/lifecycle"
 	"github.com/laburnumloft/laburnumloft/node/lib/options"
 	"github.com/laburnumloft/laburnumloft/node/lib/secure"
+	"github.com/laburnumloft/laburnumloft/node/lib/startsignal"
 	"github.com/laburnumloft/laburnumloft/node/lib/telemetry"
 )
 
@@ -62,6 +63,7 @@
 			return options.Exit(err)
 		}
 	}
+	parser.CommandHandler = execute
 	_, err := parser.Parse()
 	var failed *failure
 	if !errors.As(err, &failed) {
@@ -73,6 +75,19 @@
 	return exitFailed
 }
 
+// execute runs a command. Those that don't run an entry are ended by the usual signals.
+func execute(command flags.Commander, args []string) error {
+	switch command.(type) {
+	case *serveCommand, *platformCommand:
+	default:
+		startsignal.Release()
+	}
+	if command == nil {
+		return nil
+	}
+	return command.Execute(args)
+}
+
 // serveCommand runs an entry.
 type serveCommand struct {
 	options.Place
@@ -95,8 +110,11 @@
 	if err := options.FirstError(options.NoArguments(args), c.check()); err != nil {
 		return err
 	}
-	ctx, force, release := lifecycle.Signals()
+	ctx, force, release := lifecycle.Signals(startsignal.Stops())
 	defer release()
+	if ctx.Err() != nil {
+		return nil
+	}
 	tcfg := c.Telemetry.Config("entry", c.ID)
 	shutdown, err := telemetry.StartTracing(ctx, tcfg)
 	if err != nil {
--- a/node/cmd/laburnum-entry/platform.go
+++ b/node/cmd/laburnum-entry/platform.go
@@ -6,6 +6,7 @@
 
 	"github.com/laburnumloft/laburnumloft/node/lib/lifecycle"
 	"github.com/laburnumloft/laburnumloft/node/lib/options"
+	"github.com/laburnumloft/laburnumloft/node/lib/startsignal"
 	"github.com/laburnumloft/laburnumloft/platform"
 )
 
@@ -26,9 +27,14 @@
 	if err != nil {
 		return err
 	}
-	ctx, _, release := lifecycle.Signals()
+	ctx, _, release := lifecycle.Signals(startsignal.Stops())
 	defer release()
-	err = platform.RunEntry(ctx, settings, c.Options("entry", path, os.Stdout))
+	if ctx.Err() != nil {
+		return nil
+	}
+	o := c.Options("entry", path, os.Stdout)
+	o.Reloads = startsignal.Reloads()
+	err = platform.RunEntry(ctx, settings, o)
 	if err != nil && !errors.Is(err, platform.ErrSettings) {
 		return &failure{err}
 	}
