--- a/node/lib/callerconn/callerconn.go
+++ b/node/lib/callerconn/callerconn.go
@@ -131,6 +131,9 @@
 func Watch(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		c, _ := r.Context().Value(connKey{}).(*conn)
+		if c != nil && r.ProtoMajor != 1 {
+			c.recordMultiplexed()
+		}
 		if c == nil || r.ProtoMajor != 1 {
 			next.ServeHTTP(w, r)
 			return
@@ -192,6 +195,10 @@
 	// a part of the next request has been read. stopped means that a read that would begin
 	// one finds the end instead.
 	betweenRequests, begun, stopped bool
+	// multiplexed means that the connection carries several requests at once (HTTP/2).
+	multiplexed bool
+	// answered means that an answer was written on the connection.
+	answered bool
 	// reader is closed when the goroutine that reads ahead has ended; nil if there is
 	// none.
 	reader   chan struct{}
@@ -204,6 +211,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.onEnd, c.betweenRequests = onEnd, false
+	if c.answered {
+		c.all.recordKeptUse()
+	}
 	if c.left {
 		onEnd()
 	}
