gateway: a begun stream that no server resumes ends at once

Cause: since the rest of a begun stream waits for a place until its caller would leave, also when every server of the service had been sent it and none could get it again.

Change: it waits no longer than a new request where all servers are excluded for a reason that doesn't pass (tried, draining, leaving, misdirected, outside its regions) and more than one was sent it.

Conclusion: the wait is bounded by what is known; a stream that may still be served waits as before.

--- a/core/eligibility/eligibility.go
+++ b/core/eligibility/eligibility.go
@@ -47,6 +47,25 @@
 // Exclusions counts the servers of a service by the reason that excluded them.
 type Exclusions [reasonCount]uint16
 
+// AllForGood reports whether there are servers and each of them is excluded for a reason that
+// does not pass while a request waits.
+func (e Exclusions) AllForGood() bool {
+	found := false
+	for reason, count := range e {
+		switch Reason(reason) {
+		case Eligible:
+			continue
+		case Tried, Draining, Leaving, Misdirected, Home:
+			found = found || count > 0
+		default:
+			if count > 0 {
+				return false
+			}
+		}
+	}
+	return found
+}
+
 // String returns the counts as REASON=COUNT, separated by commas.
 func (e Exclusions) String() string {
 	var parts []string
--- a/core/eligibility/eligibility_test.go
+++ b/core/eligibility/eligibility_test.go
@@ -72,3 +72,16 @@
 		c.Check(regions.Allows(test.region), qt.Equals, test.allowed, qt.Commentf("%+v", test))
 	}
 }
+
+// A wait must not be given up while some server is excluded for a reason that passes, or while
+// none is known.
+func TestExclusionsForGood(t *testing.T) {
+	c := qt.New(t)
+	c.Check(Exclusions{}.AllForGood(), qt.IsFalse)
+	c.Check(Exclusions{Tried: 2, Draining: 1, Home: 1}.AllForGood(), qt.IsTrue)
+	for _, passing := range []Reason{Evacuated, Down, SetAside, NoWeights, Memory, Full, Paused, Cold} {
+		all := Exclusions{Tried: 2}
+		all[passing]++
+		c.Check(all.AllForGood(), qt.IsFalse, qt.Commentf("%v", passing))
+	}
+}
--- a/node/gateway/place.go
+++ b/node/gateway/place.go
@@ -54,7 +54,7 @@
 			return choice, ""
 		}
 		remainingWait := g.maxWait(req, miss, remaining) - time.Since(started)
-		if miss != placement.NoHome && miss != placement.TooLarge {
+		if miss != placement.NoHome && miss != placement.TooLarge && !req.nobodyResumes() {
 			remainingWait = max(remainingWait, time.Until(req.placeBy))
 		}
 		if miss == placement.Limited {
@@ -88,6 +88,13 @@
 	}
 }
 
+// nobodyResumes reports whether the rest of a begun stream is known to find no server: those
+// of its service were sent it or take no more requests. Where only one server was sent it,
+// the one that broke off, it may come back as a new instance.
+func (r *request) nobodyResumes() bool {
+	return len(r.tried) > 1 && r.exclusions.AllForGood()
+}
+
 // query returns what the request asks of a server.
 func (r *request) query() placement.Query {
 	tried := r.tried
--- /dev/null
+++ b/node/gateway/resume_test.go
@@ -0,0 +1,104 @@
+package gateway
+
+import (
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/laburnumloft/laburnumloft/core/placement"
+	"github.com/laburnumloft/laburnumloft/core/route"
+)
+
+// resumeGateway is a gateway whose routes allow three seconds and three attempts.
+func resumeGateway(c *qt.C, services ...route.Service) *testGateway {
+	r := newTestGateway(c)
+	cfg := configuration(2)
+	for i := range cfg.Routes {
+		cfg.Routes[i].Timeout, cfg.Routes[i].MaxAttempts = 3*time.Second, 3
+	}
+	if len(services) > 0 {
+		cfg.Services = services
+	}
+	c.Assert(r.Configure(cfg, "test"), qt.IsTrue)
+	return r
+}
+
+// resumeRefusals are answers of servers that can't go on with a stream.
+var resumeRefusals = []struct {
+	name   string
+	answer answerFunc
+}{
+	{"not run", notRun}, {"foreign text", unsigned}, {"error", answerWith(http.StatusInternalServerError)},
+	{"broken", closeConnection},
+}
+
+// breakBeside returns the answer of a server that breaks off after its first event, once
+// other servers are known.
+func breakBeside(addOthers func()) answerFunc {
+	var once sync.Once
+	return func(w http.ResponseWriter, r *http.Request) {
+		once.Do(addOthers)
+		breakAfterFirstEvent(w, r)
+	}
+}
+
+// A begun stream must end at once when all servers of its service have been asked to go on
+// with it and none can: it used to be held until its caller would leave.
+func TestBegunStreamThatNobodyResumesEndsAtOnce(t *testing.T) {
+	for _, refusal := range resumeRefusals {
+		t.Run(refusal.name, func(t *testing.T) {
+			t.Parallel()
+			c := qt.New(t)
+			var r *testGateway
+			second := newServer(c, refusal.answer)
+			first := newServer(c, breakBeside(func() { r.addServer("second", second.URL, nil) }))
+			r = resumeGateway(c)
+			r.addServer("first", first.URL, nil)
+			got := r.call(c, "/stream/1", "request")
+			c.Check(got.err, qt.IsNotNil)
+			c.Check(second.count(), qt.Equals, 1)
+			c.Check(got.took < 500*time.Millisecond, qt.IsTrue, qt.Commentf("%v", got.took))
+		})
+	}
+}
+
+// The rest of a stream must still wait while some server isn't known to be unable to go on:
+// a full one, one that is down or one that loads weights may come back.
+func TestBegunStreamWaitsForAServerThatMayComeBack(t *testing.T) {
+	for _, state := range []struct {
+		name   string
+		report placement.Report
+	}{
+		{"full", placement.Report{Running: 8, WeightVersion: 1}},
+		{"down", placement.Report{Down: true, WeightVersion: 1}},
+		{"loading", placement.Report{Loading: true, WeightVersion: 1}},
+	} {
+		t.Run(state.name, func(t *testing.T) {
+			t.Parallel()
+			c := qt.New(t)
+			var r *testGateway
+			engine := func(s *placement.Server) { s.Slots, s.WeightVersion = 4, 1 }
+			second, third := newServer(c, notRun), newServer(c, events(silentEvents, false))
+			report := func(state placement.Report) {
+				state.Address = strings.TrimPrefix(third.URL, "http://")
+				r.RecordReports([]placement.Report{state})
+			}
+			first := newServer(c, breakBeside(func() {
+				r.addServer("second", second.URL, engine)
+				r.addServer("third", third.URL, engine)
+				report(state.report)
+				time.AfterFunc(600*time.Millisecond, func() { report(placement.Report{WeightVersion: 1}) })
+			}))
+			r = resumeGateway(c, route.Service{Name: "svc", Engine: &route.Engine{Models: []string{"m"}}})
+			r.addServer("first", first.URL, engine)
+			got := r.call(c, "/stream/1", "request")
+			c.Check(second.count(), qt.Equals, 1)
+			c.Check(got.err, qt.IsNil)
+			c.Check(got.body, qt.Equals, wholeStream)
+		})
+	}
+}
