gateway, placement: a refused resume is no refusal of fresh requests

Callers saw: 503 no_server for fresh requests while a server stood free that had just refused to resume two streams, and the only other one was set aside.

A refusal of a resume says nothing about fresh requests.

Change: it excludes the server for resumes only, for the same time. A miss of a resume does not hold for the requests behind it in the queue. Another refusal of a fresh request excludes the server as before.

A foreign text or an error on a resume still counts as a failure of the server.

--- a/core/placement/filter.go
+++ b/core/placement/filter.go
@@ -101,8 +101,8 @@
 	until := f.gather(s, m, q, now)
 	reason := eligibility.Check(s, r)
 	switch {
-	case reason == eligibility.SetAside && now.Before(m.excludedUntil) && !f.hasFreshReport(m, now):
-		f.pauseEndsAt = earlier(f.pauseEndsAt, m.excludedUntil)
+	case reason == eligibility.SetAside && now.Before(m.excludedUntilFor(q)) && !f.hasFreshReport(m, now):
+		f.pauseEndsAt = earlier(f.pauseEndsAt, m.excludedUntilFor(q))
 	case reason == eligibility.Paused:
 		f.availableAt = earlier(f.availableAt, until)
 	case reason == eligibility.Cold:
@@ -117,7 +117,7 @@
 	fresh := f.hasFreshReport(m, now)
 	*s = eligibility.Server{
 		Region: m.region, Draining: m.server.Draining, Misdirected: m.misdirected, Evacuated: m.evacuated,
-		Down: fresh && (m.report.Down || m.restarted()), SetAside: (now.Before(m.excludedUntil) || f.isSilent(m)) && len(q.Only) == 0,
+		Down: fresh && (m.report.Down || m.restarted()), SetAside: (now.Before(m.excludedUntilFor(q)) || f.isSilent(m)) && len(q.Only) == 0,
 		Tried: q.excludes(m.server.ID), Cold: m.cold.begun && f.coldWait(m, now) > 0,
 	}
 	if q.Model != "" {
--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -81,6 +81,9 @@
 	Silent
 	// Shed means that the server refused the request without running it.
 	Shed
+	// ResumeShed is Shed for a request that resumes a stream. Fresh requests may still be
+	// taken.
+	ResumeShed
 	// Misdirected means that another server answers at the address, or that
 	// the server holds other weights.
 	Misdirected
@@ -165,6 +168,8 @@
 	silent           int
 	setAsideDuration time.Duration
 	excludedUntil    time.Time
+	// noResumesUntil is until when the server is excluded for requests that resume streams.
+	noResumesUntil time.Time
 	// misdirected is set if another server answered at the address. It is reset
 	// when the registry's record changes.
 	misdirected bool
@@ -341,6 +346,8 @@
 	// Only holds the ids of the only servers that may be chosen, also if they are set
 	// aside; empty for all.
 	Only []string
+	// Resumes means that the request resumes a stream.
+	Resumes bool
 	// SpareCapacityOnly restricts the request to capacity that would be idle,
 	// for example because its target has already passed.
 	SpareCapacityOnly bool
@@ -638,6 +645,8 @@
 		m.consecutiveFailures, m.setAsideDuration = 0, 0
 	case Shed:
 		m.excludedUntil = later(m.excludedUntil, now.Add(f.cfg.ShedPause))
+	case ResumeShed:
+		m.noResumesUntil = later(m.noResumesUntil, now.Add(f.cfg.ShedPause))
 	case Misdirected:
 		m.misdirected = true
 	case Unreachable:
@@ -678,6 +687,15 @@
 	return float64(silent) <= f.cfg.MaxSetAsideShare*float64(len(members))
 }
 
+// excludedUntilFor returns until when a server is excluded for a request after a failure or a
+// refusal.
+func (m *member) excludedUntilFor(q *Query) time.Time {
+	if q.Resumes {
+		return later(m.excludedUntil, m.noResumesUntil)
+	}
+	return m.excludedUntil
+}
+
 func (f *Fleet) recordFailure(m *member, now time.Time) {
 	m.consecutiveFailures++
 	if m.consecutiveFailures >= f.cfg.FailuresToSetAside {
--- a/core/placement/placement_test.go
+++ b/core/placement/placement_test.go
@@ -396,3 +396,21 @@
 	silence("e2")
 	c.Assert(f.CanServe(start, only("e1")), qt.IsTrue, qt.Commentf("three of four are silent"))
 }
+
+// A server that refuses to resume a stream must still get fresh requests, and no further
+// resumes for a moment.
+func TestRefusedResumePausesOnlyResumes(t *testing.T) {
+	c := qt.New(t)
+	f := NewFleet(DefaultConfig("z"), NewPublishedVersions(time.Hour, 0), 1)
+	f.Put(Server{ID: "s", Address: "a", Service: "svc", Zone: "z"})
+	choice, miss := f.Choose(start, Query{Service: "svc", Resumes: true})
+	c.Assert(miss, qt.Equals, Found)
+	f.Done(start, choice.Handle, ResumeShed)
+	_, miss = f.Choose(start, Query{Service: "svc"})
+	c.Check(miss, qt.Equals, Found)
+	choice, miss = f.Choose(start, Query{Service: "svc", Resumes: true})
+	c.Check(miss, qt.Equals, NoServer)
+	c.Check(choice.PauseEndsIn, qt.Equals, f.cfg.ShedPause)
+	_, miss = f.Choose(start.Add(f.cfg.ShedPause), Query{Service: "svc", Resumes: true})
+	c.Check(miss, qt.Equals, Found)
+}
--- a/node/gateway/exchange.go
+++ b/node/gateway/exchange.go
@@ -26,7 +26,9 @@
 	resp   *http.Response
 	answer Answer
 	// sent means that bytes of the request may have reached the server.
-	sent     bool
+	sent bool
+	// resumes means that the request resumed a stream.
+	resumes  bool
 	err      error
 	duration time.Duration
 	// events is the number of stream events received; firstEventAt is when the
@@ -66,6 +68,8 @@
 		return placement.Broken
 	case e.answer.Misdirected:
 		return placement.Misdirected
+	case e.answer.NotRun && e.resumes:
+		return placement.ResumeShed
 	case e.answer.NotRun:
 		return placement.Shed
 	case e.resp.StatusCode >= http.StatusInternalServerError:
@@ -77,7 +81,7 @@
 
 // send sends the request to the chosen server and reads the answer's header.
 func (g *Gateway) send(ctx context.Context, req *request, choice placement.Choice, info AttemptInfo) *exchange {
-	e := &exchange{choice: choice}
+	e := &exchange{choice: choice, resumes: info.Resumes}
 	var connected atomic.Bool
 	ctx = context.WithValue(ctx, permitKey{}, choice.Permit)
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
--- a/node/gateway/place.go
+++ b/node/gateway/place.go
@@ -103,10 +103,13 @@
 	}
 	return placement.Query{
 		Service: r.service, Model: r.model, Tried: tried, Only: r.only, SpareCapacityOnly: r.pastTarget, Regions: r.regions, Tokens: r.tokens,
-		MaxTokens: r.maxTokens, Reserve: r.reserve,
+		MaxTokens: r.maxTokens, Reserve: r.reserve, Resumes: r.resumes(),
 	}
 }
 
+// resumes reports whether the request goes on with a stream that its caller has in part.
+func (r *request) resumes() bool { return r.call.Resumes || !r.placeBy.IsZero() }
+
 // joinLimitedQueue counts a request that waits for a limited server, and returns how
 // long the requests that wait already will take.
 func (g *Gateway) joinLimitedQueue(service string) time.Duration {
@@ -202,7 +205,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.fleet.Done(bootclock.Now(), choice.Handle, outcome)
-	if outcome == placement.Shed {
+	if outcome == placement.Shed || outcome == placement.ResumeShed {
 		attempts.Add("shed", 1)
 	}
 	g.notifyWaiters()
--- a/node/gateway/queue.go
+++ b/node/gateway/queue.go
@@ -129,7 +129,7 @@
 func (r *request) waitingRequest() waiting.Request {
 	return waiting.Request{
 		Rank: r.priority, RouteRank: r.route.Priority, Workspace: r.workspace, Model: r.model, Late: r.pastTarget, Returning: r.returning,
-		Particular: r.regions.Restricted() || len(r.tried) > 0,
+		Particular: r.regions.Restricted() || len(r.tried) > 0 || r.resumes(),
 	}
 }
 
--- a/node/gateway/resume_test.go
+++ b/node/gateway/resume_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"fmt"
 	"net/http"
 	"strings"
 	"sync"
@@ -13,6 +14,17 @@
 	"github.com/laburnumloft/laburnumloft/core/route"
 )
 
+// refuseResumes answers resumes with one answer and other requests with another.
+func refuseResumes(resume, fresh answerFunc) answerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		if r.Header.Get("Last") != "" {
+			resume(w, r)
+			return
+		}
+		fresh(w, r)
+	}
+}
+
 // resumeGateway is a gateway whose routes allow three seconds and three attempts.
 func resumeGateway(c *qt.C, services ...route.Service) *testGateway {
 	r := newTestGateway(c)
@@ -102,3 +114,33 @@
 		})
 	}
 }
+
+// A server that refuses to resume streams must still get fresh requests: its refusal was
+// taken for one of all requests, so that fresh ones were refused for lack of a server.
+func TestRefusedResumeIsNoRefusalOfFreshRequests(t *testing.T) {
+	for range 3 {
+		c := qt.New(t)
+		var r *testGateway
+		second := newServer(c, refuseResumes(notRun, events(silentEvents, false)))
+		// Two streams begin at the first server, which is set aside when both have broken.
+		both := make(chan struct{})
+		first := newServer(c, func(w http.ResponseWriter, req *http.Request) {
+			<-both
+			breakAfterFirstEvent(w, req)
+		})
+		r = resumeGateway(c)
+		r.addServer("first", first.URL, nil)
+		var broken sync.WaitGroup
+		for i := range 2 {
+			broken.Go(func() { r.call(c, "/stream/1", fmt.Sprint("broken-", i)) })
+		}
+		waitFor(c, func() bool { return first.count() == 2 })
+		r.addServer("second", second.URL, nil)
+		close(both)
+		waitFor(c, func() bool { return second.count() == 2 })
+		got := r.call(c, "/stream/1", "fresh")
+		c.Check(got.status, qt.Equals, http.StatusOK, qt.Commentf("after %v: %s", got.took, got.body))
+		c.Check(got.body, qt.Equals, wholeStream)
+		broken.Wait()
+	}
+}
