gateway: answers that arrived during a stall of the entry are delivered

Callers saw: 504 for run orders and reads, 503 for others, and cut streams, when their entry was stopped across their deadline, though the servers had answered in time and the answers stood in the entry's sockets.

Cause: after a stall the deadlines of all requests expire before what has arrived is read. They cancelled the attempts and reset the connections; the deadline of writes to the caller, a quarter of a second after that of the request, had passed as well.

Events of a stream that are written after the deadline get their own limit. Without a stall nothing changes.

The own interface (node/entry) has the same deadline and is not changed; read, not shown.

--- a/bench/fleet/own_pause_test.go
+++ b/bench/fleet/own_pause_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"net/http"
 	"strings"
 	"sync"
 	"syscall"
@@ -10,6 +11,8 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"github.com/laburnumloft/laburnumloft/standin/platform"
 )
 
 const (
@@ -56,3 +59,43 @@
 	c.Check(strings.Count(f.logs.String(), "attempt_silent"), qt.Equals, 0)
 	f.checkServers(nil)
 }
+
+// Answers that arrived in time while their entry was stopped must be delivered, also when the
+// deadline has passed before the entry goes on: it ended their attempts before it read them.
+func TestAnswersAreDeliveredAfterAnOwnPause(t *testing.T) {
+	c := qt.New(t)
+	f := start(c)
+	f.startPauses()
+	for _, s := range f.plains {
+		s.SetLoad(platform.Load{AnswerTime: 500 * time.Millisecond})
+	}
+	// Streams last 1.2 s.
+	const readTime, streamTime = time.Second, 1800 * time.Millisecond
+	for round := range ownPauseRounds {
+		var callers sync.WaitGroup
+		call := func(after time.Duration, path, kind string, n int, deadline time.Duration) {
+			callers.Go(func() {
+				<-time.After(after)
+				k := &keptCaller{}
+				o, ok := k.call(path, fmt.Sprintf("%s-%d-%d", kind, round, n), deadline, shortestTimeout, false)
+				c.Check(ok && o.whole && o.status == http.StatusOK, qt.IsTrue, qt.Commentf("%s: status %d after %v", o.id, o.status, o.ended.Sub(o.sent)))
+				if k.conn != nil {
+					k.close()
+				}
+			})
+		}
+		for n := range ownPauseCallers {
+			call(700*time.Millisecond, "/order/", "order", n, readTime)
+			call(700*time.Millisecond, "/read/", "read", n, readTime)
+			call(0, "/notice/", "notice", n, streamTime)
+		}
+		<-time.After(time.Second)
+		f.signalEntry(0, syscall.SIGSTOP)
+		<-time.After(1500 * time.Millisecond)
+		f.signalEntry(0, syscall.SIGCONT)
+		callers.Wait()
+	}
+	if c.Failed() {
+		c.Log(tail(f.logs.String()))
+	}
+}
--- a/node/gateway/chain.go
+++ b/node/gateway/chain.go
@@ -89,6 +89,11 @@
 			}
 			continue
 		}
+		if !time.Now().Before(c.req.deadline) {
+			// Only what was sent in time goes on after a stall of this process.
+			c.g.releaseServer(choice, placement.Canceled)
+			return r.failed(c.g.reasonForDone(c.ctx, c.req))
+		}
 		c.race.takeSuperseded(choice.Server.ID)
 		runsBefore := c.req.runs
 		var beside *hedge
--- a/node/gateway/handler.go
+++ b/node/gateway/handler.go
@@ -130,10 +130,9 @@
 		g.refuse(w, req, reason)
 		return
 	}
-	ctx, cancel := context.WithDeadline(r.Context(), req.deadline)
-	defer cancel()
-	ctx, end := context.WithCancelCause(ctx)
+	ctx, end := context.WithCancelCause(r.Context())
 	defer end(nil)
+	defer atDeadline(req, func() { end(context.DeadlineExceeded) })()
 	defer context.AfterFunc(g.stopped, func() { end(errStopping) })()
 	defer g.watchCaller(w, req)()
 	w = answerWriter{w, req}
@@ -195,10 +194,15 @@
 	if usual := w.req.deadline.Add(lastWriteTimeout); usual.After(until) {
 		until = usual
 	}
-	controller := http.NewResponseController(w.ResponseWriter)
+	setWriteDeadline(w.ResponseWriter, w.req, until)
+}
+
+// setWriteDeadline limits the writes to the caller, unless it is known to have left.
+func setWriteDeadline(w http.ResponseWriter, req *request, until time.Time) {
+	controller := http.NewResponseController(w)
 	// Writers without deadlines, in tests, don't block.
 	_ = controller.SetWriteDeadline(until)
-	if w.req.in.Context().Err() != nil {
+	if req.in.Context().Err() != nil {
 		// The caller's end may have ended its writes just before.
 		_ = controller.SetWriteDeadline(time.Unix(1, 0))
 	}
--- a/node/gateway/stream.go
+++ b/node/gateway/stream.go
@@ -217,6 +217,10 @@
 		}
 		s.leadLocked(c)
 		watch.pause()
+		if now := time.Now(); now.After(c.req.deadline) {
+			// The limit of watchCaller may have passed while this process was stalled.
+			setWriteDeadline(s.w, c.req, now.Add(lastWriteTimeout))
+		}
 		s.sendHeader(e.resp)
 		if _, err := s.w.Write(event.Raw); err != nil {
 			return forwarded, err
