gateway: a stall of the entry is no time in which a request waited for a server

Callers saw: 503 for requests that waited for a server when their entry was stalled, at once when it went on, before the reports in its sockets were read.

Cause: the wait, some tens of milliseconds, counted the stall.

Change: the wait doesn't contain the time for which this process did not run. The request's deadline still ends it.

A unit test with a simulated stall; not measured with real processes.

--- a/node/gateway/deadline_test.go
+++ b/node/gateway/deadline_test.go
@@ -8,6 +8,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/laburnumloft/laburnumloft/core/route"
+	"github.com/laburnumloft/laburnumloft/node/lib/stall"
 )
 
 // A deadline that passed during a stall of this process must leave time to read what arrived
@@ -41,3 +42,22 @@
 	c.Check(got.reason, qt.Equals, ReasonDeadline)
 	c.Check(s.count(), qt.Equals, 0)
 }
+
+// A stall of this process must not count as time in which a request waited for a server: what
+// arrived meanwhile may tell of a place, and was read only after the request had been refused.
+func TestOwnStallIsNoWaitForAServer(t *testing.T) {
+	c := qt.New(t)
+	s := newServer(c, answerWith(http.StatusOK))
+	r := newTestGateway(c)
+	req := &request{
+		in: r.request(c, http.MethodPost, "/order/1", "x"), service: "svc", route: &route.Route{Target: time.Second},
+		deadline: time.Now().Add(2 * time.Second),
+	}
+	// The wait of 0.2 s ends in a stall of a second, after which the server becomes known.
+	time.AfterFunc(100*time.Millisecond, func() { stall.Add(time.Second) })
+	defer stall.Add(-time.Second)
+	time.AfterFunc(300*time.Millisecond, func() { r.addServer("s", s.URL, nil) })
+	choice, reason := r.place(c.Context(), req)
+	c.Check(reason, qt.Equals, Reason(""))
+	c.Check(choice.Server.ID, qt.Equals, "s")
+}
--- a/node/gateway/place.go
+++ b/node/gateway/place.go
@@ -8,6 +8,7 @@
 	"github.com/laburnumloft/laburnumloft/core/limits"
 	"github.com/laburnumloft/laburnumloft/core/placement"
 	"github.com/laburnumloft/laburnumloft/node/lib/bootclock"
+	"github.com/laburnumloft/laburnumloft/node/lib/stall"
 )
 
 // maxServersTried limits how many servers may refuse a request before the
@@ -17,7 +18,7 @@
 // place chooses a server. If none is available, it waits for one up to
 // placement.MaxWait.
 func (g *Gateway) place(ctx context.Context, req *request) (placement.Choice, Reason) {
-	started := time.Now()
+	started, stalledBefore := time.Now(), stall.Total()
 	remaining := req.deadline.Sub(started)
 	// queued is set while the request counts as waiting for a limited server.
 	queued := false
@@ -53,7 +54,9 @@
 		if miss == placement.Found {
 			return choice, ""
 		}
-		remainingWait := g.maxWait(req, miss, remaining) - time.Since(started)
+		// What arrived during a stall of this process is read only after it.
+		waited := time.Since(started) - (stall.Total() - stalledBefore)
+		remainingWait := g.maxWait(req, miss, remaining) - waited
 		if miss != placement.NoHome && miss != placement.TooLarge && !req.nobodyResumes() {
 			remainingWait = max(remainingWait, time.Until(req.placeBy))
 		}
