callerconn: bytes that arrived during a stall are read before their deadline ends the caller

Callers saw: 400 and a closed connection when their entry was stopped across the timeout of their request's head, though the rest had arrived meanwhile.

Cause: after a stall the read deadline has expired before the socket is read, so that a caller whose bytes are there is taken for an idle or slow one. It concerns heads, bodies and the first bytes on an idle connection.

Change: a read whose deadline passed 50 ms ago or more reads for 100 ms more, once for each deadline, so that a slow caller can't put it off. Interrupted reads end at once as before.

TestBytesOfAStallAreRead failed before; TestSlowCallersStayBoundedAfterAStall bounds the change. callerconn and intake pass with the race detector.

--- a/bench/fleet/own_pause_test.go
+++ b/bench/fleet/own_pause_test.go
@@ -1,8 +1,11 @@
 package fleet
 
 import (
+	"bufio"
 	"fmt"
+	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -99,3 +102,40 @@
 		c.Log(tail(f.logs.String()))
 	}
 }
+
+// callerHeaderTimeout is how long a caller may take to send a head.
+const callerHeaderTimeout = 10 * time.Second
+
+// Callers whose bytes arrived while their entry was stopped must not be taken for slow ones:
+// it closed their connections before it read the rest of their requests.
+func TestHeadsAreReadAfterAnOwnPause(t *testing.T) {
+	c := qt.New(t)
+	f := start(c)
+	f.startPauses()
+	var callers sync.WaitGroup
+	began := time.Now()
+	for n := range ownPauseCallers {
+		callers.Go(func() {
+			conn, err := net.DialTimeout("tcp4", entryIP(0)+":8005", time.Second)
+			c.Assert(err, qt.IsNil)
+			defer func() { _ = conn.Close() }()
+			text := (&platform.Caller{ID: fmt.Sprint("order-", n), Path: "/order/", Deadline: pauseDeadline}).Request()
+			_, err = io.WriteString(conn, text[:20])
+			c.Assert(err, qt.IsNil)
+			<-time.After(time.Until(began.Add(callerHeaderTimeout)))
+			_, err = io.WriteString(conn, text[20:])
+			c.Assert(err, qt.IsNil)
+			_ = conn.SetReadDeadline(time.Now().Add(pauseDeadline))
+			resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			if c.Check(err, qt.IsNil) {
+				c.Check(resp.StatusCode, qt.Equals, http.StatusOK)
+				_ = resp.Body.Close()
+			}
+		})
+	}
+	<-time.After(time.Until(began.Add(callerHeaderTimeout - time.Second)))
+	f.signalEntry(0, syscall.SIGSTOP)
+	<-time.After(ownPause)
+	f.signalEntry(0, syscall.SIGCONT)
+	callers.Wait()
+}
--- a/node/lib/callerconn/callerconn.go
+++ b/node/lib/callerconn/callerconn.go
@@ -31,6 +31,14 @@
 	maxAheadTotal = 8 << 20
 	// readBytes is the size of one read.
 	readBytes = 4 << 10
+	// minStall is by how much a read must pass its deadline for the process to have been
+	// stalled; beside other work reads end a few milliseconds late. An interrupted read has a
+	// deadline that is longer ago than maxStall.
+	minStall = 50 * time.Millisecond
+	maxStall = time.Hour
+	// unreadTime is how long after a stall what has arrived is read. A caller can't send on
+	// for longer than that.
+	unreadTime = 100 * time.Millisecond
 )
 
 var (
@@ -197,6 +205,8 @@
 	reader   chan struct{}
 	stopping bool
 	deadline time.Time
+	// extended is the deadline after which unreadTime was granted last.
+	extended time.Time
 }
 
 // watch calls onEnd at the end of the connection until unwatch is called.
@@ -264,10 +274,28 @@
 	c.mu.Unlock()
 	n, err := c.Conn.Read(p)
 	c.mu.Lock()
+	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.extendAfterStall() {
+		c.mu.Unlock()
+		n, err = c.Conn.Read(p)
+		c.mu.Lock()
+	}
 	c.reads--
 	return n, err
 }
 
+// extendAfterStall grants unreadTime, once for a deadline, if this process was stalled when
+// the deadline passed, and reports whether it did. The deadline ended the read before it
+// looked for what had arrived meanwhile. The caller holds mu.
+func (c *conn) extendAfterStall() bool {
+	now := time.Now()
+	late := now.Sub(c.deadline)
+	if c.deadline.IsZero() || late < minStall || late > maxStall || c.deadline.Equal(c.extended) {
+		return false
+	}
+	c.extended = c.deadline
+	return c.Conn.SetReadDeadline(now.Add(unreadTime)) == nil
+}
+
 // SetReadDeadline implements net.Conn.
 func (c *conn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
--- a/node/lib/callerconn/callerconn_test.go
+++ b/node/lib/callerconn/callerconn_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -231,3 +232,76 @@
 	c.Assert(err, qt.IsNil)
 	c.Check(string(body), qt.Equals, "true false")
 }
+
+// acceptOne returns both ends of a connection of a Listener.
+func acceptOne(c *qt.C) (caller net.Conn, accepted net.Conn) {
+	inner, err := net.Listen("tcp4", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(func() { _ = inner.Close() })
+	caller, err = net.Dial("tcp4", inner.Addr().String())
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(func() { _ = caller.Close() })
+	accepted, err = Listener{Listener: inner}.Accept()
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(func() { _ = accepted.Close() })
+	return caller, accepted
+}
+
+// A caller whose bytes arrived while this process was stalled must not be taken for one that
+// is idle or slow: the deadline of the read had passed before they were read.
+func TestBytesOfAStallAreRead(t *testing.T) {
+	c := qt.New(t)
+	caller, accepted := acceptOne(c)
+	sent := post("/", 3*readBytes)
+	_, err := io.WriteString(caller, sent)
+	c.Assert(err, qt.IsNil)
+	<-time.After(20 * time.Millisecond)
+	c.Assert(accepted.SetReadDeadline(time.Now().Add(-time.Second)), qt.IsNil)
+	got, buffer := 0, make([]byte, readBytes)
+	for got < len(sent) {
+		n, err := accepted.Read(buffer)
+		c.Assert(err, qt.IsNil, qt.Commentf("after %d bytes", got))
+		got += n
+	}
+	// A later deadline is one of its own.
+	for range 2 {
+		_, err = io.WriteString(caller, "more")
+		c.Assert(err, qt.IsNil)
+		<-time.After(20 * time.Millisecond)
+		c.Assert(accepted.SetReadDeadline(time.Now().Add(-time.Second)), qt.IsNil)
+		n, err := accepted.Read(buffer)
+		c.Assert(err, qt.IsNil)
+		c.Check(string(buffer[:n]), qt.Equals, "more")
+	}
+}
+
+// A caller that sends a byte now and then must not put off the end of its time, and a read
+// that is interrupted must end at once.
+func TestSlowCallersStayBoundedAfterAStall(t *testing.T) {
+	c := qt.New(t)
+	caller, accepted := acceptOne(c)
+	stop := make(chan struct{})
+	defer close(stop)
+	go func() {
+		for {
+			select {
+			case <-stop:
+				return
+			case <-time.After(10 * time.Millisecond):
+				_, _ = io.WriteString(caller, "b")
+			}
+		}
+	}()
+	c.Assert(accepted.SetReadDeadline(time.Now().Add(-time.Second)), qt.IsNil)
+	began, buffer := time.Now(), make([]byte, 1)
+	var err error
+	for err == nil && time.Since(began) < 2*time.Second {
+		_, err = accepted.Read(buffer)
+	}
+	c.Check(err, qt.ErrorIs, os.ErrDeadlineExceeded)
+	c.Check(time.Since(began) < time.Second, qt.IsTrue, qt.Commentf("%v", time.Since(began)))
+
+	c.Assert(accepted.SetReadDeadline(time.Unix(1, 0)), qt.IsNil)
+	_, err = accepted.Read(buffer)
+	c.Check(err, qt.ErrorIs, os.ErrDeadlineExceeded)
+}
