--- a/node/gateway/place.go
+++ b/node/gateway/place.go
@@ -8,6 +8,7 @@
 	"github.com/laburnumloft/laburnumloft/core/limits"
 	"github.com/laburnumloft/laburnumloft/core/placement"
 	"github.com/laburnumloft/laburnumloft/node/lib/bootclock"
+	"github.com/laburnumloft/laburnumloft/node/lib/stall"
 )
 
 // maxServersTried limits how many servers may refuse a request before the
@@ -17,7 +18,7 @@
 // place chooses a server. If none is available, it waits for one up to
 // placement.MaxWait.
 func (g *Gateway) place(ctx context.Context, req *request) (placement.Choice, Reason) {
-	started := time.Now()
+	started, stalledBefore := time.Now(), stall.Total()
 	remaining := req.deadline.Sub(started)
 	// queued is set while the request counts as waiting for a limited server.
 	queued := false
@@ -53,8 +54,10 @@
 		if miss == placement.Found {
 			return choice, ""
 		}
-		remainingWait := g.maxWait(req, miss, remaining) - time.Since(started)
-		if miss != placement.NoHome && miss != placement.TooLarge {
+		// What arrived during a stall of this process is read only after it.
+		waited := time.Since(started) - (stall.Total() - stalledBefore)
+		remainingWait := g.maxWait(req, miss, remaining) - waited
+		if miss != placement.NoHome && miss != placement.TooLarge && !req.nobodyResumes() {
 			remainingWait = max(remainingWait, time.Until(req.placeBy))
 		}
 		if miss == placement.Limited {
@@ -88,6 +91,13 @@
 	}
 }
 
+// nobodyResumes reports whether the rest of a begun stream is known to find no server: those
+// of its service were sent it or take no more requests. Where only one server was sent it,
+// the one that broke off, it may come back as a new instance.
+func (r *request) nobodyResumes() bool {
+	return len(r.tried) > 1 && r.exclusions.AllForGood()
+}
+
 // query returns what the request asks of a server.
 func (r *request) query() placement.Query {
 	tried := r.tried
@@ -96,10 +106,13 @@
 	}
 	return placement.Query{
 		Service: r.service, Model: r.model, Tried: tried, Only: r.only, SpareCapacityOnly: r.pastTarget, Regions: r.regions, Tokens: r.tokens,
-		MaxTokens: r.maxTokens, Reserve: r.reserve,
+		MaxTokens: r.maxTokens, Reserve: r.reserve, Resumes: r.resumes(),
 	}
 }
 
+// resumes reports whether the request goes on with a stream that its caller has in part.
+func (r *request) resumes() bool { return r.call.Resumes || !r.placeBy.IsZero() }
+
 // joinLimitedQueue counts a request that waits for a limited server, and returns how
 // long the requests that wait already will take.
 func (g *Gateway) joinLimitedQueue(service string) time.Duration {
@@ -195,7 +208,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.fleet.Done(bootclock.Now(), choice.Handle, outcome)
-	if outcome == placement.Shed {
+	if outcome == placement.Shed || outcome == placement.ResumeShed {
 		attempts.Add("shed", 1)
 	}
 	g.notifyWaiters()
