--- a/node/gateway/resume_test.go
+++ b/node/gateway/resume_test.go
@@ -44,7 +44,9 @@
 	name   string
 	answer answerFunc
 }{
-	{"not run", notRun}, {"foreign text", unsigned}, {"error", answerWith(http.StatusInternalServerError)},
+	{"not run", notRun},
+	{"foreign text", unsigned},
+	{"error", answerWith(http.StatusInternalServerError)},
 	{"broken", closeConnection},
 }
 
