gateway: hedges use free places only and yield them first

Cause: a hedge waited for a place and took it like a new request. On a nearly full fleet whose engines stand still in turns, new requests were refused while the silent engines went on and finished the hedged streams.

Change: a hedge begins only while no request of its service waits for a place and an engine has room beyond a reserve of one request; it does not wait in the queue. A request that finds all engines full and may wait ends the youngest hedge without an event whose place it can use (placement.CanReplace), at most one for each wait. The silent attempt beside it goes on, the hedge's server does not count as failed, and its request may return to it. A hedge that has led, or whose silent attempt has ended, is not ended.

On a fleet that stays full, fewer or no streams of an engine that is silent for good are saved: each such place would be taken from a waiting request.

--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -490,6 +490,23 @@
 	})
 }
 
+// CanReplace reports whether a server may receive a request once another one has left it.
+func (f *Fleet) CanReplace(now time.Time, q Query, h Handle) bool {
+	m := h.member
+	if m == nil || m.removed || m.server.Service != q.Service {
+		return false
+	}
+	tokens := 0.0
+	if f.cfg.CheckMemory {
+		tokens = min(h.tokens, m.inFlightTokens)
+	}
+	m.inFlight, m.doneSinceReport, m.inFlightTokens = m.inFlight-1, m.doneSinceReport+1, m.inFlightTokens-tokens
+	r := f.requirements(&q, now)
+	eligible := f.exclusion(m, &q, &r, now) == eligibility.Eligible
+	m.inFlight, m.doneSinceReport, m.inFlightTokens = m.inFlight+1, m.doneSinceReport-1, m.inFlightTokens+tokens
+	return eligible
+}
+
 // maxSamples is the number of random servers that are checked for two eligible
 // ones before all servers are checked. While most servers of a large service
 // have free slots, a decision checks two or three of them.
--- a/node/gateway/chain.go
+++ b/node/gateway/chain.go
@@ -25,9 +25,9 @@
 	cancel          context.CancelCauseFunc
 	// lost means that another chain led.
 	lost atomic.Bool
-	// server and waiting are the race's.
-	server  string
-	waiting bool
+	// server, waiting and led are the race's. led means that the chain has led.
+	server       string
+	waiting, led bool
 }
 
 // exchanger makes the exchanges of one kind of request.
@@ -78,6 +78,7 @@
 	defer c.race.leave(c)
 	r := result{release: releaseNothing}
 	for place := first; ; place = c.g.place {
+		c.req.isHedge = c.race.isBeside(c)
 		choice, reason := place(c.ctx, c.req)
 		returning := c.req.only
 		c.req.only = nil
@@ -161,6 +162,10 @@
 		}
 		watch.start()
 	}
+	if req.isHedge {
+		g.addHedgePlace(c, choice)
+		defer g.removeHedgePlace(c)
+	}
 	r := c.exchanger.exchange(ctx, cancel, c, choice, watch)
 	silent := watch != nil && watch.stop()
 	c.race.setServer(c, "")
@@ -169,7 +174,7 @@
 	switch {
 	case e.err == nil || errors.Is(e.err, errQuarantined):
 	case c.lost.Load():
-		e.err = errSuperseded
+		e.err = c.lossCause()
 	case watch != nil && watch.outdated.Load():
 		e.err = errOutdated
 	case ctx.Err() == nil:
@@ -193,7 +198,7 @@
 		return placement.Canceled
 	case errors.Is(e.err, errSuperseded) && silent:
 		return placement.Silent
-	case errors.Is(e.err, errOutdated) || errors.Is(e.err, errQuarantined) || errors.Is(e.err, errSuperseded):
+	case errors.Is(e.err, errOutdated) || errors.Is(e.err, errQuarantined) || errors.Is(e.err, errSuperseded) || errors.Is(e.err, errYielded):
 		return placement.Canceled
 	default:
 		return e.outcome()
--- a/node/gateway/errors.go
+++ b/node/gateway/errors.go
@@ -11,5 +11,6 @@
 	errEmptyStream    = eris.New("the server's stream ended with its connection before the attempt's first event")
 	errStopping       = eris.New("the process is stopping and must answer the request now")
 	errSuperseded     = eris.New("another run of the request has answered or gone on first")
+	errYielded        = eris.New("a request that had no server took the place of this run beside a silent one")
 	errOutdated       = eris.New("the server had not begun before its weights became outdated")
 )
--- a/node/gateway/exchange.go
+++ b/node/gateway/exchange.go
@@ -196,7 +196,7 @@
 
 // endedBy tells who ended a failed attempt, this entry or the server.
 func (e *exchange) endedBy() string {
-	for _, own := range []error{context.Canceled, context.DeadlineExceeded, errSuperseded, errOutdated, errQuarantined, errPermitExpired, errAnswerTooLarge} {
+	for _, own := range []error{context.Canceled, context.DeadlineExceeded, errSuperseded, errYielded, errOutdated, errQuarantined, errPermitExpired, errAnswerTooLarge} {
 		if errors.Is(e.err, own) {
 			return "entry"
 		}
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -177,6 +177,7 @@
 	pendingAsks map[uint64]chan struct{}
 	// limitedWaiting counts the requests that wait for a limited server, by service.
 	limitedWaiting map[string]int
+	places         places
 	evacuations    *evacuation.Zones
 	// queues hold the waiting requests by service if they are ordered.
 	queues map[string]*serviceQueue
@@ -194,6 +195,7 @@
 	g.bodies = intake.NewBodies(cmp.Or(cfg.MaxTotalBodyBytes, intake.DefaultBodyBytes), intake.LogGivenUp(cfg.Log))
 	g.answers.limit = cmp.Or(cfg.MaxTotalAnswerBytes, defaultAnswerBytes)
 	g.pressure, g.pendingAsks, g.limitedWaiting = backpressure.NewTracker(), map[uint64]chan struct{}{}, map[string]int{}
+	g.places = newPlaces()
 	placementConfig := placement.DefaultConfig(cfg.Zone)
 	placementConfig.Backpressure = g.pressure
 	placementConfig.Regions, placementConfig.CheckMemory = cfg.Regions, cfg.CheckEngineMemory
--- a/node/gateway/handler.go
+++ b/node/gateway/handler.go
@@ -90,6 +90,8 @@
 	// placeBy is until when the rest of a begun stream waits for a server; zero for other
 	// requests.
 	placeBy time.Time
+	// isHedge means that the next or running attempt is beside another one.
+	isHedge bool
 	// only lists the only servers that the next attempt may go to; empty for all.
 	only          []string
 	configVersion int64
--- a/node/gateway/hedge.go
+++ b/node/gateway/hedge.go
@@ -38,6 +38,7 @@
 	h := &hedges{chain: c, next: *c.req}
 	h.next.waiter, h.next.runs = nil, c.req.runs+1
 	h.next.tried = slices.Clone(c.req.tried)
+	h.next.isHedge = true
 	return h
 }
 
@@ -134,7 +135,8 @@
 // alternative is what a chain beside a silent server needs.
 type alternative struct {
 	// runsLeft means that the request may run once more, retry that the retry budget
-	// holds a retry, and server that a server could take the request now.
+	// holds a retry, and server that a server could take the request now and no other one
+	// waits for a place.
 	runsLeft, retry, server bool
 }
 
@@ -146,7 +148,7 @@
 	defer g.mu.Unlock()
 	return alternative{
 		runsLeft: req.mayRerun() || len(req.only) > 0, retry: g.budget.CanRetry(limits.RetryKey{Service: req.service}),
-		server: g.fleet.CanServe(bootclock.Now(), req.query()),
+		server: g.places.waiting[req.service] == 0 && g.fleet.CanServe(bootclock.Now(), req.query()),
 	}
 }
 
--- a/node/gateway/place.go
+++ b/node/gateway/place.go
@@ -21,6 +21,9 @@
 	remaining := req.deadline.Sub(started)
 	// queued is set while the request counts as waiting for a limited server.
 	queued := false
+	// waiting is set while the request counts as waiting for a place, yielded once a hedge
+	// was ended for it.
+	waiting, yielded := false, false
 	// lastMiss is the reason of the last decision that holds for this request. There is
 	// none if others tried first all the time.
 	lastMiss := placement.AllFull
@@ -28,6 +31,9 @@
 		if queued {
 			g.leaveLimitedQueue(req.service)
 		}
+		if waiting {
+			g.leaveWaiting(req.service)
+		}
 		g.leaveQueue(req)
 	}()
 	for {
@@ -53,6 +59,9 @@
 		if miss == placement.Found {
 			return choice, ""
 		}
+		if req.isHedge {
+			return placement.Choice{}, missReason(lastMiss, req)
+		}
 		remainingWait := g.maxWait(req, miss, remaining) - time.Since(started)
 		if miss != placement.NoHome && miss != placement.TooLarge {
 			remainingWait = max(remainingWait, time.Until(req.placeBy))
@@ -71,6 +80,13 @@
 		if remainingWait <= 0 {
 			return placement.Choice{}, missReason(lastMiss, req)
 		}
+		if !waiting && (miss == placement.AllFull || miss == notItsTurn) {
+			g.joinWaiting(req.service)
+			waiting = true
+		}
+		if !yielded && miss == placement.AllFull {
+			yielded = g.endHedgeFor(req)
+		}
 		if choice.PauseEndsIn > 0 {
 			// No message announces the end of a pause.
 			remainingWait = min(remainingWait, max(choice.PauseEndsIn, minPause))
@@ -94,9 +110,13 @@
 	if len(r.only) > 0 {
 		tried = nil
 	}
+	reserve := r.reserve
+	if r.isHedge {
+		reserve = max(reserve, hedgeReserve)
+	}
 	return placement.Query{
 		Service: r.service, Model: r.model, Tried: tried, Only: r.only, SpareCapacityOnly: r.pastTarget, Regions: r.regions, Tokens: r.tokens,
-		MaxTokens: r.maxTokens, Reserve: r.reserve,
+		MaxTokens: r.maxTokens, Reserve: reserve,
 	}
 }
 
--- a/node/gateway/queue.go
+++ b/node/gateway/queue.go
@@ -74,6 +74,10 @@
 func (g *Gateway) choose(req *request, now time.Time) (choice placement.Choice, miss placement.Miss, changed chan struct{}) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if req.isHedge {
+		choice, miss = g.chooseForHedge(req)
+		return choice, miss, g.changed
+	}
 	if !g.cfg.OrderedWaiting {
 		choice, miss = g.fleet.Choose(now, req.query())
 		return choice, miss, g.changed
--- a/node/gateway/race.go
+++ b/node/gateway/race.go
@@ -22,7 +22,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.over {
-		r.end(c)
+		r.end(c, errSuperseded)
 		return
 	}
 	if r.chains == nil {
@@ -61,16 +61,17 @@
 	}
 	for other := range r.chains {
 		if other != c {
-			r.end(other)
+			r.end(other, errSuperseded)
 		}
 	}
+	c.led = true
 	return true
 }
 
-// end ends a chain. The caller holds mu.
-func (r *race) end(c *chain) {
+// end ends a chain for a cause. The caller holds mu.
+func (r *race) end(c *chain, cause error) {
 	c.lost.Store(true)
-	c.cancel(errSuperseded)
+	c.cancel(cause)
 	delete(r.chains, c)
 	if c.server != "" {
 		r.superseded = append(r.superseded, c.server)
