gateway: a refused attempt gives its run back to the hedge beside it

Cause: a hedge counted the attempt beside it as a run, on a copy of the request, and kept that count when its silent server refused at last without having run the request. With maxAttempts 2 and a silent hedge, no further server could be tried, and the caller got 504 at its deadline although a third server was free.

Change: all chains of a request share one counter of the attempts that are in flight or may have run. The hedge's own watch then finds the run free and tries the third server after the usual silence. The separate bookkeeping of runs between a chain and its hedges is gone.

Conclusion: maxAttempts counts what ran or may run, once for the whole request.

--- a/node/gateway/buffered.go
+++ b/node/gateway/buffered.go
@@ -150,6 +150,6 @@
 	recordLatency(req, time.Since(req.start))
 	g.cfg.Log.Routine("request_answered", req.call.RequestID, "status", status, "server", choice.Server.ID,
 		"service", req.service, "workspace", req.workspace, "configuration", req.configVersion, "load", choice.Load,
-		"report_age_ms", choice.ReportAge.Milliseconds(), "weights", choice.Version, "runs", req.runs,
+		"report_age_ms", choice.ReportAge.Milliseconds(), "weights", choice.Version, "runs", req.runCount(),
 		"events", events, "ms", time.Since(req.start).Milliseconds())
 }
--- a/node/gateway/chain.go
+++ b/node/gateway/chain.go
@@ -65,6 +65,9 @@
 type placer func(ctx context.Context, req *request) (placement.Choice, Reason)
 
 func (g *Gateway) newChain(requestCtx context.Context, req *request, r *race, x exchanger) *chain {
+	if req.runs == nil {
+		req.runs = new(atomic.Int32)
+	}
 	c := &chain{g: g, req: req, race: r, exchanger: x, requestCtx: requestCtx}
 	c.ctx, c.cancel = context.WithCancelCause(requestCtx)
 	r.enter(c)
@@ -91,14 +94,13 @@
 			continue
 		}
 		c.race.takeSuperseded(choice.Server.ID)
-		runsBefore := c.req.runs
 		var beside *hedge
 		if r, beside = c.try(choice); r.e.answered() && c.exchanger.accepts(r.e) && c.race.finish(c) {
 			return r
 		}
 		if beside != nil {
 			c.race.setWaiting(c, true)
-			beside.await(c.req, runsBefore)
+			beside.await(c.req)
 			if beside.result.reason == "" || c.lost.Load() {
 				c.g.logAttempt(c.req, r.e, "superseded")
 				r.release()
@@ -146,6 +148,7 @@
 func (c *chain) try(choice placement.Choice) (result, *hedge) {
 	g, req := c.g, c.req
 	req.tried = append(req.tried, choice.Server.ID)
+	req.runs.Add(1)
 	beside := newHedges(c)
 	c.race.setServer(c, choice.Server.ID)
 	ctx, cancel := context.WithCancelCause(c.ctx)
@@ -181,8 +184,8 @@
 		beginning := e.resp != nil && e.resp.StatusCode == http.StatusOK && e.events == 0
 		g.checkCrash(req, e, req.route.Kind == route.Stream && !beginning)
 	}
-	if e.mayHaveRun() {
-		req.runs++
+	if !e.mayHaveRun() {
+		req.runs.Add(-1)
 	}
 	g.releaseServer(choice, attemptOutcome(req, e, silent))
 	return r, beside.close()
--- a/node/gateway/handler.go
+++ b/node/gateway/handler.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/laburnumloft/laburnumloft/core/eligibility"
@@ -83,10 +84,11 @@
 	pastTarget bool
 	// model must be loaded on the server; it is empty for plain services.
 	model string
-	// tried lists the servers that were sent the request; runs counts those
-	// that may have run it.
+	// tried lists the servers that were sent the request.
 	tried []string
-	runs  int
+	// runs counts the attempts that are in flight or may have run. All chains share it; nil
+	// before the first one.
+	runs *atomic.Int32
 	// placeBy is until when the rest of a begun stream waits for a server; zero for other
 	// requests.
 	placeBy time.Time
@@ -334,14 +336,14 @@
 	if !ok {
 		status = http.StatusServiceUnavailable
 	}
-	if req.runs > 0 && status == http.StatusServiceUnavailable {
+	if req.runCount() > 0 && status == http.StatusServiceUnavailable {
 		// 503 guarantees that the request has not run, but this one may have.
 		status = http.StatusBadGateway
 	}
 	outcomes.Add(string(reason), 1)
 	args := []any{
 		"request", req.call.RequestID, "reason", string(reason), "status", status, "configuration", req.configVersion,
-		"service", req.service, "workspace", req.workspace, "offers", len(req.tried), "runs", req.runs,
+		"service", req.service, "workspace", req.workspace, "offers", len(req.tried), "runs", req.runCount(),
 		"ms", time.Since(req.start).Milliseconds(), "late", req.pastTarget, "parts", prompt.Format(req.call.PromptParts), "whole", req.identity.WholeID(),
 	}
 	if reason == ReasonQuarantined {
--- a/node/gateway/hedge.go
+++ b/node/gateway/hedge.go
@@ -27,8 +27,7 @@
 	mu sync.Mutex
 	// closed means that the attempt is over.
 	closed bool
-	// next is the request as the next hedge begins with it. It counts the attempt itself as
-	// a run, and what earlier hedges tried.
+	// next is the request as the next hedge begins with it, with what earlier hedges tried.
 	next request
 	last *hedge
 }
@@ -36,7 +35,7 @@
 // newHedges prepares the hedges of a chain's attempt that is about to begin.
 func newHedges(c *chain) *hedges {
 	h := &hedges{chain: c, next: *c.req}
-	h.next.waiter, h.next.runs = nil, c.req.runs+1
+	h.next.waiter = nil
 	h.next.tried = slices.Clone(c.req.tried)
 	h.next.isHedge = true
 	return h
@@ -78,7 +77,7 @@
 	go func() {
 		started.result = started.chain.run(g.placeHedge)
 		h.mu.Lock()
-		h.next.tried, h.next.runs = req.tried, req.runs
+		h.next.tried = req.tried
 		h.mu.Unlock()
 		close(started.done)
 	}()
@@ -107,13 +106,12 @@
 }
 
 // await waits for a hedge and adds what all hedges of the attempt have tried to its
-// request, which counted runsBefore runs before the attempt.
-func (h *hedge) await(req *request, runsBefore int) {
+// request.
+func (h *hedge) await(req *request) {
 	<-h.done
 	h.all.mu.Lock()
 	defer h.all.mu.Unlock()
 	req.tried = h.all.next.tried
-	req.runs += h.all.next.runs - runsBefore - 1
 }
 
 // hedge starts a chain beside an attempt whose server has been silent, if there is what
--- a/node/gateway/place.go
+++ b/node/gateway/place.go
@@ -171,7 +171,7 @@
 	if errors.Is(context.Cause(ctx), errStopping) {
 		return ReasonStopping
 	}
-	if req.runs > 0 {
+	if req.runCount() > 0 {
 		return ReasonTimeout
 	}
 	return ReasonDeadline
@@ -191,10 +191,18 @@
 	g.budget.RecordAttempt(limits.RetryKey{Service: req.service})
 }
 
+// runCount returns how many attempts are in flight or may have run.
+func (r *request) runCount() int {
+	if r.runs == nil {
+		return 0
+	}
+	return int(r.runs.Load())
+}
+
 // mayRerun reports whether a request that may have run may be sent to another
 // server.
 func (r *request) mayRerun() bool {
-	return r.route.Retryable() && r.runs < max(r.route.MaxAttempts, 1)
+	return r.route.Retryable() && r.runCount() < max(r.route.MaxAttempts, 1)
 }
 
 // hasTimeToRerun reports whether enough time is left for another attempt.
--- a/node/gateway/stream.go
+++ b/node/gateway/stream.go
@@ -62,7 +62,7 @@
 	last, _ := s.sequence.Last()
 	args := []any{
 		"request", req.call.RequestID, "reason", string(reason), "events", s.events, "last_event", last,
-		"service", req.service, "offers", len(req.tried), "runs", req.runs, "ms", time.Since(req.start).Milliseconds(),
+		"service", req.service, "offers", len(req.tried), "runs", req.runCount(), "ms", time.Since(req.start).Milliseconds(),
 		"configuration", req.configVersion, "left_ms", time.Until(req.deadline).Milliseconds(),
 	}
 	if e := r.e; e != nil {
