gateway: hold back the first bytes of a hedge's stream

Cause: with its first event a hedge ends the silent attempt. If it breaks off right after, the way back needs a second retry; without one, the stream was cut although the silent server would have finished it. Once an event of the hedge has reached the caller, events of the silent run can't follow it: they are of another run (ORDER).

Change: the first bytes of a hedge's stream are held back for 100 ms, or until the answer ends or 64 KB have come, while the attempt beside it is in flight. If the answer breaks off meanwhile, nothing of it is forwarded and the silent attempt goes on. No retry is set aside for that.

Conclusion: hedges that break off within 100 ms of their first bytes cost nothing. One that breaks off later still needs a retry for the way back. An event of a hedge reaches its caller up to 100 ms later.

--- a/node/gateway/stream.go
+++ b/node/gateway/stream.go
@@ -98,6 +98,9 @@
 	switch {
 	case e.err != nil:
 	case e.resp.StatusCode == http.StatusOK:
+		if req.isHedge {
+			e.resp.Body = &heldBody{ReadCloser: e.resp.Body, canFallBack: func() bool { return s.isBeside(c) }}
+		}
 		e.err = s.forward(e, c, watch, func() { g.removeWaiting(waiting) })
 	case !e.answer.NotRun && !e.answer.Misdirected:
 		r.body, r.release, e.err = g.readAnswer(e.resp)
