--- a/node/gateway/chain.go
+++ b/node/gateway/chain.go
@@ -25,9 +25,9 @@
 	cancel          context.CancelCauseFunc
 	// lost means that another chain led.
 	lost atomic.Bool
-	// server and waiting are the race's.
-	server  string
-	waiting bool
+	// server, waiting and led are the race's. led means that the chain has led.
+	server       string
+	waiting, led bool
 }
 
 // exchanger makes the exchanges of one kind of request.
@@ -65,6 +65,9 @@
 type placer func(ctx context.Context, req *request) (placement.Choice, Reason)
 
 func (g *Gateway) newChain(requestCtx context.Context, req *request, r *race, x exchanger) *chain {
+	if req.runs == nil {
+		req.runs = new(atomic.Int32)
+	}
 	c := &chain{g: g, req: req, race: r, exchanger: x, requestCtx: requestCtx}
 	c.ctx, c.cancel = context.WithCancelCause(requestCtx)
 	r.enter(c)
@@ -78,6 +81,7 @@
 	defer c.race.leave(c)
 	r := result{release: releaseNothing}
 	for place := first; ; place = c.g.place {
+		c.req.isHedge = c.race.isBeside(c)
 		choice, reason := place(c.ctx, c.req)
 		returning := c.req.only
 		c.req.only = nil
@@ -95,14 +99,13 @@
 			return r.failed(c.g.reasonForDone(c.ctx, c.req))
 		}
 		c.race.takeSuperseded(choice.Server.ID)
-		runsBefore := c.req.runs
 		var beside *hedge
 		if r, beside = c.try(choice); r.e.answered() && c.exchanger.accepts(r.e) && c.race.finish(c) {
 			return r
 		}
 		if beside != nil {
 			c.race.setWaiting(c, true)
-			beside.await(c.req, runsBefore)
+			beside.await(c.req)
 			if beside.result.reason == "" || c.lost.Load() {
 				c.g.logAttempt(c.req, r.e, "superseded")
 				r.release()
@@ -150,6 +153,7 @@
 func (c *chain) try(choice placement.Choice) (result, *hedge) {
 	g, req := c.g, c.req
 	req.tried = append(req.tried, choice.Server.ID)
+	req.runs.Add(1)
 	beside := newHedges(c)
 	c.race.setServer(c, choice.Server.ID)
 	ctx, cancel := context.WithCancelCause(c.ctx)
@@ -166,6 +170,10 @@
 		}
 		watch.start()
 	}
+	if req.isHedge {
+		g.addHedgePlace(c, choice)
+		defer g.removeHedgePlace(c)
+	}
 	r := c.exchanger.exchange(ctx, cancel, c, choice, watch)
 	silent := watch != nil && watch.stop()
 	c.race.setServer(c, "")
@@ -174,15 +182,15 @@
 	switch {
 	case e.err == nil || errors.Is(e.err, errQuarantined):
 	case c.lost.Load():
-		e.err = errSuperseded
+		e.err = c.lossCause()
 	case watch != nil && watch.outdated.Load():
 		e.err = errOutdated
 	case ctx.Err() == nil:
 		beginning := e.resp != nil && e.resp.StatusCode == http.StatusOK && e.events == 0
 		g.checkCrash(req, e, req.route.Kind == route.Stream && !beginning)
 	}
-	if e.mayHaveRun() {
-		req.runs++
+	if !e.mayHaveRun() {
+		req.runs.Add(-1)
 	}
 	g.releaseServer(choice, attemptOutcome(req, e, silent))
 	return r, beside.close()
@@ -198,7 +206,7 @@
 		return placement.Canceled
 	case errors.Is(e.err, errSuperseded) && silent:
 		return placement.Silent
-	case errors.Is(e.err, errOutdated) || errors.Is(e.err, errQuarantined) || errors.Is(e.err, errSuperseded):
+	case errors.Is(e.err, errOutdated) || errors.Is(e.err, errQuarantined) || errors.Is(e.err, errSuperseded) || errors.Is(e.err, errYielded):
 		return placement.Canceled
 	default:
 		return e.outcome()
--- a/node/gateway/handler.go
+++ b/node/gateway/handler.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"runtime/debug"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/laburnumloft/laburnumloft/core/eligibility"
@@ -85,13 +86,16 @@
 	pastTarget bool
 	// model must be loaded on the server; it is empty for plain services.
 	model string
-	// tried lists the servers that were sent the request; runs counts those
-	// that may have run it.
+	// tried lists the servers that were sent the request.
 	tried []string
-	runs  int
+	// runs counts the attempts that are in flight or may have run. All chains share it; nil
+	// before the first one.
+	runs *atomic.Int32
 	// placeBy is until when the rest of a begun stream waits for a server; zero for other
 	// requests.
 	placeBy time.Time
+	// isHedge means that the next or running attempt is beside another one.
+	isHedge bool
 	// only lists the only servers that the next attempt may go to; empty for all.
 	only          []string
 	configVersion int64
@@ -358,14 +362,14 @@
 	if !ok {
 		status = http.StatusServiceUnavailable
 	}
-	if req.runs > 0 && status == http.StatusServiceUnavailable {
+	if req.runCount() > 0 && status == http.StatusServiceUnavailable {
 		// 503 guarantees that the request has not run, but this one may have.
 		status = http.StatusBadGateway
 	}
 	outcomes.Add(string(reason), 1)
 	args := []any{
 		"request", req.call.RequestID, "reason", string(reason), "status", status, "configuration", req.configVersion,
-		"service", req.service, "workspace", req.workspace, "offers", len(req.tried), "runs", req.runs,
+		"service", req.service, "workspace", req.workspace, "offers", len(req.tried), "runs", req.runCount(),
 		"ms", time.Since(req.start).Milliseconds(), "late", req.pastTarget, "parts", prompt.Format(req.call.PromptParts), "whole", req.identity.WholeID(),
 	}
 	if reason == ReasonQuarantined {
--- a/node/gateway/place.go
+++ b/node/gateway/place.go
@@ -22,6 +22,9 @@
 	remaining := req.deadline.Sub(started)
 	// queued is set while the request counts as waiting for a limited server.
 	queued := false
+	// waiting is set while the request counts as waiting for a place, yielded once a hedge
+	// was ended for it.
+	waiting, yielded := false, false
 	// lastMiss is the reason of the last decision that holds for this request. There is
 	// none if others tried first all the time.
 	lastMiss := placement.AllFull
@@ -29,6 +32,9 @@
 		if queued {
 			g.leaveLimitedQueue(req.service)
 		}
+		if waiting {
+			g.leaveWaiting(req.service)
+		}
 		g.leaveQueue(req)
 	}()
 	for {
@@ -54,6 +60,9 @@
 		if miss == placement.Found {
 			return choice, ""
 		}
+		if req.isHedge {
+			return placement.Choice{}, missReason(lastMiss, req)
+		}
 		// What arrived during a stall of this process is read only after it.
 		waited := time.Since(started) - (stall.Total() - stalledBefore)
 		remainingWait := g.maxWait(req, miss, remaining) - waited
@@ -74,6 +83,13 @@
 		if remainingWait <= 0 {
 			return placement.Choice{}, missReason(lastMiss, req)
 		}
+		if !waiting && (miss == placement.AllFull || miss == notItsTurn) {
+			g.joinWaiting(req.service)
+			waiting = true
+		}
+		if !yielded && miss == placement.AllFull {
+			yielded = g.endHedgeFor(req)
+		}
 		if choice.PauseEndsIn > 0 {
 			// No message announces the end of a pause.
 			remainingWait = min(remainingWait, max(choice.PauseEndsIn, minPause))
@@ -104,9 +120,13 @@
 	if len(r.only) > 0 {
 		tried = nil
 	}
+	reserve := r.reserve
+	if r.isHedge {
+		reserve = max(reserve, hedgeReserve)
+	}
 	return placement.Query{
 		Service: r.service, Model: r.model, Tried: tried, Only: r.only, SpareCapacityOnly: r.pastTarget, Regions: r.regions, Tokens: r.tokens,
-		MaxTokens: r.maxTokens, Reserve: r.reserve, Resumes: r.resumes(),
+		MaxTokens: r.maxTokens, Reserve: reserve, Resumes: r.resumes(),
 	}
 }
 
@@ -164,7 +184,7 @@
 	if errors.Is(context.Cause(ctx), errStopping) {
 		return ReasonStopping
 	}
-	if req.runs > 0 {
+	if req.runCount() > 0 {
 		return ReasonTimeout
 	}
 	return ReasonDeadline
@@ -184,10 +204,18 @@
 	g.budget.RecordAttempt(limits.RetryKey{Service: req.service})
 }
 
+// runCount returns how many attempts are in flight or may have run.
+func (r *request) runCount() int {
+	if r.runs == nil {
+		return 0
+	}
+	return int(r.runs.Load())
+}
+
 // mayRerun reports whether a request that may have run may be sent to another
 // server.
 func (r *request) mayRerun() bool {
-	return r.route.Retryable() && r.runs < max(r.route.MaxAttempts, 1)
+	return r.route.Retryable() && r.runCount() < max(r.route.MaxAttempts, 1)
 }
 
 // hasTimeToRerun reports whether enough time is left for another attempt.
--- a/node/gateway/stream.go
+++ b/node/gateway/stream.go
@@ -62,7 +62,7 @@
 	last, _ := s.sequence.Last()
 	args := []any{
 		"request", req.call.RequestID, "reason", string(reason), "events", s.events, "last_event", last,
-		"service", req.service, "offers", len(req.tried), "runs", req.runs, "ms", time.Since(req.start).Milliseconds(),
+		"service", req.service, "offers", len(req.tried), "runs", req.runCount(), "ms", time.Since(req.start).Milliseconds(),
 		"configuration", req.configVersion, "left_ms", time.Until(req.deadline).Milliseconds(),
 	}
 	if e := r.e; e != nil {
@@ -98,6 +98,9 @@
 	switch {
 	case e.err != nil:
 	case e.resp.StatusCode == http.StatusOK:
+		if req.isHedge {
+			e.resp.Body = &heldBody{ReadCloser: e.resp.Body, canFallBack: func() bool { return s.isBeside(c) }}
+		}
 		e.err = s.forward(e, c, watch, func() { g.removeWaiting(waiting) })
 	case !e.answer.NotRun && !e.answer.Misdirected:
 		r.body, r.release, e.err = g.readAnswer(e.resp)
