gateway: keep a slow connect where no other server is free

Callers of a virtual machine that stands still for a second when a request arrives got 503: with one server, or where the other one refused or was dead. In TestServerThatConnectsLateIsNotGivenUp (orders, reads, streams and plain requests; the server completes no connection for 0.5, 1.5 and 2.5 s; no other server, one that refuses, one that is dead, one that answers) 36 of 48 cases failed on, all but those with an answering server.

Cause: the connect was limited to 0.4 s, whatever the request's time and whether another server could take it.

Change: after 0.4 s, and every 0.2 s from then on, the connect is given up only if another server can take the request and the retry budget holds a retry. Nothing was sent, so that an order may go elsewhere, too. If the others then refuse, the request returns to the slow server. The connect ends at once when the server leaves, is removed, changes its weights or the prompt is quarantined, and these are checked again before anything is sent. Where other servers are known and only full or paused, the connect may take half of the request's time, so that its caller can come back. A slow connect counts as a silence of its server. A give-up for a free server is no longer bound by the number of servers that may refuse, only by the retry budget.

Weighed: a second connect beside the slow one, the first to connect wins. It needs the race between chains for orders as well; the simple form loses only the time of the new connect when the slow server comes back first.

Figures: the 48 cases pass. Two servers that answer no SYN beside a free one: answered within 1.1 s, as before (TestUnconnectableServersAreLeft).

--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -490,6 +490,37 @@
 	})
 }
 
+// MaySend reports whether a request may still be sent to the server that was chosen for it.
+// The place that it takes there, and a pause after a failure, don't matter any more.
+func (f *Fleet) MaySend(now time.Time, h Handle, q Query) bool {
+	m := h.member
+	if m == nil || m.removed {
+		return false
+	}
+	q.Only = []string{m.server.ID}
+	r := f.requirements(&q, now)
+	switch f.exclusion(m, &q, &r, now) {
+	case eligibility.Eligible, eligibility.Full, eligibility.Memory, eligibility.Cold:
+		return true
+	default:
+		return false
+	}
+}
+
+// MayServe reports whether a server can take a request now, or may when something passes
+// that often passes soon: its load, a pause, or a load of weights.
+func (f *Fleet) MayServe(now time.Time, q Query) bool {
+	r := f.requirements(&q, now)
+	return slices.ContainsFunc(f.services[q.Service], func(m *member) bool {
+		switch f.exclusion(m, &q, &r, now) {
+		case eligibility.Eligible, eligibility.Full, eligibility.Memory, eligibility.Cold, eligibility.Paused, eligibility.NoWeights, eligibility.SetAside:
+			return true
+		default:
+			return false
+		}
+	})
+}
+
 // maxSamples is the number of random servers that are checked for two eligible
 // ones before all servers are checked. While most servers of a large service
 // have free slots, a decision checks two or three of them.
--- a/node/gateway/buffered.go
+++ b/node/gateway/buffered.go
@@ -87,11 +87,21 @@
 	case errors.Is(e.err, errQuarantined):
 		g.logAttempt(req, e, "quarantined")
 		return ReasonQuarantined, false, true
+	case errors.Is(e.err, errNotAllowed):
+		g.logAttempt(req, e, "not_allowed")
+		retry = true
 	case errors.Is(e.err, errPermitExpired):
 		// Nothing reached the server, so that it may be tried again.
 		g.logAttempt(req, e, "permit_expired")
 		req.tried = req.tried[:len(req.tried)-1]
 		retry = true
+	case errors.Is(e.err, errSlowConnect):
+		// The bound on servers tried is for servers that refuse.
+		g.logAttempt(req, e, "unreachable")
+		if !g.consumeRetry(req) {
+			return ReasonRetryBudget, false, true
+		}
+		retry = true
 	case !e.sent:
 		g.logAttempt(req, e, "unreachable")
 		reason, retry = g.allowRetry(req, ReasonNoServer)
--- a/node/gateway/chain.go
+++ b/node/gateway/chain.go
@@ -28,6 +28,8 @@
 	// server and waiting are the race's.
 	server  string
 	waiting bool
+	// slow lists the servers whose connect was given up for another server.
+	slow []string
 }
 
 // exchanger makes the exchanges of one kind of request.
@@ -132,6 +134,9 @@
 // returnToSuperseded makes a request that has no other server left return to those whose
 // attempts were ended for one that then failed. They are no further servers of the request.
 func (c *chain) returnToSuperseded(reason Reason) bool {
+	if c.returnToSlow(reason) {
+		return true
+	}
 	servers := c.race.supersededServers()
 	if len(servers) == 0 || c.ctx.Err() != nil || reason == ReasonQuarantined || !c.race.isAlone(c) || !c.req.hasTimeToRerun() || !c.g.consumeRetry(c.req) {
 		return false
@@ -140,6 +145,17 @@
 	return true
 }
 
+// returnToSlow makes a request that has no other server left return to those whose connect
+// was given up for another one. Nothing reached them, so that the retry that was taken from
+// the budget then covers the return.
+func (c *chain) returnToSlow(reason Reason) bool {
+	if len(c.slow) == 0 || c.ctx.Err() != nil || reason == ReasonQuarantined || c.req.runs > 0 && !c.req.mayRerun() || !c.race.isAlone(c) {
+		return false
+	}
+	c.req.only, c.slow = c.slow, nil
+	return true
+}
+
 // try makes one attempt. While its server is silent, other chains may begin beside it; the
 // last of them is returned.
 func (c *chain) try(choice placement.Choice) (result, *hedge) {
@@ -176,6 +192,9 @@
 		beginning := e.resp != nil && e.resp.StatusCode == http.StatusOK && e.events == 0
 		g.checkCrash(req, e, req.route.Kind == route.Stream && !beginning)
 	}
+	if errors.Is(e.err, errSlowConnect) {
+		c.slow = append(c.slow, choice.Server.ID)
+	}
 	if e.mayHaveRun() {
 		req.runs++
 	}
--- a/node/gateway/errors.go
+++ b/node/gateway/errors.go
@@ -12,4 +12,7 @@
 	errStopping       = eris.New("the process is stopping and must answer the request now")
 	errSuperseded     = eris.New("another run of the request has answered or gone on first")
 	errOutdated       = eris.New("the server had not begun before its weights became outdated")
+	errSlowConnect    = eris.New("the server did not accept the connection in time, and another one is free")
+	errConnectTimeout = eris.New("the server did not accept the connection within the request's time for it")
+	errNotAllowed     = eris.New("the server may no longer get the request")
 )
--- a/node/gateway/exchange.go
+++ b/node/gateway/exchange.go
@@ -58,7 +58,7 @@
 // outcome returns the attempt's outcome for the server's health tracking.
 func (e *exchange) outcome() placement.Outcome {
 	switch {
-	case errors.Is(e.err, errPermitExpired):
+	case errors.Is(e.err, errPermitExpired), errors.Is(e.err, errNotAllowed):
 		return placement.Canceled
 	case !e.sent:
 		return placement.Unreachable
@@ -80,6 +80,7 @@
 	e := &exchange{choice: choice}
 	var connected atomic.Bool
 	ctx = context.WithValue(ctx, permitKey{}, choice.Permit)
+	ctx = context.WithValue(ctx, connectKey{}, newConnecting(ctx, g, req, choice))
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
 	})
@@ -196,7 +197,7 @@
 
 // endedBy tells who ended a failed attempt, this entry or the server.
 func (e *exchange) endedBy() string {
-	for _, own := range []error{context.Canceled, context.DeadlineExceeded, errSuperseded, errOutdated, errQuarantined, errPermitExpired, errAnswerTooLarge} {
+	for _, own := range []error{context.Canceled, context.DeadlineExceeded, errSuperseded, errOutdated, errQuarantined, errPermitExpired, errAnswerTooLarge, errSlowConnect, errConnectTimeout, errNotAllowed} {
 		if errors.Is(e.err, own) {
 			return "entry"
 		}
--- a/node/gateway/transport.go
+++ b/node/gateway/transport.go
@@ -11,12 +11,6 @@
 	"github.com/laburnumloft/laburnumloft/node/lib/lifecycle"
 )
 
-const (
-	// dialTimeout limits connecting to a server. A round trip between regions
-	// takes under 10 ms; a lost first packet is sent again after a second.
-	dialTimeout = 400 * time.Millisecond
-)
-
 // newTransport returns the transport to backend servers. Every request uses a
 // new connection: on a reused connection a late or extra answer could be
 // attributed to the next request, and net/http may resend a request when a
@@ -27,9 +21,13 @@
 	// would detect it. There is no limit on unacknowledged bytes either: it would
 	// also end the connection of a server that reads nothing for a while, and an
 	// order can't be sent again.
-	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: -1}
+	dialer := &net.Dialer{KeepAlive: -1}
 	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
-		conn, err := dialer.DialContext(ctx, network, address)
+		connect := dialer.DialContext
+		if c, ok := ctx.Value(connectKey{}).(*connecting); ok {
+			connect = c.dialer(dialer)
+		}
+		conn, err := connect(ctx, network, address)
 		if err != nil {
 			return nil, err
 		}
