--- a/standin/platform/restore.go
+++ b/standin/platform/restore.go
@@ -1,6 +1,7 @@
 package platform
 
 import (
+	"context"
 	"net/http"
 	"strconv"
 	"time"
@@ -117,6 +118,8 @@
 // eraWriter adds the era to an answer when it is made.
 type eraWriter struct {
 	http.ResponseWriter
+	// ctx is the context of the call.
+	ctx   context.Context
 	store *Store
 	topic string
 	done  bool
@@ -127,6 +130,7 @@
 		return
 	}
 	w.done = true
+	w.store.pause.wait(w.ctx)
 	w.store.mu.Lock()
 	era := w.store.era
 	delay := time.Duration(0)
--- a/standin/platform/store.go
+++ b/standin/platform/store.go
@@ -60,6 +60,8 @@
 	// waiting counts the waiting reads of the operator's records.
 	waiting int
 	era     eraHeader
+	// pause holds all calls back while the store stands still.
+	pause gate
 	// appends and newestReads count the calls of the system by topic.
 	appends, newestReads map[string]int
 }
@@ -76,6 +78,10 @@
 	s.down = down
 }
 
+// SetPaused makes the store stand still, or go on: meanwhile it accepts connections, but
+// answers nothing.
+func (s *Store) SetPaused(paused bool) { s.pause.set(paused) }
+
 // SetLosing makes appends take effect without an answer.
 func (s *Store) SetLosing(losing bool) {
 	s.mu.Lock()
@@ -164,11 +170,12 @@
 
 // ServeHTTP implements http.Handler.
 func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.pause.wait(r.Context())
 	s.mu.Lock()
 	down, losing := s.down, s.losing
 	s.mu.Unlock()
 	name := r.URL.Query().Get("topic")
-	w = &eraWriter{ResponseWriter: w, store: s, topic: name}
+	w = &eraWriter{ResponseWriter: w, ctx: r.Context(), store: s, topic: name}
 	if down {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
