entry, agent: a silence alone ends no answer before its deadline

Callers of the own interface got a time-out after 20 s (entry) or 15 s (agent) of silence, in the middle of an answer too, though their deadline may be ten minutes away and nobody else can go on with the answer.

Cause: the stall timeout cancelled the exchange, whatever was known of the peer.

Change: after the stall timeout, and every second from then on, the entry looks whether the agent is gone from the members, twice in a row, because after a pause of its own process all members look gone; the agent looks whether its backend server has lost the version. Only that ends the answer. A deadline that passes in a silence counts against the backend server, also after the first token, as the stall timeout did. node/lib/silence holds the timer of both.

An engine that lives and hangs holds its callers until their deadlines, and gets new requests until one of these has passed. What an answer that hangs for minutes means for a load of another version was not examined.

--- a/node/agent/agent.go
+++ b/node/agent/agent.go
@@ -55,8 +55,9 @@
 	HeldBodyBytes  int64
 	MaxConnections int
 	DrainTimeout   time.Duration
-	// StallTimeout bounds how long the backend server may make no progress
-	// on an answer; 0 means DefaultStallTimeout.
+	// StallTimeout is how long the backend server may make no progress on an
+	// answer until the agent looks whether it still runs the version; 0 means
+	// DefaultStallTimeout.
 	StallTimeout time.Duration
 	Logger       hclog.Logger
 	// Transport is used towards other VMs; nil means a default one.
--- a/node/agent/requests.go
+++ b/node/agent/requests.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/laburnumloft/laburnumloft/core/limits"
+	"github.com/laburnumloft/laburnumloft/node/lib/silence"
 	"github.com/laburnumloft/laburnumloft/node/lib/telemetry"
 	"github.com/laburnumloft/laburnumloft/node/lib/wire"
 )
@@ -21,10 +22,13 @@
 	defaultTokens    = 16
 	defaultDeadline  = 2 * time.Minute
 	// DefaultStallTimeout is how long a backend server may make no progress
-	// on an answer.
+	// on an answer until the agent looks whether it still runs the version.
 	DefaultStallTimeout = 15 * time.Second
 	// writeTimeout bounds one write to an entry that does not read.
 	writeTimeout = 30 * time.Second
+	// lostCheckInterval is the time between two looks whether a silent backend server
+	// still runs the version.
+	lostCheckInterval = time.Second
 )
 
 var (
@@ -108,8 +112,8 @@
 	wire.WriteError(w, failure)
 }
 
-// errStalled is the cause of a request that made no progress.
-var errStalled = errors.New("backend server made no progress")
+// errStalled is the cause of a request that made no progress and can make none.
+var errStalled = errors.New("backend server made no progress and no longer runs the version")
 
 // generate copies the engine's tokens to the entry as they come. Nothing is
 // buffered beyond one frame, so an entry that reads slowly slows the engine.
@@ -117,14 +121,14 @@
 func (a *Agent) generate(ctx context.Context, w http.ResponseWriter, req wire.AgentRequest) (int, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	watchdog := time.AfterFunc(a.stallTimeout(), func() { cancel(errStalled) })
-	defer watchdog.Stop()
+	watch := a.watchSilence(req.Version, cancel)
+	defer watch.Stop()
 	resp, err := a.engine.generate(ctx, req)
 	if err != nil {
 		return 0, a.failBeforeStart(ctx, w, req, err)
 	}
 	defer resp.Body.Close()
-	answer := &answer{agent: a, ctx: ctx, w: w, req: req, watchdog: watchdog, lines: wire.NewLineReader(resp.Body)}
+	answer := &answer{agent: a, ctx: ctx, w: w, req: req, watch: watch, lines: wire.NewLineReader(resp.Body)}
 	err = answer.copy()
 	if err != nil {
 		// Closing the connection cancels too, but an engine behind a slow
@@ -159,6 +163,17 @@
 	return err
 }
 
+// watchSilence ends an answer when its backend server is silent and no longer runs the
+// version. A silence alone ends none before its deadline: nobody else can go on with the
+// answer.
+func (a *Agent) watchSilence(version string, cancel context.CancelCauseFunc) *silence.Watch {
+	return silence.Start(a.stallTimeout(), 0, lostCheckInterval, func() {
+		if !a.state.runs(version) {
+			cancel(errStalled)
+		}
+	})
+}
+
 func (a *Agent) stallTimeout() time.Duration {
 	if a.cfg.StallTimeout > 0 {
 		return a.cfg.StallTimeout
@@ -173,14 +188,14 @@
 
 // answer is one answer on its way from the engine to the entry.
 type answer struct {
-	agent    *Agent
-	ctx      context.Context
-	w        http.ResponseWriter
-	req      wire.AgentRequest
-	watchdog *time.Timer
-	lines    *wire.LineReader
-	frames   *json.Encoder
-	tokens   int
+	agent  *Agent
+	ctx    context.Context
+	w      http.ResponseWriter
+	req    wire.AgentRequest
+	watch  *silence.Watch
+	lines  *wire.LineReader
+	frames *json.Encoder
+	tokens int
 }
 
 // copy passes frames on until the engine's last one. Everything that the
@@ -203,7 +218,7 @@
 			return err
 		}
 		// An entry that reads slowly is no stall of the engine.
-		s.watchdog.Stop()
+		s.watch.Stop()
 		if err := s.check(frame); err != nil {
 			return err
 		}
@@ -222,7 +237,7 @@
 			return err
 		}
 		s.tokens++
-		s.watchdog.Reset(s.agent.stallTimeout())
+		s.watch.Restart()
 	}
 }
 
--- a/node/agent/silence_test.go
+++ b/node/agent/silence_test.go
@@ -103,3 +103,50 @@
 	c.Check(a.operations.drain(c.Context()), qt.IsNil)
 	c.Check(arrivals.Load(), qt.Equals, int32(1))
 }
+
+// versionGate is an admission gate of a backend server that runs a version, or has lost it.
+type versionGate struct{ lost bool }
+
+func (versionGate) admit() (string, bool) { return "v1", true }
+func (g versionGate) runs(string) bool    { return !g.lost }
+func (versionGate) release()              {}
+
+// TestSilentEngineIsNotGivenUp guards against an answer that is ended before its deadline
+// because its engine is silent for longer than the stall timeout and goes on, and against
+// one that waits for an engine that has lost the version.
+func TestSilentEngineIsNotGivenUp(t *testing.T) {
+	for name, silences := range map[string][2]time.Duration{
+		"before the header": {time.Second, 0},
+		"between tokens":    {0, time.Second},
+	} {
+		for _, lost := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s/lost=%t", name, lost), func(t *testing.T) {
+				t.Parallel()
+				c := qt.New(t)
+				engine := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+					pause := func(d time.Duration) {
+						select {
+						case <-time.After(d):
+						case <-r.Context().Done():
+						}
+					}
+					pause(silences[0])
+					_, _ = fmt.Fprintln(w, `{"request_id":"r","token":"t"}`)
+					_ = http.NewResponseController(w).Flush()
+					pause(silences[1])
+					_, _ = fmt.Fprintln(w, `{"request_id":"r","end":{"version":"v1","tokens":1}}`)
+				}))
+				defer engine.Close()
+				a := New(Config{BackendURL: engine.URL, StallTimeout: 100 * time.Millisecond, Logger: hclog.NewNullLogger()})
+				a.state.gate = versionGate{lost}
+				tokens, err := a.generate(c.Context(), httptest.NewRecorder(), wire.AgentRequest{RequestID: "r", Version: "v1", MaxTokens: 1})
+				if lost {
+					c.Check(err, qt.Equals, errStalled)
+					return
+				}
+				c.Check(err, qt.IsNil)
+				c.Check(tokens, qt.Equals, 1)
+			})
+		}
+	}
+}
--- a/node/cmd/laburnum-agent/main.go
+++ b/node/cmd/laburnum-agent/main.go
@@ -31,7 +31,7 @@
 	MembershipURL string              `long:"membership-url" env:"LABURNUM_MEMBERSHIP_URL" required:"true" description:"URL of the membership list"`
 	MemoryCeiling int64               `long:"memory-ceiling-bytes" env:"LABURNUM_MEMORY_CEILING_BYTES" default:"17179869184" description:"largest size of held weights in bytes"`
 	DrainTimeout  time.Duration       `long:"drain-timeout" env:"LABURNUM_DRAIN_TIMEOUT" default:"10m" description:"limit of a planned stop"`
-	StallTimeout  time.Duration       `long:"stall-timeout" env:"LABURNUM_STALL_TIMEOUT" default:"15s" description:"how long the backend server may make no progress on an answer"`
+	StallTimeout  time.Duration       `long:"stall-timeout" env:"LABURNUM_STALL_TIMEOUT" default:"15s" description:"how long the backend server may make no progress on an answer until the agent looks whether it still runs the version"`
 }
 
 func main() {
--- a/node/cmd/laburnum-entry/main.go
+++ b/node/cmd/laburnum-entry/main.go
@@ -87,7 +87,7 @@
 	MembershipURL string         `long:"membership-url" env:"LABURNUM_MEMBERSHIP_URL" required:"true" description:"URL of the membership list"`
 	MaxBody       int64          `long:"max-body-bytes" env:"LABURNUM_MAX_BODY_BYTES" default:"1048576" description:"largest request body in bytes"`
 	DrainTimeout  time.Duration  `long:"drain-timeout" env:"LABURNUM_DRAIN_TIMEOUT" default:"10m" description:"limit of a planned stop"`
-	StallTimeout  time.Duration  `long:"stall-timeout" env:"LABURNUM_STALL_TIMEOUT" default:"20s" description:"how long an agent may be silent on an answer"`
+	StallTimeout  time.Duration  `long:"stall-timeout" env:"LABURNUM_STALL_TIMEOUT" default:"20s" description:"how long an agent may be silent on an answer until the entry looks whether it is gone"`
 }
 
 // Execute implements flags.Commander.
--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -53,8 +53,8 @@
 	MaxConnections int
 	// DrainTimeout bounds a planned stop.
 	DrainTimeout time.Duration
-	// StallTimeout bounds how long an agent may be silent on an answer; 0
-	// means DefaultStallTimeout.
+	// StallTimeout is how long an agent may be silent on an answer until the entry
+	// looks whether it is gone; 0 means DefaultStallTimeout.
 	StallTimeout time.Duration
 	Logger       hclog.Logger
 	// Channel protects the traffic between own processes; nil protects nothing.
--- a/node/entry/members.go
+++ b/node/entry/members.go
@@ -105,6 +105,13 @@
 	return t.snapshot.Load().reports
 }
 
+// isGone reports whether an agent is gone from the members.
+func (t *memberTable) isGone(id string) bool {
+	return !slices.ContainsFunc(t.all(), func(r *rpc.MemberReport) bool {
+		return r.GetId() == id && r.GetState() != rpc.AgentState_GONE
+	})
+}
+
 // report takes a report that an agent itself delivered.
 func (t *memberTable) report(ctx context.Context, r *rpc.MemberReport) {
 	record := fromReport(r)
--- a/node/entry/requests.go
+++ b/node/entry/requests.go
@@ -33,7 +33,8 @@
 	maxAttempts = 4
 	// affinityBytes is how much of a prompt decides on affinity.
 	affinityBytes = 256
-	// DefaultStallTimeout is how long an agent may be silent on an answer.
+	// DefaultStallTimeout is how long an agent may be silent on an answer until the entry
+	// looks whether it is gone.
 	DefaultStallTimeout = 20 * time.Second
 )
 
@@ -223,7 +224,7 @@
 		failure = e.ask(ctx, c, p, grant, sink)
 		result := routing.Succeeded
 		if failure != nil {
-			result = resultOf(ctx, failure, sink.tokens)
+			result = resultOf(ctx, failure, sink.tokens, p.silent.Load())
 		}
 		again := failure != nil && failure.Run == wire.RunNotRun && !sink.begun() && attempt < maxAttempts && ctx.Err() == nil
 		if !again {
@@ -249,14 +250,13 @@
 }
 
 // resultOf says what a failure tells about the backend server. A deadline
-// that passes without a token counts against it: otherwise a stalled backend
-// server would never be set aside by callers who wait less than the stall
-// timeout.
-func resultOf(ctx context.Context, failure *wire.Error, tokens int) routing.Result {
+// that passes without a token, or in a silence, counts against it: otherwise a
+// stalled backend server would never be set aside.
+func resultOf(ctx context.Context, failure *wire.Error, tokens int, silent bool) routing.Result {
 	switch {
 	case failure.Kind == wire.ErrorOverloaded, failure.Kind == wire.ErrorLeaving:
 		return routing.Refused
-	case errors.Is(ctx.Err(), context.DeadlineExceeded) && tokens == 0:
+	case errors.Is(ctx.Err(), context.DeadlineExceeded) && (tokens == 0 || silent):
 		return routing.Failed
 	case ctx.Err() != nil, failure.Kind == wire.ErrorCancelled:
 		return routing.Abandoned
--- a/node/entry/requests_dispatch.go
+++ b/node/entry/requests_dispatch.go
@@ -6,6 +6,7 @@
 	"math"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/laburnumloft/laburnumloft/core/limits"
@@ -62,6 +63,8 @@
 	last      *wire.Error
 	refusedBy routing.Handle
 	refusedAs routing.Result
+	// silent means that the backend server has sent nothing for the stall timeout.
+	silent atomic.Bool
 }
 
 // grant is a backend server chosen for a placement.
--- a/node/entry/requests_stream.go
+++ b/node/entry/requests_stream.go
@@ -11,6 +11,7 @@
 	"strings"
 	"time"
 
+	"github.com/laburnumloft/laburnumloft/node/lib/silence"
 	"github.com/laburnumloft/laburnumloft/node/lib/wire"
 )
 
@@ -23,11 +24,13 @@
 	// agentQueueWait is how long a request may wait in an agent's queue, which is no silence
 	// of its backend server.
 	agentQueueWait = time.Second
+	// goneCheckInterval is the time between two looks whether a silent agent is gone.
+	goneCheckInterval = time.Second
 )
 
 // Causes of a broken answer.
 var (
-	errSilent   = errors.New("agent was silent for too long")
+	errGone     = errors.New("agent is silent and gone from the members")
 	errCrossed  = errors.New("agent sent the answer of another request")
 	errParts    = errors.New("agent sent a frame that is not exactly one of start, token, end and error")
 	errTooLarge = errors.New("answer is too large for one body; use stream")
@@ -39,9 +42,8 @@
 func (e *Entry) stream(ctx context.Context, c *call, p *placement, g grant, sink *answerSink) *wire.Error {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	stall := e.stallTimeout()
-	watchdog := time.AfterFunc(agentQueueWait+stall, func() { cancel(errSilent) })
-	defer watchdog.Stop()
+	watch := e.watchSilence(p, g, cancel)
+	defer watch.Stop()
 	resp, err := e.post(ctx, c, g)
 	if err != nil {
 		return upstreamError(ctx, err, isDial(err))
@@ -58,7 +60,8 @@
 			return upstreamError(ctx, err, false)
 		}
 		// A caller that reads slowly is no silence of the agent.
-		watchdog.Stop()
+		watch.Stop()
+		p.silent.Store(false)
 		if err := frames.check(frame); err != nil {
 			entryRequests.Add("crossed_frames", 1)
 			return upstreamError(ctx, err, false)
@@ -77,10 +80,25 @@
 		if err := sink.frame(frame, !lines.More()); err != nil {
 			return &wire.Error{Kind: wire.ErrorCancelled, Message: err.Error(), Run: wire.RunUnknown}
 		}
-		watchdog.Reset(stall)
+		watch.Restart()
 	}
 }
 
+// watchSilence ends an answer when its agent is silent and gone from the members. A silence
+// alone ends none before its deadline: nobody else can go on with the answer.
+func (e *Entry) watchSilence(p *placement, g grant, cancel context.CancelCauseFunc) *silence.Watch {
+	wasGone := false
+	return silence.Start(e.stallTimeout(), agentQueueWait, goneCheckInterval, func() {
+		p.silent.Store(true)
+		isGone := e.members.isGone(g.agent)
+		// After a pause of this process all members look gone until their reports are read.
+		if isGone && wasGone {
+			cancel(errGone)
+		}
+		wasGone = isGone
+	})
+}
+
 // post sends the request. The transport may repeat it only when it wrote
 // nothing, which is safe.
 func (e *Entry) post(ctx context.Context, c *call, g grant) (*http.Response, error) {
