gateway: an address of a test that refuses and that no other test gets

The output of the failed run was not kept, so that the cause is not traced.

Supposed cause: the dead server's port was closed before its use, and a server of a case beside it may have got it, so that the "dead" server accepted the connection and broke it off.

Change: the port stays bound by a socket that doesn't listen.

--- a/node/gateway/connect_test.go
+++ b/node/gateway/connect_test.go
@@ -50,6 +50,20 @@
 	return u
 }
 
+// refusingAddress returns an address that refuses connections and that no other test gets
+// meanwhile: its socket is bound and doesn't listen.
+func refusingAddress(c *qt.C) string {
+	fd, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM|unix.SOCK_CLOEXEC, 0)
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(func() { _ = unix.Close(fd) })
+	c.Assert(unix.Bind(fd, &unix.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}), qt.IsNil)
+	name, err := unix.Getsockname(fd)
+	c.Assert(err, qt.IsNil)
+	bound, ok := name.(*unix.SockaddrInet4)
+	c.Assert(ok, qt.IsTrue)
+	return fmt.Sprintf("127.0.0.1:%d", bound.Port)
+}
+
 // resume serves the address.
 func (u *unconnectable) resume(answer answerFunc) {
 	for _, conn := range u.fillers {
@@ -96,7 +110,7 @@
 							time.AfterFunc(50*time.Millisecond, func() { r.addServer("other", s.URL, nil) })
 						}
 						if beside.dead {
-							address := closedAddress(c)
+							address := refusingAddress(c)
 							time.AfterFunc(50*time.Millisecond, func() { r.addServer("other", address, nil) })
 						}
 						time.AfterFunc(still*time.Millisecond, func() { late.resume(answer) })
