--- a/node/gateway/errors.go
+++ b/node/gateway/errors.go
@@ -14,4 +14,7 @@
 	errSuperseded     = eris.New("another run of the request has answered or gone on first")
 	errYielded        = eris.New("a request that had no server took the place of this run beside a silent one")
 	errOutdated       = eris.New("the server had not begun before its weights became outdated")
+	errSlowConnect    = eris.New("the server did not accept the connection in time, and another one is free")
+	errConnectTimeout = eris.New("the server did not accept the connection within the request's time for it")
+	errNotAllowed     = eris.New("the server may no longer get the request")
 )
