gateway: a caller that reads slowly is not waited for past the deadline

What callers saw: a stream whose caller takes its events slowly was held, with its place at the server, for as long as events that had been read before the deadline were written. Change: only while the request's context goes on, which after the deadline means that this process was stalled.

--- a/node/gateway/stream.go
+++ b/node/gateway/stream.go
@@ -217,8 +217,9 @@
 		}
 		s.leadLocked(c)
 		watch.pause()
-		if now := time.Now(); now.After(c.req.deadline) {
-			// The limit of watchCaller may have passed while this process was stalled.
+		if now := time.Now(); now.After(c.req.deadline) && c.ctx.Err() == nil {
+			// The limit of watchCaller may have passed while this process was stalled. Without a
+			// stall the context has ended, and a caller that reads slowly gets no more time.
 			setWriteDeadline(s.w, c.req, now.Add(lastWriteTimeout))
 		}
 		s.sendHeader(e.resp)
