gateway: answers to requests taken before a stop end their connections

What callers saw: an answer during a planned stop without "Connection: close" if its request had come before the stop. The next request on that connection was then refused, or crossed its close. Cause: the header was set when a request came, not when its answer was written. Change: it is set with the header of each answer and refusal. Streams whose header was written before the stop can't be told any more. Figures: TestAnswersToEarlierRequestsEndTheirConnections fails before, passes after; TestAnswersDuringAStopEndTheirConnections and TestStopRefusesRequestsThatCrossIt pass.

--- a/node/gateway/handler.go
+++ b/node/gateway/handler.go
@@ -124,9 +124,6 @@
 
 // ServeHTTP implements http.Handler for callers' requests.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if g.draining.Load() {
-		w.Header().Set("Connection", "close")
-	}
 	defer g.logPanic(r)
 	req, reason := g.admit(w, r)
 	if reason != "" {
@@ -138,7 +135,7 @@
 	defer atDeadline(req, func() { end(context.DeadlineExceeded) })()
 	defer context.AfterFunc(g.stopped, func() { end(errStopping) })()
 	defer g.watchCaller(w, req)()
-	w = answerWriter{w, req}
+	w = answerWriter{w, g, req}
 	if req.route.Kind == route.Stream {
 		g.serveStream(ctx, w, req)
 		return
@@ -191,10 +188,19 @@
 // been released by then.
 const wholeWriteTimeout = time.Second
 
+// setConnectionHeader makes an answer end the caller's connection during a planned stop. It is
+// called when the header is written, because the stop may begin while a request is served.
+func (g *Gateway) setConnectionHeader(h http.Header) {
+	if g.draining.Load() {
+		h.Set("Connection", "close")
+	}
+}
+
 // answerWriter gives the write of a refusal or of a whole answer time. Streams keep the
 // limit of watchCaller.
 type answerWriter struct {
 	http.ResponseWriter
+	g   *Gateway
 	req *request
 }
 
@@ -207,6 +213,7 @@
 	if w.req.route.Kind != route.Stream || status != http.StatusOK {
 		w.extendDeadline()
 	}
+	w.g.setConnectionHeader(w.Header())
 	w.ResponseWriter.WriteHeader(status)
 }
 
@@ -383,6 +390,7 @@
 		args = append(args, "retry_after_ms", after.Milliseconds())
 		w.Header().Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 2, 64))
 	}
+	g.setConnectionHeader(w.Header())
 	g.cfg.Log.Event("request_ended", args...)
 	if req.in.ContentLength != 0 && req.body == nil {
 		g.leaveBody(w, reason)
--- a/node/gateway/stop_test.go
+++ b/node/gateway/stop_test.go
@@ -90,3 +90,20 @@
 		c.Check(conn.Close(), qt.IsNil)
 	}
 }
+
+// An answer to a request that was taken before a stop must end its connection as well: its
+// caller would send the next request on a connection that the stop closes.
+func TestAnswersToEarlierRequestsEndTheirConnections(t *testing.T) {
+	c := qt.New(t)
+	r := newTestGateway(c, newServer(c, silentRead(400*time.Millisecond)))
+	_, address := r.listenForCallers(c, 0)
+	conn, err := net.Dial("tcp4", address)
+	c.Assert(err, qt.IsNil)
+	defer func() { _ = conn.Close() }()
+	time.AfterFunc(200*time.Millisecond, func() { r.BeginDrain(shutdown.NewPlan(time.Now(), time.Minute)) })
+	kinds := wholeRequests("1")
+	request := kinds[slices.IndexFunc(kinds, func(k rawRequest) bool { return strings.HasPrefix(k.parts[0], "POST /order/1 ") })]
+	_, keep, err := exchangeRaw(conn, bufio.NewReader(conn), request)
+	c.Assert(err, qt.IsNil)
+	c.Check(keep, qt.IsFalse)
+}
