gateway: hedges of begun streams avoid servers that refuse resumes

What callers saw: a begun stream whose server is silent was offered to a server that had just refused to resume another one; the refusal cost a retry of the budget. Cause: since such a server is excluded only for requests that resume, and a hedge during a stream's first attempt did not count as one, although it is sent as one. Change: a hedge of a stream whose caller has a part of the answer resumes. Figures: TestHedgeOfABegunStreamAvoidsServersThatRefuseResumes fails before, passes after.

--- a/node/gateway/buffered.go
+++ b/node/gateway/buffered.go
@@ -59,6 +59,9 @@
 // prepareNext implements exchanger.
 func (buffered) prepareNext(*request) {}
 
+// hasBegun implements exchanger.
+func (buffered) hasBegun() bool { return false }
+
 // decideAfterAttempt decides what follows an attempt that has not answered the request: the
 // server's own failure (no reason), another attempt (retry), or a refusal with the reason.
 func (g *Gateway) decideAfterAttempt(ctx context.Context, req *request, e *exchange) (reason Reason, retry bool) {
--- a/node/gateway/chain.go
+++ b/node/gateway/chain.go
@@ -40,6 +40,8 @@
 	accepts(e *exchange) bool
 	// prepareNext is called before an attempt that follows a failed one.
 	prepareNext(req *request)
+	// hasBegun reports whether the caller has a part of the answer.
+	hasBegun() bool
 }
 
 // result is how a chain ended: the attempt that decided it, nil if there was none, and, if
--- a/node/gateway/handler.go
+++ b/node/gateway/handler.go
@@ -92,6 +92,8 @@
 	// placeBy is until when the rest of a begun stream waits for a server; zero for other
 	// requests.
 	placeBy time.Time
+	// begun means that the caller had a part of the answer when a hedge began.
+	begun bool
 	// only lists the only servers that the next attempt may go to; empty for all.
 	only          []string
 	configVersion int64
--- a/node/gateway/hedge.go
+++ b/node/gateway/hedge.go
@@ -56,6 +56,7 @@
 		return nil, false
 	}
 	req := h.next
+	req.begun = h.chain.exchanger.hasBegun()
 	req.tried = slices.DeleteFunc(slices.Clone(req.tried), h.chain.race.mayReturnTo)
 	enough := len(req.tried) >= maxServersTried
 	if enough || !req.mayRerun() {
--- a/node/gateway/place.go
+++ b/node/gateway/place.go
@@ -111,7 +111,7 @@
 }
 
 // resumes reports whether the request goes on with a stream that its caller has in part.
-func (r *request) resumes() bool { return r.call.Resumes || !r.placeBy.IsZero() }
+func (r *request) resumes() bool { return r.call.Resumes || r.begun || !r.placeBy.IsZero() }
 
 // joinLimitedQueue counts a request that waits for a limited server, and returns how
 // long the requests that wait already will take.
--- a/node/gateway/resume_test.go
+++ b/node/gateway/resume_test.go
@@ -146,3 +146,23 @@
 		broken.Wait()
 	}
 }
+
+// A hedge of a begun stream resumes it. It must not be sent to a server that has just refused
+// to resume streams: that costs a retry and is refused again.
+func TestHedgeOfABegunStreamAvoidsServersThatRefuseResumes(t *testing.T) {
+	c := qt.New(t)
+	r := newTestGateway(c, newServer(c, answerWith(http.StatusOK)))
+	req := &request{
+		in: r.request(c, http.MethodPost, "/stream/1", "x"), service: "svc", deadline: time.Now().Add(2 * time.Second),
+		route: &route.Route{Kind: route.Stream, Target: time.Second, MaxAttempts: 2, Resumable: true},
+	}
+	choice, reason := r.place(c.Context(), req)
+	c.Assert(reason, qt.Equals, Reason(""))
+	r.releaseServer(choice, placement.ResumeShed)
+	for _, begun := range []bool{false, true} {
+		s := &stream{race: &race{}, headerSent: begun, lastEventAt: time.Now()}
+		next, ok := newHedges(r.newChain(c.Context(), req, s.race, s)).prepare()
+		c.Assert(ok, qt.IsTrue)
+		c.Check(r.findAlternative(next).server, qt.Equals, !begun, qt.Commentf("begun %v", begun))
+	}
+}
--- a/node/gateway/stream.go
+++ b/node/gateway/stream.go
@@ -129,6 +129,13 @@
 	}
 }
 
+// hasBegun implements exchanger.
+func (s *stream) hasBegun() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.headerSent
+}
+
 // position returns the last event that the caller has, from which an attempt resumes.
 func (s *stream) position() (last int64, resumes bool) {
 	s.mu.Lock()
