--- a/node/gateway/deadline.go
+++ b/node/gateway/deadline.go
@@ -10,8 +10,9 @@
 	// Beside other work timers are late by a few milliseconds.
 	minStall = 50 * time.Millisecond
 	// unreadTime is how long a request goes on at its deadline after a stall, so that what
-	// arrived meanwhile is read and passed on. It is a part of the quarter of a second that a
-	// request may be held past its timeout.
+	// arrived meanwhile is read and passed on. After a stall that ends over 150 ms late this
+	// holds the request longer than a quarter of a second past its timeout, which costs
+	// less than an answer.
 	unreadTime = 100 * time.Millisecond
 )
 
--- a/node/gateway/silence_test.go
+++ b/node/gateway/silence_test.go
@@ -497,3 +497,28 @@
 	c.Check(p.stop(), qt.IsFalse)
 	c.Check(called.Load(), qt.Equals, int32(0))
 }
+
+// The time after which weights are too old for a first event may pass during a stall of this
+// process. The event may have arrived meanwhile and must be read before the attempt is ended.
+func TestOwnStallDoesNotOutdateAnAttempt(t *testing.T) {
+	c := qt.New(t)
+	outdated := make(chan time.Time, 1)
+	p := &progressWatch{
+		suspectFirst: time.Minute, suspectNext: time.Minute, hedgeAfterStart: time.Minute, hedgeAfterEvent: time.Minute,
+		firstEventDeadline: time.Now().Add(-time.Second), onOutdated: func(time.Duration) { outdated <- time.Now() },
+	}
+	began := time.Now()
+	p.start()
+	at := <-outdated
+	p.stop()
+	c.Check(at.Sub(began) >= unreadTime, qt.IsTrue, qt.Commentf("%v", at.Sub(began)))
+
+	p.outdated.Store(false)
+	p.stopped, p.firstEventDeadline = false, time.Now().Add(-2*time.Second)
+	p.start()
+	<-time.After(unreadTime / 2)
+	p.handleEvent()
+	<-time.After(2 * unreadTime)
+	p.stop()
+	c.Check(outdated, qt.HasLen, 0)
+}
--- a/node/gateway/stream.go
+++ b/node/gateway/stream.go
@@ -132,6 +132,13 @@
 	}
 }
 
+// hasBegun implements exchanger.
+func (s *stream) hasBegun() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.headerSent
+}
+
 // position returns the last event that the caller has, from which an attempt resumes.
 func (s *stream) position() (last int64, resumes bool) {
 	s.mu.Lock()
@@ -220,8 +227,9 @@
 		}
 		s.leadLocked(c)
 		watch.pause()
-		if now := time.Now(); now.After(c.req.deadline) {
-			// The limit of watchCaller may have passed while this process was stalled.
+		if now := time.Now(); now.After(c.req.deadline) && c.ctx.Err() == nil {
+			// The limit of watchCaller may have passed while this process was stalled. Without a
+			// stall the context has ended, and a caller that reads slowly gets no more time.
 			setWriteDeadline(s.w, c.req, now.Add(lastWriteTimeout))
 		}
 		s.sendHeader(e.resp)
