gateway: a hedge keeps its place while its silent server has not begun to answer

Callers saw: 502. In the soak a silent server that had not begun to answer refused the request when it went on; the hedge beside it had been ended 50 ms before for a newer request, and the retry budget held no retry for the way back.

Cause: a hedge yielded though the request had no other place. A server that has not begun to answer may still refuse.

Change: a hedge yields only beside an attempt whose server has begun to answer.

TestHedgeYieldsItsPlace and TestHedgesOnAFullFleetRefuseNobody pass as they are.

--- a/node/gateway/chain.go
+++ b/node/gateway/chain.go
@@ -25,9 +25,10 @@
 	cancel          context.CancelCauseFunc
 	// lost means that another chain led.
 	lost atomic.Bool
-	// server, waiting and led are the race's. led means that the chain has led.
-	server       string
-	waiting, led bool
+	// server, answering, waiting and led are the race's. answering means that the server
+	// has begun to answer, led that the chain has led.
+	server                  string
+	answering, waiting, led bool
 	// slow lists the servers whose connect was given up for another server.
 	slow []string
 }
--- a/node/gateway/full_test.go
+++ b/node/gateway/full_test.go
@@ -214,3 +214,38 @@
 	c.Check((<-done).body, qt.Equals, wholeStream)
 	c.Check(silent.count(), qt.Equals, 1)
 }
+
+// A hedge must keep its place while its silent server has not begun to answer, because that
+// may refuse the request at last. The caller got 502.
+func TestHedgeOfAnUnansweredRequestKeepsItsPlace(t *testing.T) {
+	c := qt.New(t)
+	silent := newServer(c, func(w http.ResponseWriter, q *http.Request) {
+		<-time.After(2 * time.Second)
+		notRun(w, q)
+	})
+	other := newServer(c, func(w http.ResponseWriter, q *http.Request) {
+		if strings.HasPrefix(q.Header.Get("Id"), "usual") {
+			silentStream(silentBeforeHeader, 10*time.Second)(w, q)
+			return
+		}
+		silentStream(silentBeforeHeader, 1500*time.Millisecond)(w, q)
+	})
+	r := engineGateway(c, 2, 1, silent)
+	r.mu.Lock()
+	r.budget = limits.NewRetryBudget(limits.RetryBudgetConfig{Ratio: 0, Burst: 1, MaxKeys: 4})
+	r.mu.Unlock()
+	engine := func(s *placement.Server) { s.Slots, s.WeightVersion = 1, 1 }
+	done := make(chan answered, 1)
+	go func() { done <- r.call(c, "/stream/1", "request") }()
+	waitFor(c, func() bool { return silent.count() == 1 })
+	r.addServer("e0", silent.URL, func(s *placement.Server) { engine(s); s.Draining = true })
+	r.addServer("other", other.URL, engine)
+	waitFor(c, func() bool { return other.count() == 1 })
+	for i := range 2 {
+		go r.call(c, "/once/1", fmt.Sprint("usual", i))
+	}
+	waitFor(c, func() bool { return other.count() == 3 })
+	go r.call(c, "/stream/1", "new")
+	got := <-done
+	c.Check(got.body, qt.Equals, wholeStream, qt.Commentf("status %d", got.status))
+}
--- a/node/gateway/race.go
+++ b/node/gateway/race.go
@@ -42,7 +42,14 @@
 func (r *race) setServer(c *chain, server string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	c.server = server
+	c.server, c.answering = server, false
+}
+
+// setAnswering records that the server of a chain's attempt has begun to answer.
+func (r *race) setAnswering(c *chain) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	c.answering = true
 }
 
 // setWaiting records whether a chain waits for the one beside it instead of making
--- a/node/gateway/stream.go
+++ b/node/gateway/stream.go
@@ -98,6 +98,7 @@
 	switch {
 	case e.err != nil:
 	case e.resp.StatusCode == http.StatusOK:
+		s.setAnswering(c)
 		if req.isHedge {
 			e.resp.Body = &heldBody{ReadCloser: e.resp.Body, canFallBack: func() bool { return s.isBeside(c) }}
 		}
--- a/node/gateway/yield.go
+++ b/node/gateway/yield.go
@@ -105,24 +105,26 @@
 func (r *race) isBeside(c *chain) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.isBesideLocked(c)
+	return r.isBesideLocked(c, func(other *chain) bool { return other.server != "" })
 }
 
-func (r *race) isBesideLocked(c *chain) bool {
+// isBesideLocked reports whether another chain that makes attempts has a property.
+func (r *race) isBesideLocked(c *chain, has func(other *chain) bool) bool {
 	for other := range r.chains {
-		if other != c && !other.waiting && other.server != "" {
+		if other != c && !other.waiting && has(other) {
 			return true
 		}
 	}
 	return false
 }
 
-// yield ends a hedge that has not led, unless its attempt is the only one. The request may
-// return to its server, which has not failed.
+// yield ends a hedge that has not led, if the server beside it has begun to answer: one that
+// has not may still refuse the request, which then has no place at all. The request may
+// return to the hedge's server, which has not failed.
 func (r *race) yield(c *chain) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if c.lost.Load() || c.led || c.server == "" || !r.isBesideLocked(c) {
+	if c.lost.Load() || c.led || c.server == "" || !r.isBesideLocked(c, func(other *chain) bool { return other.answering }) {
 		return false
 	}
 	r.end(c, errYielded)
