bench/fleet: a request's time counts from when its caller begins to send it

The caller's time began after its write, the entry's when the request arrived, which may be earlier; the entry's log shows the end at the deadline. Change: the time that says whether a request took all of its own begins before the write. It is never shorter than the entry's, so that each 502 before the deadline still counts. Conclusion: a fault of the check.

--- a/bench/fleet/pause_soak_test.go
+++ b/bench/fleet/pause_soak_test.go
@@ -61,7 +61,8 @@
 	// whole means that a complete answer came, closed that the entry ended the connection
 	// without one.
 	whole, closed bool
-	sent, ended   time.Time
+	// begun is when the caller began to send, sent when it had sent the whole request.
+	begun, sent, ended time.Time
 	// retryAfter is how long a refusal asks the caller to wait.
 	retryAfter time.Duration
 	// allowed is how long the request may take.
@@ -97,12 +98,12 @@
 		}
 		k.conn, k.reader = conn, bufio.NewReader(conn)
 	}
-	caller := platform.Caller{ID: id, Path: path, Deadline: deadline, BodyBytes: len(id), Chunked: chunked}
+	caller, begun := platform.Caller{ID: id, Path: path, Deadline: deadline, BodyBytes: len(id), Chunked: chunked}, time.Now()
 	if _, err := io.WriteString(k.conn, caller.Request()); err != nil {
 		k.close()
 		return o, false
 	}
-	o = fate{id: id, sent: time.Now(), allowed: allowed}
+	o = fate{id: id, begun: begun, sent: time.Now(), allowed: allowed}
 	_ = k.conn.SetReadDeadline(o.sent.Add(deadline + time.Second))
 	keep := k.readAnswer(&o)
 	o.ended = time.Now()
--- a/bench/fleet/whole_soak_test.go
+++ b/bench/fleet/whole_soak_test.go
@@ -260,8 +260,8 @@
 	}
 }
 
-// atTimeout reports whether a request took all of its time: its deadline, or the shortest
-// timeout. No other timeout of the configurations is shorter than the deadline.
+// atTimeout reports whether a request took all of its time, from when its caller began to
+// send it: its deadline, or the shortest timeout. No other timeout of the configurations is shorter than the deadline.
 func atTimeout(took time.Duration) bool {
 	return took >= wholeDeadline || took >= shortestWholeTimeout && took < shortestWholeTimeout+timeoutWindow
 }
@@ -274,7 +274,7 @@
 	for _, o := range all {
 		took := o.ended.Sub(o.sent)
 		switch {
-		case o.whole && o.status == http.StatusBadGateway && !atTimeout(took):
+		case o.whole && o.status == http.StatusBadGateway && !atTimeout(o.ended.Sub(o.begun)):
 			failed++
 			f.logRequest("failed", o)
 		case o.whole:
