--- a/review/standin-2/servers.go
+++ b/review/standin-2/servers.go
@@ -27,6 +27,7 @@
 	id, service string
 	address     string
 	zone        string
+	slots       int
 	born        int64
 	// work is called for each request after its run was recorded; its answer is written.
 	work func(conn net.Conn, r *http.Request, id string)
@@ -40,6 +41,8 @@
 	gone     bool
 	// coldUntil is until when the server is cold.
 	coldUntil time.Time
+	// silentUntil is until when the server writes no record.
+	silentUntil time.Time
 }
 
 // crash closes the server's port and connections. It is back after a while under its id, as a
@@ -59,7 +62,9 @@
 		p.mu.Unlock()
 		p.listen()
 		p.f.logf("back    %s, cold for %v", p.id, cold)
-		p.f.store.put("keyed.servers", p.id, p.record())
+		if record := p.record(); record != nil {
+			p.f.store.put("keyed.servers", p.id, record)
+		}
 	})
 }
 
@@ -89,10 +94,10 @@
 func (p *plain) record() map[string]any {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.gone {
+	if p.gone || time.Now().Before(p.silentUntil) {
 		return nil
 	}
-	r := map[string]any{"service": p.service, "address": p.address, "zone": p.zone, "slots": 6, "state": "ready", "seq": 0, "born": p.born, "version": "1"}
+	r := map[string]any{"service": p.service, "address": p.address, "zone": p.zone, "slots": max(p.slots, 6), "state": "ready", "seq": 0, "born": p.born, "version": "1"}
 	if left := time.Until(p.coldUntil); left > 0 {
 		r["coldRemainingMs"] = left.Milliseconds()
 	}
