--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -7,7 +7,7 @@
 	"runtime"
 )
 
-var cases = map[string]func(*fleet){"path": casePath, "parts": caseParts, "cold": caseCold, "ids": caseIDs, "quiet": caseQuiet}
+var cases = map[string]func(*fleet){"path": casePath, "parts": caseParts, "cold": caseCold, "ids": caseIDs, "quiet": caseQuiet, "dark": caseDark}
 
 func init() {
 	// The programs end with the thread that started them, the main one.
--- a/review/standin-2/parts.go
+++ b/review/standin-2/parts.go
@@ -43,11 +43,20 @@
 	if p := os.Getenv("POSITION"); p != "" {
 		fmt.Sscan(p, &position)
 	}
+	playParts(f, 20, position, false)
+}
+
+// caseDark does the same with a prompt of two parts, whose first one is deadly, and engines
+// that go dark when they crash. CRASH=refuse lets their machines refuse connections, for
+// comparison.
+func caseDark(f *fleet) { playParts(f, 2, 1, os.Getenv("CRASH") != "refuse") }
+
+func playParts(f *fleet, places, position int, dark bool) {
 	f.startBase()
 	all := f.startEngines(engines)
 	for _, e := range all {
 		if trouble() {
-			e.deadly = deadlyPart
+			e.deadly, e.dark = deadlyPart, dark
 		}
 	}
 	f.configure(3, route("review", "/review/", "streaming", "llm", map[string]any{"timeoutMs": 6000, "targetLatencyMs": 500, "gapTargetMs": 400, "streamResume": true, "sessionAffinity": true}))
@@ -68,7 +77,7 @@
 		go func() {
 			defer wait.Done()
 			var parts []string
-			for k := 1; k <= 19; k++ {
+			for k := 1; k < places; k++ {
 				if deadly && k == position {
 					parts = append(parts, deadlyPart+":40")
 					continue
@@ -84,7 +93,7 @@
 			request := fmt.Sprintf("POST /review/x HTTP/1.1\r\nHost: %s\r\nX-Request-Id: %s\r\nX-Deadline-Ms: 6000\r\nX-Credential: key-1\r\nX-Model: %s\r\nX-Token-Count: 1000,60\r\nX-Prompt-Prefix: %s\r\nContent-Length: %d\r\n\r\n%s",
 				host, id, model, strings.Join(parts, ","), len(body), body)
 			if deadly {
-				f.logf("sent    %s: part %s at place %d of 20", id, deadlyPart, position)
+				f.logf("sent    %s: part %s at place %d of %d", id, deadlyPart, position, places)
 			}
 			status, answered, err := raw(f.entryIP(n%3)+":8005", request, 7*time.Second)
 			whole := status == 200 && err == nil && strings.Count(answered, "\n\n") == events
--- a/review/standin-2/servers.go
+++ b/review/standin-2/servers.go
@@ -9,9 +9,11 @@
 	"io"
 	"net"
 	"net/http"
+	"net/netip"
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -224,6 +226,9 @@
 	// answer; empty for none. back is when it is back after a crash.
 	deadly string
 	back   time.Duration
+	// dark means that the engine falls silent when it crashes, and its machine answers no
+	// connect; otherwise the machine refuses connections.
+	dark bool
 	// idStep is by how much the ids of a stream's events increase; eventsAtOnce how many
 	// events the engine writes at a time.
 	idStep, eventsAtOnce int
@@ -236,8 +241,10 @@
 	running int
 	staged  map[int][]byte
 	server  *http.Server
-	gone    bool
-	crashes []time.Time
+	// listener is the server's.
+	listener net.Listener
+	gone     bool
+	crashes  []time.Time
 	// arrivals are the requests that reached the engine.
 	arrivals []arrival
 	runs     map[string]int
@@ -253,7 +260,7 @@
 	for n := range pieces {
 		e.staged[n] = piece(1, n)
 	}
-	e.server = f.listen(e.address, e)
+	e.serve()
 	f.beat(id, func() map[string]any {
 		e.mu.Lock()
 		defer e.mu.Unlock()
@@ -265,6 +272,17 @@
 	return e
 }
 
+func (e *engine) serve() {
+	l, err := net.Listen("tcp4", e.address)
+	if err != nil {
+		e.f.cannotRun(err)
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.listener, e.server = l, &http.Server{Handler: e}
+	go func(s *http.Server) { _ = s.Serve(l) }(e.server)
+}
+
 func (e *engine) models() []map[string]any {
 	if e.version == 0 {
 		return []map[string]any{}
@@ -285,8 +303,14 @@
 	server := e.server
 	e.mu.Unlock()
 	e.f.logf("crash   %s: %s", e.id, why)
-	_ = server.Close()
+	endDark := func() {}
+	if e.dark {
+		endDark = e.goDark()
+	} else {
+		_ = server.Close()
+	}
 	time.AfterFunc(e.back, func() {
+		endDark()
 		e.mu.Lock()
 		e.gone, e.version, e.busy, e.born, e.seq, e.running = false, 0, false, time.Now().UnixMilli(), 0, 0
 		e.mu.Unlock()
@@ -295,11 +319,55 @@
 			return
 		default:
 		}
-		e.server = e.f.listen(e.address, e)
+		e.serve()
 		e.f.logf("back    %s", e.id)
 	})
 }
 
+// goDark closes the engine's port in such a way that connects to it get no reply: the queue of
+// another listener on it is full. end ends that. Connections that are open stay so in
+// silence: a machine that is back knows nothing of them, and their peers send nothing that
+// it could reset.
+func (e *engine) goDark() (end func()) {
+	_ = e.listener.Close()
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM, 0)
+	if err != nil {
+		e.f.cannotRun(err)
+	}
+	ap := netip.MustParseAddrPort(e.address)
+	_ = syscall.SetsockoptInt(fd, syscall.SOL_SOCKET, syscall.SO_REUSEADDR, 1)
+	if err := syscall.Bind(fd, &syscall.SockaddrInet4{Port: int(ap.Port()), Addr: ap.Addr().As4()}); err != nil {
+		e.f.cannotRun(err)
+	}
+	if err := syscall.Listen(fd, 0); err != nil {
+		e.f.cannotRun(err)
+	}
+	var fill []net.Conn
+	for range 3 {
+		if c, err := net.DialTimeout("tcp4", e.address, 20*time.Millisecond); err == nil {
+			fill = append(fill, c)
+		}
+	}
+	return func() {
+		_ = syscall.Close(fd)
+		for _, c := range fill {
+			_ = c.Close()
+		}
+	}
+}
+
+// silence holds a handler of an engine that has gone dark until its connection ends.
+func silence(r *http.Request) {
+	<-r.Context().Done()
+	panic(http.ErrAbortHandler)
+}
+
+func (e *engine) isGone(born int64) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.gone || born != 0 && e.born != born
+}
+
 func (e *engine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	switch {
 	case r.URL.Path == "/v1/report":
@@ -409,6 +477,9 @@
 	if e.deadly != "" && strings.Contains(","+parts, ","+e.deadly+":") {
 		_ = flush.Flush()
 		e.crash("it began to answer " + id)
+		if e.dark {
+			silence(r)
+		}
 		panic(http.ErrAbortHandler)
 	}
 	first := 1
@@ -424,6 +495,9 @@
 				n++
 			}
 		}
+		if e.dark && e.isGone(born) {
+			silence(r)
+		}
 		if _, err := io.WriteString(w, text.String()); err != nil || flush.Flush() != nil {
 			return
 		}
