--- a/review/standin-2/fleet.go
+++ b/review/standin-2/fleet.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"strings"
 	"sync"
@@ -62,6 +63,21 @@
 
 var started = time.Now()
 
+// longest is how long a case may run.
+const longest = 110 * time.Second
+
+// endEarly ends a case that is stopped from outside, or that runs for too long.
+func (f *fleet) endEarly() {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	select {
+	case s := <-signals:
+		f.cannotRun(s)
+	case <-time.After(longest):
+		f.cannotRun("the case took too long")
+	}
+}
+
 func (f *fleet) logf(format string, args ...any) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -22,6 +22,7 @@
 	}
 	f := newFleet(filepath.Clean(os.Args[2]))
 	f.logf("case %s, disruption: %v", os.Args[1], trouble())
+	go f.endEarly()
 	cases[os.Args[1]](f)
 	f.finish()
 }
