gateway: events that arrive with a failure reach the caller

Cause: all events of one read are written and then flushed. An event later in the same read that can't be accepted returned its error before the flush, and an aborted connection drops what was not flushed.

Change: what was written is flushed before the error is returned.

Conclusion: the flush belongs to what was written, not to the absence of an error.

--- a/node/gateway/stream.go
+++ b/node/gateway/stream.go
@@ -202,26 +202,38 @@
 	return nil
 }
 
-// forwardEvents forwards the complete events that have arrived. With the first one
-// this chain leads.
+// forwardEvents forwards the complete events that have arrived. Those before an error reach
+// the caller, too, even if the error ends its connection.
 func (s *stream) forwardEvents(e *exchange, c *chain, watch *progressWatch, split *eventstream.Splitter) (forwarded bool, err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	forwarded, err = s.writeEvents(e, c, watch, split)
+	if forwarded {
+		if flushErr := s.controller.Flush(); err == nil {
+			err = flushErr
+		}
+	}
+	return forwarded, err
+}
+
+// writeEvents writes the complete events that have arrived. With the first one this chain
+// leads. The caller holds mu.
+func (s *stream) writeEvents(e *exchange, c *chain, watch *progressWatch, split *eventstream.Splitter) (written bool, err error) {
 	for {
 		event, ok, err := split.Next()
 		if err != nil {
-			return forwarded, err
+			return written, err
 		}
 		if !ok {
-			break
+			return written, nil
 		}
 		if c.lost.Load() {
-			return forwarded, errSuperseded
+			return written, errSuperseded
 		}
 		e.recordEvent()
 		forward, err := s.sequence.Accept(event.ID)
 		if err != nil {
-			return forwarded, err
+			return written, err
 		}
 		if !forward {
 			continue
@@ -235,16 +247,12 @@
 		}
 		s.sendHeader(e.resp)
 		if _, err := s.w.Write(event.Raw); err != nil {
-			return forwarded, err
+			return written, err
 		}
 		s.events++
 		s.lastEventAt = time.Now()
-		forwarded = true
-	}
-	if forwarded {
-		return true, s.controller.Flush()
+		written = true
 	}
-	return false, nil
 }
 
 // sendHeader sends the caller the engine's header, unless one was already sent.
