eventstream: ids of events may increase by any amount

Cause: an id other than the last one plus one was taken for a gap. The protocol promises increasing ids, not consecutive ones.

Change: ids of one run must increase. One that repeats or falls ends the run (a repeated one was left out until now). A later run may repeat events that the caller has; if it begins before the caller's last event it must contain it, or it numbers events in another way and is ended.

TestSequenceOverTwoRuns asked that 5 after 3 is an error, which the protocol does not say; it now asks for an error where ids fall, repeat, or do not meet the caller's last one, and where a run ends before it.

--- a/core/eventstream/eventstream.go
+++ b/core/eventstream/eventstream.go
@@ -1,6 +1,6 @@
 // Package eventstream splits a stream of server-sent events into complete events
-// and checks that their ids are consecutive, so that a caller never receives a
-// partial event, a duplicate or a gap.
+// and checks that their ids increase, so that a caller never receives a partial event or
+// one event twice.
 package eventstream
 
 import (
@@ -17,7 +17,10 @@
 var (
 	ErrTooLong = errors.New("event is larger than 256 KiB")
 	ErrNoID    = errors.New("event has no numeric id")
-	ErrGap     = errors.New("event ids are not consecutive")
+	// ErrNotIncreasing means that an id repeats or falls within one run.
+	ErrNotIncreasing = errors.New("event ids do not increase")
+	// ErrOtherNumbers means that a run repeats earlier events, but not the caller's last one.
+	ErrOtherNumbers = errors.New("event ids do not continue those of the stream")
 )
 
 // Event is one complete event with its terminating blank line.
@@ -75,8 +78,8 @@
 	return 0, ErrNoID
 }
 
-// Sequence checks the event ids of one caller's stream across several runs of
-// the request. In the zero value, no event has been forwarded.
+// Sequence is the position of one caller's stream across several runs of the request. In
+// the zero value, no event has been forwarded.
 type Sequence struct {
 	last    int64
 	started bool
@@ -89,23 +92,49 @@
 	return &Sequence{last: last, started: resumed}
 }
 
+// Last returns the id of the last event that the caller has; ok is false if
+// there is none.
+func (s *Sequence) Last() (id int64, ok bool) { return s.last, s.started }
+
+// Run checks the event ids of one run of the request. Ids only increase, by any amount, so
+// that they don't show whether a run has left out events. It is an error if they fall or
+// repeat, or if a run that begins with events before the caller's last one lacks that one.
+type Run struct {
+	sequence *Sequence
+	last     int64
+	started  bool
+	// repeats means that the run has begun before the caller's last event and not reached it.
+	repeats bool
+}
+
+// NewRun returns the check of a run that begins, or goes on with, the sequence's stream.
+func (s *Sequence) NewRun() *Run { return &Run{sequence: s} }
+
 // Accept reports whether an event is to be forwarded. It returns false for an
-// event that the caller already has, and ErrGap for an id that skips events.
-func (s *Sequence) Accept(id int64) (forward bool, err error) {
+// event that the caller already has, and an error for one that doesn't belong to this run.
+func (r *Run) Accept(id int64) (forward bool, err error) {
+	if r.started && id <= r.last {
+		return false, ErrNotIncreasing
+	}
+	r.last, r.started = id, true
+	s := r.sequence
 	switch {
-	case !s.started:
-		s.started, s.last = true, id
-		return true, nil
-	case id <= s.last:
-		return false, nil
-	case id == s.last+1:
-		s.last = id
+	case !s.started, id > s.last && !r.repeats:
+		s.last, s.started = id, true
 		return true, nil
+	case id > s.last:
+		return false, ErrOtherNumbers
 	default:
-		return false, ErrGap
+		r.repeats = id < s.last
+		return false, nil
 	}
 }
 
-// Last returns the id of the last event that the caller has; ok is false if
-// there is none.
-func (s *Sequence) Last() (id int64, ok bool) { return s.last, s.started }
+// End returns an error for a run that ends before the caller's last event, so that its end
+// isn't the stream's.
+func (r *Run) End() error {
+	if r.repeats {
+		return ErrOtherNumbers
+	}
+	return nil
+}
--- a/node/gateway/stream.go
+++ b/node/gateway/stream.go
@@ -29,6 +29,12 @@
 	lastEventAt time.Time
 }
 
+// eventRun splits and checks the events of one attempt.
+type eventRun struct {
+	split eventstream.Splitter
+	ids   *eventstream.Run
+}
+
 // serveStream forwards complete events as they arrive. When an engine fails, a
 // resumable stream continues on another engine within the same answer.
 func (g *Gateway) serveStream(ctx context.Context, w http.ResponseWriter, req *request) {
@@ -147,19 +153,26 @@
 	return s.sequence.Last()
 }
 
+// newRun returns the check of an attempt's event ids.
+func (s *stream) newRun() *eventstream.Run {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.sequence.NewRun()
+}
+
 // forward copies complete events to the caller until the engine ends the stream.
 // It calls onFirst at the first event.
 func (s *stream) forward(e *exchange, c *chain, watch *progressWatch, onFirst func()) error {
 	resp := e.resp
 	defer func() { _ = resp.Body.Close() }()
-	var split eventstream.Splitter
+	run := eventRun{ids: s.newRun()}
 	buffer := make([]byte, readBuffer)
 	for {
 		n, readErr := resp.Body.Read(buffer)
 		if n > 0 {
-			split.Write(buffer[:n])
+			run.split.Write(buffer[:n])
 			before := e.events
-			forwarded, err := s.forwardEvents(e, c, watch, &split)
+			forwarded, err := s.forwardEvents(e, c, watch, &run)
 			if before == 0 && e.events > 0 {
 				onFirst()
 			}
@@ -171,9 +184,12 @@
 			}
 		}
 		if errors.Is(readErr, io.EOF) {
-			if split.Buffered() > 0 {
+			if run.split.Buffered() > 0 {
 				return io.ErrUnexpectedEOF
 			}
+			if err := run.ids.End(); err != nil {
+				return err
+			}
 			if e.events == 0 && endsWithConnection(resp) {
 				return errEmptyStream
 			}
@@ -204,10 +220,10 @@
 
 // forwardEvents forwards the complete events that have arrived. Those before an error reach
 // the caller, too, even if the error ends its connection.
-func (s *stream) forwardEvents(e *exchange, c *chain, watch *progressWatch, split *eventstream.Splitter) (forwarded bool, err error) {
+func (s *stream) forwardEvents(e *exchange, c *chain, watch *progressWatch, run *eventRun) (forwarded bool, err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	forwarded, err = s.writeEvents(e, c, watch, split)
+	forwarded, err = s.writeEvents(e, c, watch, run)
 	if forwarded {
 		if flushErr := s.controller.Flush(); err == nil {
 			err = flushErr
@@ -218,9 +234,9 @@
 
 // writeEvents writes the complete events that have arrived. With the first one this chain
 // leads. The caller holds mu.
-func (s *stream) writeEvents(e *exchange, c *chain, watch *progressWatch, split *eventstream.Splitter) (written bool, err error) {
+func (s *stream) writeEvents(e *exchange, c *chain, watch *progressWatch, run *eventRun) (written bool, err error) {
 	for {
-		event, ok, err := split.Next()
+		event, ok, err := run.split.Next()
 		if err != nil {
 			return written, err
 		}
@@ -231,7 +247,7 @@
 			return written, errSuperseded
 		}
 		e.recordEvent()
-		forward, err := s.sequence.Accept(event.ID)
+		forward, err := run.ids.Accept(event.ID)
 		if err != nil {
 			return written, err
 		}
