quarantine, mesh: crashes under long prompts are told to all entries

Cause: bounds that stood on short prompts. A suspect with 100 parts of 64 bits, or six verdicts with 16, did not fit in a notice; a verdict with more than 16 parts was refused by other entries; 8,192 remembered parts are a few dozen long prompts.

Change: suspects go in pieces, verdicts in as many datagrams as they need; a verdict has 16 parts at most; long keys of the store are hashed; 65,536 sound parts are remembered, the parts of all suspects are bounded to 131,072, and what is dropped is counted and logged. A crash is judged by the parts of its latest suspect only.

TestCrashNoticeRoundTrip asked that 100 verdicts are refused; it now asks that they arrive, in datagrams within the limit.

--- a/core/prompt/prompt.go
+++ b/core/prompt/prompt.go
@@ -29,7 +29,19 @@
 // String returns the id in hexadecimal.
 func (p Part) String() string { return strconv.FormatUint(uint64(p), 16) }
 
-// Format returns the ids of parts, separated by commas, as log lines show them.
+// maxShownParts limits the parts that Summary shows. Prompts may have thousands.
+const maxShownParts = 64
+
+// Summary returns the ids of parts as log lines show them: those that come first, and how
+// many follow.
+func Summary(parts []Part) string {
+	if len(parts) <= maxShownParts {
+		return Format(parts)
+	}
+	return Format(parts[:maxShownParts]) + ",+" + strconv.Itoa(len(parts)-maxShownParts)
+}
+
+// Format returns the ids of parts, separated by commas.
 func Format(parts []Part) string {
 	ids := make([]string, len(parts))
 	for i, p := range parts {
--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -50,14 +50,30 @@
 	// after a release one of them meets the part first.
 	releaseJitter = 0.5
 
-	// maxSoundParts, maxCrashes, maxRequestsPerCrash and maxVerdicts bound the
-	// memory, to about 2 MB.
-	maxSoundParts       = 8192
+	// maxSoundParts, maxCrashes, maxRequestsPerCrash, maxSuspectParts and maxVerdicts bound
+	// the memory, to about 6 MB. A prompt may have thousands of parts.
+	maxSoundParts       = 65536
 	maxCrashes          = 128
 	maxRequestsPerCrash = 48
+	maxSuspectParts     = 131072
 	maxVerdicts         = 128
+	// MaxVerdictParts is the largest number of parts of a verdict. A notice holds several
+	// verdicts.
+	MaxVerdictParts = 16
 )
 
+// Dropped counts what a tracker has forgotten because its memory is bounded.
+type Dropped struct {
+	// SoundParts had sound answers. They count as new again.
+	SoundParts int64
+	// Crashes were the oldest ones.
+	Crashes int64
+	// Suspects were of crashes that have many.
+	Suspects int64
+	// VerdictParts were left out of verdicts, which keep more requests away without them.
+	VerdictParts int64
+}
+
 // Request is what is known of a request. Its parts are shared with other requests; Whole
 // identifies the request itself, whoever sends it again under another id, and is 0 if that
 // is not known.
@@ -77,18 +93,19 @@
 	return r.Whole.String()
 }
 
-// all returns the parts and, if known, the whole request.
-func (r Request) all() []prompt.Part {
-	if r.Whole == 0 {
-		return r.Parts
-	}
-	return append(slices.Clone(r.Parts), r.Whole)
+// contains reports whether the request has all of the parts, one of which may be the whole.
+func (r Request) contains(parts []prompt.Part) bool {
+	return !slices.ContainsFunc(parts, func(p prompt.Part) bool {
+		return (r.Whole == 0 || p != r.Whole) && !slices.Contains(r.Parts, p)
+	})
 }
 
 // Suspect is a request that an engine had when it crashed.
 type Suspect struct {
 	// Engine identifies one start of an engine.
 	Engine string `json:"engine"`
+	// Split identifies a suspect that is told of in several pieces; 0 for one in one piece.
+	Split uint64 `json:"split,omitempty"`
 	// New lists the parts of the request's prompt without a recent sound answer
 	// at the entry that sent the request, Known the others.
 	New   []prompt.Part `json:"new,omitempty"`
@@ -102,16 +119,42 @@
 	Weak bool `json:"weak,omitempty"`
 }
 
-// has reports whether the suspect has all of the parts, one of which may be the whole.
-func (s Suspect) has(parts []prompt.Part) bool {
+// Pieces returns suspects with at most size parts each that together tell of this one. A
+// tracker that is told of them puts them together; id identifies the suspect there. New
+// parts come first.
+func (s Suspect) Pieces(size int, id uint64) (pieces []Suspect) {
+	if len(s.New)+len(s.Known) <= size {
+		return []Suspect{s}
+	}
+	unknown, known := s.New, s.Known
+	for len(unknown)+len(known) > 0 {
+		piece := s
+		piece.Split = id
+		n := min(len(unknown), size)
+		k := min(len(known), size-n)
+		piece.New, piece.Known = unknown[:n], known[:k]
+		unknown, known = unknown[n:], known[k:]
+		pieces = append(pieces, piece)
+	}
+	return pieces
+}
+
+// has reports whether the suspect, whose parts are sorted, has all of the parts, one of
+// which may be the whole.
+func (s *Suspect) has(parts []prompt.Part) bool {
 	for _, p := range parts {
-		if p != s.Whole && !slices.Contains(s.New, p) && !slices.Contains(s.Known, p) {
+		if p != s.Whole && !sortedContains(s.New, p) && !sortedContains(s.Known, p) {
 			return false
 		}
 	}
 	return true
 }
 
+func sortedContains(sorted []prompt.Part, p prompt.Part) bool {
+	_, found := slices.BinarySearch(sorted, p)
+	return found
+}
+
 // Verdict is the decision to keep requests that contain all of the parts away
 // from the engines.
 type Verdict struct {
@@ -133,15 +176,16 @@
 func (v Verdict) ID() string { return prompt.Format(v.Parts) }
 
 // Matches reports whether the verdict keeps a request away.
-func (v Verdict) Matches(r Request) bool { return containsAll(r.all(), v.Parts) }
+func (v Verdict) Matches(r Request) bool { return r.contains(v.Parts) }
 
 // crash is what all entries saw of one engine's crash.
 type crash struct {
-	engine   string
-	at       time.Time
+	engine string
+	at     time.Time
+	// suspects have sorted parts.
 	suspects []Suspect
 	// local lists the known parts of this entry's own suspects, localWeak those of the
-	// weak ones.
+	// weak ones, both sorted.
 	local, localWeak []prompt.Part
 	// attributed lists the verdicts that the crash counts for.
 	attributed []*verdict
@@ -149,11 +193,40 @@
 
 // contains reports whether a suspect of the crash has all of the parts.
 func (c *crash) contains(parts []prompt.Part) bool {
-	return slices.ContainsFunc(c.suspects, func(s Suspect) bool { return s.has(parts) })
+	for i := range c.suspects {
+		if c.suspects[i].has(parts) {
+			return true
+		}
+	}
+	return false
 }
 
-func containsAll(all, parts []prompt.Part) bool {
-	return !slices.ContainsFunc(parts, func(p prompt.Part) bool { return !slices.Contains(all, p) })
+// add adds a suspect, or a piece of one to the others, and returns it. It returns false if
+// the crash has too many.
+func (c *crash) add(s Suspect) (whole Suspect, ok bool) {
+	s.New, s.Known = union(nil, s.New), union(nil, s.Known)
+	if s.Split != 0 {
+		for i := range c.suspects {
+			if known := &c.suspects[i]; known.Split == s.Split {
+				known.New, known.Known = union(known.New, s.New), union(known.Known, s.Known)
+				return *known, true
+			}
+		}
+	}
+	if len(c.suspects) >= maxRequestsPerCrash {
+		return Suspect{}, false
+	}
+	c.suspects = append(c.suspects, s)
+	return s, true
+}
+
+// size is the number of parts that the crash holds.
+func (c *crash) size() int {
+	n := len(c.local) + len(c.localWeak)
+	for i := range c.suspects {
+		n += len(c.suspects[i].New) + len(c.suspects[i].Known)
+	}
+	return n
 }
 
 type verdict struct {
@@ -186,6 +259,7 @@
 	firstSound, lastSound time.Time
 	crashes               []*crash
 	verdicts              []*verdict
+	dropped               Dropped
 }
 
 // NewTracker returns a tracker without evidence. Entries use different seeds.
@@ -196,10 +270,9 @@
 // RecordSound records that an engine began to answer a request at the given time and
 // did not crash. It ends the quarantines that the answer refutes and returns them.
 func (t *Tracker) RecordSound(r Request, began, now time.Time) (released []Verdict) {
-	parts := r.Parts
-	if t.isSuspect(r.Whole) {
+	if !t.isSuspect(r.Whole) {
 		// Other requests are not remembered one by one.
-		parts = r.all()
+		r.Whole = 0
 	}
 	if t.firstSound.IsZero() {
 		t.firstSound = now
@@ -207,13 +280,14 @@
 	if began.After(t.lastSound) {
 		t.lastSound = began
 	}
-	for _, p := range parts {
-		if began.After(t.sound[p]) {
-			t.setSound(p, began)
-		}
+	for _, p := range r.Parts {
+		t.setSound(p, began)
+	}
+	if r.Whole != 0 {
+		t.setSound(r.Whole, began)
 	}
 	t.verdicts = slices.DeleteFunc(t.verdicts, func(v *verdict) bool {
-		refuted := containsAll(parts, v.parts) && began.After(v.lastCrash)
+		refuted := began.After(v.lastCrash) && r.contains(v.parts)
 		if refuted && now.Before(v.until) {
 			released = append(released, v.export(now))
 		}
@@ -222,11 +296,15 @@
 	return released
 }
 
-// setSound evicts the oldest of a few parts when the memory is full, which is
-// cheaper than an exact order and keeps parts in frequent use.
+// setSound records a sound answer. When the memory is full it evicts the oldest of a few
+// parts, which is cheaper than an exact order and keeps parts in frequent use.
 func (t *Tracker) setSound(p prompt.Part, at time.Time) {
 	const candidates = 8
-	if _, known := t.sound[p]; !known && len(t.sound) >= maxSoundParts {
+	newest, known := t.sound[p]
+	if !at.After(newest) {
+		return
+	}
+	if !known && len(t.sound) >= maxSoundParts {
 		var oldest prompt.Part
 		checked := 0
 		for q, soundAt := range t.sound {
@@ -238,6 +316,7 @@
 			}
 		}
 		delete(t.sound, oldest)
+		t.dropped.SoundParts++
 	}
 	t.sound[p] = at
 }
@@ -273,19 +352,23 @@
 // changes.
 func (t *Tracker) RecordCrash(s Suspect, by Observer, now time.Time) []Verdict {
 	c := t.crashOf(s.Engine, now)
-	if len(c.suspects) >= maxRequestsPerCrash {
+	fits := t.fits(c, len(s.New)+2*len(s.Known))
+	if fits {
+		s, fits = c.add(s)
+	}
+	if !fits {
+		t.dropped.Suspects++
 		return nil
 	}
-	c.suspects = append(c.suspects, s)
 	switch {
 	case by == OtherEntry:
 	case s.Weak:
-		c.localWeak = append(c.localWeak, s.Known...)
+		c.localWeak = union(c.localWeak, s.Known)
 	default:
-		c.local = append(c.local, s.Known...)
+		c.local = union(c.local, s.Known)
 	}
 	changed := t.attribute(c, now)
-	changed = append(changed, t.judge(now)...)
+	changed = append(changed, t.judge(s.New, now)...)
 	out := make([]Verdict, len(changed))
 	for i, v := range changed {
 		out[i] = v.export(now)
@@ -302,12 +385,35 @@
 	}
 	if len(t.crashes) >= maxCrashes {
 		t.crashes = slices.Delete(t.crashes, 0, 1)
+		t.dropped.Crashes++
 	}
 	c := &crash{engine: engine, at: now}
 	t.crashes = append(t.crashes, c)
 	return c
 }
 
+// fits makes room for further parts of a crash by forgetting the oldest other ones. It
+// returns false if the crash alone is too large.
+func (t *Tracker) fits(c *crash, parts int) bool {
+	total := parts
+	for _, other := range t.crashes {
+		total += other.size()
+	}
+	for total > maxSuspectParts {
+		oldest := slices.IndexFunc(t.crashes, func(other *crash) bool { return other != c && other.size() > 0 })
+		if oldest < 0 {
+			return false
+		}
+		total -= t.crashes[oldest].size()
+		t.crashes = slices.Delete(t.crashes, oldest, oldest+1)
+		t.dropped.Crashes++
+	}
+	return true
+}
+
+// Dropped returns what the tracker has forgotten since its start.
+func (t *Tracker) Dropped() Dropped { return t.dropped }
+
 // attribute counts a crash for the existing verdicts that explain it, once each,
 // and renews them. It returns the verdicts changed.
 func (t *Tracker) attribute(c *crash, now time.Time) (changed []*verdict) {
@@ -347,12 +453,13 @@
 // judge looks for requests and parts that explain several crashes that no verdict explains
 // yet. It takes those that explain most crashes first, so that a sound part is not
 // blamed for crashes at which another part was present each time. Whole requests come
-// before their parts, because a verdict on them keeps nothing else away.
-func (t *Tracker) judge(now time.Time) (added []*verdict) {
+// before their parts, because a verdict on them keeps nothing else away. latest are the new
+// parts, sorted, of the suspect that was recorded last: only for these has the evidence grown.
+func (t *Tracker) judge(latest []prompt.Part, now time.Time) (added []*verdict) {
 	for {
 		v, basis := t.judgeWhole(now)
 		if v == nil {
-			v, basis = t.judgeParts(now)
+			v, basis = t.judgeParts(latest, now)
 		}
 		if v == nil {
 			return added
@@ -378,13 +485,18 @@
 }
 
 // judgeParts returns a verdict on parts, or nil.
-func (t *Tracker) judgeParts(now time.Time) (*verdict, basis) {
+func (t *Tracker) judgeParts(latest []prompt.Part, now time.Time) (*verdict, basis) {
 	evidence := t.partEvidence()
-	part, basis := t.worstPart(evidence, now)
+	part, basis := t.worstPart(evidence, t.recurring(latest, evidence, now))
 	if basis == noBasis {
 		return nil, noBasis
 	}
-	return t.addVerdict(commonParts(part, evidence)), basis
+	parts := commonParts(part, evidence)
+	if len(parts) > MaxVerdictParts {
+		t.dropped.VerdictParts += int64(len(parts) - MaxVerdictParts)
+		parts = shorten(parts, part)
+	}
+	return t.addVerdict(parts), basis
 }
 
 // explained reports whether a verdict on parts explains a crash.
@@ -405,29 +517,69 @@
 	localCrashes
 )
 
+// recurring returns those of some sorted parts that are new in suspects of several crashes,
+// and that this entry doesn't know as sound.
+func (t *Tracker) recurring(parts []prompt.Part, crashes []*crash, now time.Time) (out []prompt.Part) {
+	counts := make([]int, len(parts))
+	inCrash := make([]bool, len(parts))
+	for _, c := range crashes {
+		clear(inCrash)
+		for i := range c.suspects {
+			markCommon(inCrash, parts, c.suspects[i].New)
+		}
+		for i, found := range inCrash {
+			if found {
+				counts[i]++
+			}
+		}
+	}
+	for i, p := range parts {
+		if counts[i] >= newPartCrashes && !t.isKnown(p, now) {
+			out = append(out, p)
+		}
+	}
+	return out
+}
+
+// markCommon marks the parts that are among others; both are sorted.
+func markCommon(marks []bool, parts, others []prompt.Part) {
+	for i, j := 0, 0; i < len(parts) && j < len(others); {
+		switch {
+		case parts[i] < others[j]:
+			i++
+		case parts[i] > others[j]:
+			j++
+		default:
+			marks[i] = true
+			i++
+			j++
+		}
+	}
+}
+
 // worstPart returns the part with most crashes among those that have enough, and
-// the evidence for it.
-func (t *Tracker) worstPart(crashes []*crash, now time.Time) (prompt.Part, basis) {
+// the evidence for it. New parts are looked for among some candidates only.
+func (t *Tracker) worstPart(crashes []*crash, candidates []prompt.Part) (prompt.Part, basis) {
 	kinds := []struct {
 		basis    basis
 		atLeast  int
 		accepted func(c *crash) []prompt.Part
 	}{
 		{newCrashes, newPartCrashes, func(c *crash) []prompt.Part {
-			return t.candidates(c, now, func(s Suspect) bool { return !s.Cold && !s.Weak })
+			return c.newAmong(candidates, func(s *Suspect) bool { return !s.Cold && !s.Weak })
 		}},
 		{newCrashes, newPartCrashes + weakCrashes, func(c *crash) []prompt.Part {
-			return t.candidates(c, now, func(s Suspect) bool { return !s.Cold })
+			return c.newAmong(candidates, func(s *Suspect) bool { return !s.Cold })
 		}},
 		{coldCrashes, coldPartCrashes, func(c *crash) []prompt.Part {
-			return t.candidates(c, now, func(s Suspect) bool { return !s.Weak })
+			return c.newAmong(candidates, func(s *Suspect) bool { return !s.Weak })
 		}},
 		{coldCrashes, coldPartCrashes + weakCrashes, func(c *crash) []prompt.Part {
-			return t.candidates(c, now, func(Suspect) bool { return true })
+			return c.newAmong(candidates, func(*Suspect) bool { return true })
 		}},
 		{localCrashes, knownPartCrashes, func(c *crash) []prompt.Part { return t.unproven(c, c.local) }},
 		{localCrashes, knownPartCrashes + weakCrashes, func(c *crash) []prompt.Part {
-			return t.unproven(c, slices.Concat(c.local, c.localWeak))
+			return t.unproven(c, union(c.local, c.localWeak))
 		}},
 	}
 	for _, kind := range kinds {
@@ -444,14 +596,19 @@
 	return 0, noBasis
 }
 
-// unproven returns those of the known parts without a sound answer that began after the
+// unproven returns those of the known parts, which are sorted, without a sound answer that began after the
 // crash. Other answers since then show that engines work, so that the lack of one for
 // these parts means something.
-func (t *Tracker) unproven(c *crash, known []prompt.Part) []prompt.Part {
+func (t *Tracker) unproven(c *crash, known []prompt.Part) (out []prompt.Part) {
 	if !t.lastSound.After(c.at) {
 		return nil
 	}
-	return slices.DeleteFunc(dedupe(slices.Clone(known)), func(p prompt.Part) bool { return !t.sound[p].Before(c.at) })
+	for _, p := range known {
+		if t.sound[p].Before(c.at) {
+			out = append(out, p)
+		}
+	}
+	return out
 }
 
 // most returns the part with the highest count if that is at least atLeast; of
@@ -466,23 +623,22 @@
 	return part, found
 }
 
-// candidates returns the new parts of those suspects of a crash that match, without
-// parts that this entry knows as sound.
-func (t *Tracker) candidates(c *crash, now time.Time, match func(Suspect) bool) []prompt.Part {
-	var out []prompt.Part
-	for _, s := range c.suspects {
-		if !match(s) {
-			continue
-		}
-		for _, p := range s.New {
-			if !t.isKnown(p, now) {
+// newAmong returns those of some parts that are new in suspects that match.
+func (c *crash) newAmong(parts []prompt.Part, match func(s *Suspect) bool) (out []prompt.Part) {
+	for _, p := range parts {
+		for i := range c.suspects {
+			if s := &c.suspects[i]; match(s) && sortedContains(s.New, p) {
 				out = append(out, p)
+				break
 			}
 		}
 	}
-	return dedupe(out)
+	return out
 }
 
+// union returns the parts of both lists, sorted.
+func union(a, b []prompt.Part) []prompt.Part { return dedupe(slices.Concat(a, b)) }
+
 func dedupe(parts []prompt.Part) []prompt.Part {
 	slices.Sort(parts)
 	return slices.Compact(parts)
@@ -494,14 +650,14 @@
 	var common []prompt.Part
 	for _, c := range crashes {
 		for _, s := range c.suspects {
-			if !slices.Contains(s.New, part) {
+			if !sortedContains(s.New, part) {
 				continue
 			}
 			if common == nil {
 				common = slices.Clone(s.New)
 				continue
 			}
-			common = slices.DeleteFunc(common, func(p prompt.Part) bool { return !slices.Contains(s.New, p) })
+			common = slices.DeleteFunc(common, func(p prompt.Part) bool { return !sortedContains(s.New, p) })
 		}
 	}
 	if common == nil {
@@ -510,6 +666,15 @@
 	return dedupe(common)
 }
 
+// shorten returns the lowest of some sorted parts, and one that must be among them.
+func shorten(parts []prompt.Part, with prompt.Part) []prompt.Part {
+	out := slices.Clone(parts[:MaxVerdictParts])
+	if !sortedContains(out, with) {
+		out[MaxVerdictParts-1] = with
+	}
+	return out
+}
+
 func (t *Tracker) addVerdict(parts []prompt.Part) *verdict {
 	if len(t.verdicts) >= maxVerdicts {
 		first := slices.MinFunc(t.verdicts, func(a, b *verdict) int { return a.until.Compare(b.until) })
@@ -524,7 +689,7 @@
 // the same parts, or had sound answers that refute it. It reports whether the
 // verdict changed anything.
 func (t *Tracker) Adopt(v Verdict, now time.Time) bool {
-	if len(v.Parts) == 0 || len(v.Parts) > prompt.MaxParts || v.Crashes < newPartCrashes || v.Remaining <= 0 {
+	if len(v.Parts) == 0 || len(v.Parts) > MaxVerdictParts || v.Crashes < newPartCrashes || v.Remaining <= 0 {
 		return false
 	}
 	v.Parts = dedupe(slices.Clone(v.Parts))
@@ -567,9 +732,8 @@
 
 // Match returns the verdict, if any, that keeps a request away from the engines.
 func (t *Tracker) Match(r Request, now time.Time) (Verdict, bool) {
-	all := r.all()
 	for _, v := range t.verdicts {
-		if now.Before(v.until) && containsAll(all, v.parts) {
+		if now.Before(v.until) && r.contains(v.parts) {
 			return v.export(now), true
 		}
 	}
--- a/core/quarantine/quarantine_test.go
+++ b/core/quarantine/quarantine_test.go
@@ -245,6 +245,71 @@
 	}
 }
 
+// Long prompts must not fill the memory either, and the last crashes must still count.
+func TestMemoryIsBoundedForLongPrompts(t *testing.T) {
+	c := qt.New(t)
+	tr := warmTracker()
+	long := make([]prompt.Part, 400)
+	for i := range maxCrashes {
+		for request := range maxRequestsPerCrash {
+			for j := range long {
+				long[j] = prompt.Part(1<<40 + (i*maxRequestsPerCrash+request)*len(long) + j)
+			}
+			tr.crash(fmt.Sprint("e", i), at(i), long...)
+		}
+	}
+	held := 0
+	for _, cr := range tr.crashes {
+		held += cr.size()
+	}
+	c.Check(held <= maxSuspectParts, qt.IsTrue, qt.Commentf("%d parts", held))
+	c.Check(tr.Dropped().Crashes > 0, qt.IsTrue)
+	tr.crash("x1", at(maxCrashes), deadly)
+	tr.crash("x2", at(maxCrashes), deadly)
+	c.Check(tr.blocks(at(maxCrashes), deadly), qt.IsTrue)
+}
+
+// A verdict must fit in a notice, also if the suspects have hundreds of parts in common: others
+// refuse it otherwise, and the deadly one must be among those that remain.
+func TestVerdictOnLongPromptsIsShort(t *testing.T) {
+	c := qt.New(t)
+	tr := warmTracker()
+	parts := []prompt.Part{1 << 62}
+	for i := range 400 {
+		parts = append(parts, prompt.Part(1<<40+i))
+	}
+	tr.crash("e1", at(0), parts...)
+	verdicts := tr.crash("e2", at(100), parts...)
+	c.Assert(verdicts, qt.HasLen, 1)
+	c.Check(verdicts[0].Parts, qt.HasLen, MaxVerdictParts)
+	c.Check(tr.Dropped().VerdictParts, qt.Equals, int64(len(parts)-MaxVerdictParts))
+	c.Check(NewTracker(2).Adopt(verdicts[0], at(200)), qt.IsTrue)
+	c.Check(tr.blocks(at(200), parts...), qt.IsTrue)
+	c.Check(shorten(parts[1:], 1<<40+399), qt.Contains, prompt.Part(1<<40+399))
+}
+
+// A suspect that is told of in pieces must count as one request of the crash, in whatever order
+// the pieces come.
+func TestPiecesOfASuspectArePutTogether(t *testing.T) {
+	c := qt.New(t)
+	var parts []prompt.Part
+	for i := range 100 {
+		parts = append(parts, prompt.Part(1<<40+i))
+	}
+	sent := Suspect{Engine: "e1", New: parts[:40], Known: parts[40:], Whole: 7}
+	pieces := sent.Pieces(9, 5)
+	c.Assert(pieces, qt.HasLen, 12)
+	tr := NewTracker(1)
+	for i := range pieces {
+		tr.RecordCrash(pieces[len(pieces)-1-i], OtherEntry, at(0))
+	}
+	c.Assert(tr.crashes[0].suspects, qt.HasLen, 1)
+	got := tr.crashes[0].suspects[0]
+	c.Check(got.New, qt.DeepEquals, sent.New)
+	c.Check(got.Known, qt.DeepEquals, sent.Known)
+	c.Check(sent.Pieces(100, 5), qt.DeepEquals, []Suspect{sent})
+}
+
 // weakCrash records a crash at this entry under requests that only waited at the engine
 // or had a part of their answer.
 func (t *Tracker) weakCrash(engine string, now time.Time, requests ...[]prompt.Part) {
--- a/node/containment/containment.go
+++ b/node/containment/containment.go
@@ -5,6 +5,8 @@
 
 import (
 	"context"
+	"crypto/sha256"
+	"encoding/hex"
 	"encoding/json"
 	"math/rand/v2"
 	"sync"
@@ -22,9 +24,12 @@
 	// With three of them a round, 150 entries know a verdict after about 2.5 s.
 	gossipInterval = 500 * time.Millisecond
 	gossipFanout   = 3
-	// maxVerdictsPerNotice keeps a notice within one packet. Verdicts with many
-	// parts may need more space; the encoding refuses those.
+	// maxVerdictsPerNotice keeps a notice within one packet, or a few if the verdicts have
+	// many parts.
 	maxVerdictsPerNotice = 6
+	// maxKeyBytes is the length up to which the parts of a verdict are its key in the store,
+	// whose keys have up to 255 bytes.
+	maxKeyBytes = 200
 	// storeTimeout limits one write to the store.
 	storeTimeout = 2 * time.Second
 	// storeRetryDelay is the mean time between two attempts to write.
@@ -77,7 +82,7 @@
 	}
 	s.mu.Lock()
 	for _, v := range verdicts {
-		s.unsaved[v.ID()] = v
+		s.unsaved[key(v)] = v
 	}
 	s.mu.Unlock()
 	select {
@@ -216,7 +221,7 @@
 			s.cfg.Log.Event("quarantine_unsaved", "quarantine", v.ID(), "cause", err.Error())
 			continue
 		}
-		records = append(records, Record{ID: v.ID(), Value: value, Outdated: func(stored []byte) bool {
+		records = append(records, Record{ID: key(v), Value: value, Outdated: func(stored []byte) bool {
 			var r record
 			return json.Unmarshal(stored, &r) != nil || r.Verdict.Crashes < v.Crashes
 		}})
@@ -228,7 +233,7 @@
 // that it removes the record when the verdict has expired.
 func (s *Sharer) RecordSaved(id string) {
 	for _, v := range s.cfg.Gateway.ActiveVerdicts() {
-		if v.ID() == id {
+		if key(v) == id {
 			s.mu.Lock()
 			s.saved[id] = time.Now().Add(v.Remaining)
 			s.mu.Unlock()
@@ -236,6 +241,16 @@
 	}
 }
 
+// key returns the key of a verdict's record.
+func key(v quarantine.Verdict) string {
+	id := v.ID()
+	if len(id) <= maxKeyBytes {
+		return id
+	}
+	sum := sha256.Sum256([]byte(id))
+	return hex.EncodeToString(sum[:])
+}
+
 func encodeRecord(v quarantine.Verdict) ([]byte, error) {
 	return json.Marshal(record{Verdict: v, SavedMS: time.Now().UnixMilli()})
 }
@@ -243,7 +258,7 @@
 func (s *Sharer) save(ctx context.Context, v quarantine.Verdict) {
 	value, err := encodeRecord(v)
 	if err == nil {
-		err = s.put(ctx, v.ID(), value)
+		err = s.put(ctx, key(v), value)
 	}
 	if err != nil {
 		s.cfg.Log.Event("quarantine_unsaved", "quarantine", v.ID(), "cause", err.Error())
@@ -251,10 +266,10 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.unsaved[v.ID()].Crashes <= v.Crashes {
-		delete(s.unsaved, v.ID())
+	if s.unsaved[key(v)].Crashes <= v.Crashes {
+		delete(s.unsaved, key(v))
 	}
-	s.saved[v.ID()] = time.Now().Add(v.Remaining)
+	s.saved[key(v)] = time.Now().Add(v.Remaining)
 }
 
 func (s *Sharer) put(ctx context.Context, id string, value []byte) error {
--- a/node/gateway/containment.go
+++ b/node/gateway/containment.go
@@ -58,6 +58,10 @@
 	// waiting holds the attempts whose engine has sent no event yet.
 	waiting map[*waitingAttempt]struct{}
 	probes  crashProbes
+	// dropped is what the tracker had forgotten when it was counted last, logged what it had
+	// when that was logged, at loggedAt.
+	dropped, logged quarantine.Dropped
+	loggedAt        time.Time
 }
 
 // waitingAttempt is an attempt that has no event yet.
@@ -116,6 +120,7 @@
 	g.containment.mu.Lock()
 	released := g.containment.tracker.RecordSound(sound, began, now)
 	g.containment.mu.Unlock()
+	g.countDropped(now)
 	for _, v := range released {
 		containmentTotal.Add("released", 1)
 		g.cfg.Log.Event("prompt_released", "quarantine", v.ID(), "request", req.call.RequestID, "crashes", v.Crashes)
@@ -145,7 +150,7 @@
 	g.containment.mu.Unlock()
 	containmentTotal.Add("suspects", 1)
 	g.cfg.Log.Event("crash_suspect", "request", req.call.RequestID, "server", e.choice.Server.ID, "weak", weak, "events", e.events,
-		"incarnation", suspect.Engine, "new_parts", prompt.Format(suspect.New), "known_parts", prompt.Format(suspect.Known),
+		"incarnation", suspect.Engine, "new_parts", prompt.Summary(suspect.New), "known_parts", prompt.Summary(suspect.Known),
 		"whole", req.identity.WholeID())
 	verdicts := g.recordCrash(suspect, quarantine.ThisEntry, now)
 	if g.cfg.OnSuspect != nil {
@@ -236,12 +241,38 @@
 	verdicts := g.containment.tracker.RecordCrash(suspect, by, now)
 	g.containment.cancelMatching(verdicts)
 	g.containment.mu.Unlock()
+	g.countDropped(now)
 	for _, v := range verdicts {
 		g.logVerdict(v, "evidence", suspect.Engine)
 	}
 	return verdicts
 }
 
+// droppedLogInterval is the least time between two log lines on what the tracker forgets,
+// which may be something with each request.
+const droppedLogInterval = 10 * time.Second
+
+// countDropped counts and logs what the tracker forgets because its memory is bounded.
+func (g *Gateway) countDropped(now time.Time) {
+	c := g.containment
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	dropped := c.tracker.Dropped()
+	if dropped != c.dropped {
+		containmentTotal.Add("dropped_sound_parts", dropped.SoundParts-c.dropped.SoundParts)
+		containmentTotal.Add("dropped_crashes", dropped.Crashes-c.dropped.Crashes)
+		containmentTotal.Add("dropped_suspects", dropped.Suspects-c.dropped.Suspects)
+		containmentTotal.Add("dropped_verdict_parts", dropped.VerdictParts-c.dropped.VerdictParts)
+		c.dropped = dropped
+	}
+	if dropped == c.logged || !c.loggedAt.IsZero() && now.Sub(c.loggedAt) < droppedLogInterval {
+		return
+	}
+	g.cfg.Log.Event("crash_evidence_dropped", "sound_parts", dropped.SoundParts-c.logged.SoundParts, "crashes", dropped.Crashes-c.logged.Crashes,
+		"suspects", dropped.Suspects-c.logged.Suspects, "verdict_parts", dropped.VerdictParts-c.logged.VerdictParts)
+	c.logged, c.loggedAt = dropped, now
+}
+
 // AdoptVerdicts takes over verdicts of other entries, or of the store.
 func (g *Gateway) AdoptVerdicts(verdicts []quarantine.Verdict, source string) {
 	now := bootclock.Now()
--- a/node/gateway/exchange.go
+++ b/node/gateway/exchange.go
@@ -155,7 +155,7 @@
 	g.cfg.Log.Event("attempt_failed", "request", req.call.RequestID, "server", e.choice.Server.ID, "result", result,
 		"status", status, "cause", cause, "load", e.choice.Load, "report_age_ms", e.choice.ReportAge.Milliseconds(),
 		"weights", e.choice.Version, "ms", e.duration.Milliseconds(),
-		"events", e.events, "writing_ms", e.writingTime().Milliseconds(), "silent_ms", e.silence().Milliseconds(), "ended_by", e.endedBy(), "engine", string(e.crash), "parts", prompt.Format(req.call.PromptParts), "whole", req.identity.WholeID())
+		"events", e.events, "writing_ms", e.writingTime().Milliseconds(), "silent_ms", e.silence().Milliseconds(), "ended_by", e.endedBy(), "engine", string(e.crash), "parts", prompt.Summary(req.call.PromptParts), "whole", req.identity.WholeID())
 }
 
 // recordEvent records an event of the server's stream.
--- a/node/gateway/handler.go
+++ b/node/gateway/handler.go
@@ -379,7 +379,7 @@
 	args := []any{
 		"request", req.call.RequestID, "reason", string(reason), "status", status, "configuration", req.configVersion,
 		"service", req.service, "workspace", req.workspace, "offers", len(req.tried), "runs", req.runCount(),
-		"ms", time.Since(req.start).Milliseconds(), "late", req.pastTarget, "parts", prompt.Format(req.call.PromptParts), "whole", req.identity.WholeID(),
+		"ms", time.Since(req.start).Milliseconds(), "late", req.pastTarget, "parts", prompt.Summary(req.call.PromptParts), "whole", req.identity.WholeID(),
 	}
 	if reason == ReasonQuarantined {
 		args = append(args, "quarantine", req.verdict.ID(), "crashes", req.verdict.Crashes)
--- a/node/mesh/datagram.go
+++ b/node/mesh/datagram.go
@@ -11,6 +11,7 @@
 	"errors"
 	"hash/fnv"
 	"math"
+	"math/rand/v2"
 	"net/netip"
 	"slices"
 
@@ -112,9 +113,40 @@
 	Verdicts []quarantine.Verdict `json:"verdicts,omitempty"`
 }
 
-// EncodeCrashNotice returns the datagram of a notice.
-func EncodeCrashNotice(n CrashNotice) ([]byte, error) {
-	return encodeJSON(kindCrashNotice, n)
+// maxPartsPerNotice is the number of parts of a suspect in one datagram: in one packet, since
+// each has up to 21 bytes.
+const maxPartsPerNotice = 56
+
+// EncodeCrashNotice returns the datagrams of a notice. A suspect with many parts is sent in
+// pieces.
+func EncodeCrashNotice(n CrashNotice) (datagrams [][]byte, err error) {
+	if n.Suspect != nil {
+		for _, piece := range n.Suspect.Pieces(maxPartsPerNotice, rand.Uint64()|1) {
+			b, err := encodeJSON(kindCrashNotice, CrashNotice{Suspect: &piece})
+			if err != nil {
+				return nil, err
+			}
+			datagrams = append(datagrams, b)
+		}
+	}
+	for rest := n.Verdicts; len(rest) > 0; {
+		b, sent, err := encodeVerdicts(rest)
+		if err != nil {
+			return nil, err
+		}
+		datagrams, rest = append(datagrams, b), rest[sent:]
+	}
+	return datagrams, nil
+}
+
+// encodeVerdicts returns a datagram with the first verdicts, as many as it holds.
+func encodeVerdicts(verdicts []quarantine.Verdict) (b []byte, sent int, err error) {
+	for sent = len(verdicts); ; sent = (sent + 1) / 2 {
+		b, err = encodeJSON(kindCrashNotice, CrashNotice{Verdicts: verdicts[:sent]})
+		if err == nil || sent == 1 {
+			return b, sent, err
+		}
+	}
 }
 
 func decodeCrashNotice(b []byte) (*CrashNotice, error) {
--- a/node/mesh/mesh.go
+++ b/node/mesh/mesh.go
@@ -387,11 +387,13 @@
 // SendCrashNotice sends a notice to all other entries, or to limit of them chosen
 // at random; limit 0 means all.
 func (m *Mesh) SendCrashNotice(n CrashNotice, limit int) error {
-	b, err := EncodeCrashNotice(n)
+	datagrams, err := EncodeCrashNotice(n)
 	if err != nil {
 		return err
 	}
-	m.sendToSome(b, limit, func(o Member) bool { return o.Role == Entry })
+	for _, b := range datagrams {
+		m.sendToSome(b, limit, func(o Member) bool { return o.Role == Entry })
+	}
 	return nil
 }
 
--- a/node/mesh/mesh_test.go
+++ b/node/mesh/mesh_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"sync"
@@ -57,21 +58,90 @@
 	c.Assert(err, qt.Equals, ErrMalformedDatagram)
 }
 
-// A notice must arrive as it was sent, and one that is malformed or larger than a
-// datagram must be refused.
+// handleNotices decodes the datagrams of a notice and passes them to a tracker, as an entry
+// that has seen none of the crashes does.
+func handleNotices(c *qt.C, t *quarantine.Tracker, datagrams [][]byte, now time.Time) {
+	for _, b := range datagrams {
+		c.Assert(len(b) < maxDatagramBytes, qt.IsTrue)
+		got, err := Decode(b)
+		c.Assert(err, qt.IsNil)
+		n := got.(*CrashNotice)
+		if n.Suspect != nil {
+			t.RecordCrash(*n.Suspect, quarantine.OtherEntry, now)
+		}
+		for _, v := range n.Verdicts {
+			t.Adopt(v, now)
+		}
+	}
+}
+
+// Entries must learn of a part that crashes engines wherever it stands in a prompt: a suspect
+// with many parts did not fit in a datagram, so that no other entry heard of the crash, and
+// neither did several verdicts with many parts.
+func TestCrashNoticeOfALongPrompt(t *testing.T) {
+	const deadly = prompt.Part(1<<64 - 2)
+	now := time.Unix(1_800_000_000, 0)
+	for _, length := range []int{3, 100, 400, 5000} {
+		for _, place := range []int{0, length / 2, length - 1} {
+			t.Run(fmt.Sprint(place, " of ", length), func(t *testing.T) {
+				c := qt.New(t)
+				sees, hears, told := quarantine.NewTracker(1), quarantine.NewTracker(2), quarantine.NewTracker(3)
+				for crash := range 3 {
+					parts := make([]prompt.Part, length)
+					for i := range parts {
+						// Parts that no other request has, of the largest size on the wire.
+						parts[i] = prompt.Part(1<<63) + prompt.Part(crash<<32+i)
+					}
+					parts[place] = deadly
+					suspect := sees.Suspect(fmt.Sprint("e", crash), quarantine.Request{Parts: parts}, now)
+					verdicts := sees.RecordCrash(suspect, quarantine.ThisEntry, now)
+					datagrams, err := EncodeCrashNotice(CrashNotice{Suspect: &suspect})
+					c.Assert(err, qt.IsNil)
+					handleNotices(c, hears, datagrams, now)
+					datagrams, err = EncodeCrashNotice(CrashNotice{Verdicts: verdicts})
+					c.Assert(err, qt.IsNil)
+					handleNotices(c, told, datagrams, now)
+				}
+				for _, entry := range []*quarantine.Tracker{sees, hears, told} {
+					_, blocked := entry.Match(quarantine.Request{Parts: []prompt.Part{1, deadly, 2}}, now)
+					c.Check(blocked, qt.IsTrue)
+					_, blocked = entry.Match(quarantine.Request{Parts: []prompt.Part{1, 2}}, now)
+					c.Check(blocked, qt.IsFalse)
+				}
+			})
+		}
+	}
+}
+
+// A notice must arrive as it was sent, in datagrams of limited size, and one that is malformed
+// must be refused.
 func TestCrashNoticeRoundTrip(t *testing.T) {
 	c := qt.New(t)
 	notice := CrashNotice{
 		Suspect:  &quarantine.Suspect{Engine: "e@1", New: []prompt.Part{1<<64 - 1}, Known: []prompt.Part{2}, Cold: true},
 		Verdicts: []quarantine.Verdict{{Parts: []prompt.Part{3}, Crashes: 2, Remaining: time.Minute, SinceFirst: time.Second, HadSound: true}},
 	}
-	b, err := EncodeCrashNotice(notice)
-	c.Assert(err, qt.IsNil)
-	got, err := Decode(b)
+	for range 100 {
+		parts := make([]prompt.Part, quarantine.MaxVerdictParts)
+		for i := range parts {
+			parts[i] = prompt.Part(1<<64-1) - prompt.Part(i)
+		}
+		notice.Verdicts = append(notice.Verdicts, quarantine.Verdict{Parts: parts, Crashes: 2, Remaining: time.Hour})
+	}
+	datagrams, err := EncodeCrashNotice(notice)
 	c.Assert(err, qt.IsNil)
-	c.Assert(got, qt.DeepEquals, &notice)
-	_, err = EncodeCrashNotice(CrashNotice{Verdicts: make([]quarantine.Verdict, 100)})
-	c.Assert(err, qt.Equals, ErrMalformedDatagram)
+	var all CrashNotice
+	for _, b := range datagrams {
+		c.Check(len(b) < maxDatagramBytes, qt.IsTrue)
+		got, err := Decode(b)
+		c.Assert(err, qt.IsNil)
+		if n := got.(*CrashNotice); n.Suspect != nil {
+			all.Suspect = n.Suspect
+		} else {
+			all.Verdicts = append(all.Verdicts, n.Verdicts...)
+		}
+	}
+	c.Assert(all, qt.DeepEquals, notice)
 	for _, malformed := range []string{"\x07", "\x07{", "\x07{\"suspect\":{}}"} {
 		_, err := Decode([]byte(malformed))
 		c.Assert(err, qt.Equals, ErrMalformedDatagram)
