platform: all parts of a prompt are read

Cause: the adapter kept the first 16 shared parts and dropped the others without a word. Only the size of a header limits a prompt.

--- a/core/prompt/prompt.go
+++ b/core/prompt/prompt.go
@@ -7,10 +7,6 @@
 	"strings"
 )
 
-// MaxParts limits the shared parts of one request that are considered, so that a
-// caller can't make a request expensive. Prompts have a few.
-const MaxParts = 16
-
 // Part identifies a part of a prompt that several requests may share.
 type Part uint64
 
