agent: an answer whose status ends no request is none

Cause: the agent asked for 2xx and took all else for a failure that the server states. net/http takes any three digits for a status, and 101 for a final one.

Change: the agent's transport to its backend server returns an error for a status under 200. The outcome of an operation is unknown then, an order is asked about.

On the platform's path the gateway held before: TestNoFinalStatusInFurtherAttempts is new for what was not looked at, the second attempt of a begun stream and runs beside a silent server.

Conclusion: one check where all calls to a backend server pass, as the gateway has.

--- a/node/agent/backpressure.go
+++ b/node/agent/backpressure.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/hashicorp/go-hclog"
+	"github.com/rotisserie/eris"
 
 	"github.com/laburnumloft/laburnumloft/core/backpressure"
 	"github.com/laburnumloft/laburnumloft/node/lib/bootclock"
@@ -146,7 +147,12 @@
 // leaving, until they try again: another instance may have started.
 const leavingPause = 10 * time.Second
 
-// signalTransport reports the answers of a backend server to its gate.
+// errNoFinalStatus means that a backend server may have run the request, as after a connection
+// that breaks.
+var errNoFinalStatus = eris.New("the status of the backend server's answer, under 200, does not end a request")
+
+// signalTransport reports the answers of a backend server to its gate. What a server sends
+// under a status that ends no request is none.
 type signalTransport struct {
 	http.RoundTripper
 	gate *backendGate
@@ -156,8 +162,13 @@
 func (t signalTransport) RoundTrip(r *http.Request) (*http.Response, error) {
 	sentAt := bootclock.Now()
 	resp, err := t.RoundTripper.RoundTrip(r)
-	if err == nil {
-		t.gate.observe(resp, sentAt)
+	if err != nil {
+		return nil, err
+	}
+	if resp.StatusCode < http.StatusOK {
+		_ = resp.Body.Close()
+		return nil, errNoFinalStatus
 	}
-	return resp, err
+	t.gate.observe(resp, sentAt)
+	return resp, nil
 }
--- a/node/gateway/status_test.go
+++ b/node/gateway/status_test.go
@@ -64,6 +64,45 @@
 	}
 }
 
+// answerStatusZero answers with the status 000 and a header that says that nothing has run.
+func answerStatusZero(w http.ResponseWriter, r *http.Request) {
+	conn, _, err := w.(http.Hijacker).Hijack()
+	if err != nil {
+		return
+	}
+	defer func() { _ = conn.Close() }()
+	_, _ = fmt.Fprintf(conn, "HTTP/1.1 000 Zero\r\nId: %s\r\nSignature: s\r\nNot-Run: 1\r\nContent-Length: %d\r\n\r\n%s", r.Header.Get("Id"), len(errorText), errorText)
+}
+
+// A status that ends no request must neither end a begun stream as if it were whole, nor be
+// passed on by a run beside a silent server.
+func TestNoFinalStatusInFurtherAttempts(t *testing.T) {
+	t.Run("rest of a begun stream", func(t *testing.T) {
+		t.Parallel()
+		c := qt.New(t)
+		var r *testGateway
+		second := newServer(c, answerStatusZero)
+		first := newServer(c, breakBeside(func() { r.addServer("second", second.URL, nil) }))
+		r = resumeGateway(c)
+		r.addServer("first", first.URL, nil)
+		got := r.call(c, "/stream/1", "request")
+		c.Check(second.count(), qt.Equals, 1)
+		c.Check(got.err, qt.IsNotNil, qt.Commentf("a broken stream looks whole"))
+		c.Check(got.body, qt.Not(qt.Contains), errorText)
+	})
+	for _, at := range []silencePoint{silentBeforeHeader, silentBetweenEvents} {
+		t.Run("beside a server silent "+string(at), func(t *testing.T) {
+			t.Parallel()
+			c := qt.New(t)
+			silent, other := newServer(c, silentStream(at, 2500*time.Millisecond)), newServer(c, answerStatusZero)
+			got := besideSilent(c, silenceGateway(c, silent), "/stream/1", silent, other)
+			c.Check(other.count(), qt.Equals, 1)
+			c.Check(got.err, qt.IsNil)
+			c.Check(got.body, qt.Equals, wholeStream)
+		})
+	}
+}
+
 // panickingCodec panics where a request to a server is prepared.
 type panickingCodec struct{ testCodec }
 
