gateway: paths select routes and are passed on as callers wrote them

Cause: net/url keeps the caller's text only if it would not encode any character of it. A vertical bar and some others made it encode the decoded path anew, in which an encoded slash is a plain one.

Change: the path of the request line selects the route and is written to the server.

Evidence: TestPathIsPassedOnAsWritten, 16 of 18 paths failed before; TestEncodedSlashBesideOtherCharactersSelectsNoRoute, 200 for /read%2F1^a before.

Conclusion: a path is text until the backend server reads it; the entry need not decode it.

--- a/node/gateway/exchange.go
+++ b/node/gateway/exchange.go
@@ -6,7 +6,6 @@
 	"io"
 	"net/http"
 	"net/http/httptrace"
-	"net/url"
 	"slices"
 	"sync/atomic"
 	"time"
@@ -91,8 +90,7 @@
 	})
 	out := &http.Request{
 		Method: req.in.Method, Host: req.in.Host, Header: req.in.Header.Clone(),
-		URL:   &url.URL{Scheme: "http", Host: choice.Server.Address, Path: req.in.URL.Path, RawPath: req.in.URL.RawPath, RawQuery: req.in.URL.RawQuery, ForceQuery: req.in.URL.ForceQuery},
-		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
+		URL: serverURL(req.in, choice.Server.Address), Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
 	}
 	for _, name := range hopByHopHeaders {
 		out.Header.Del(name)
--- a/node/gateway/handler.go
+++ b/node/gateway/handler.go
@@ -254,7 +254,7 @@
 	if g.closing.Load() {
 		return req, ReasonStopping
 	}
-	if req.route = table.Match(r.Host, r.URL.EscapedPath()); req.route == nil {
+	if req.route = table.Match(r.Host, writtenPath(r)); req.route == nil {
 		return req, g.unlessConfigurationMissing(table, ReasonNoRoute)
 	}
 	workspace, ok := table.Authenticate(req.route, req.call.Key)
