placement: a plain server that refused a connection returns cold

Cause: an entry learns that a server is cold from its record alone, which is under way for up to half a second, and does not come during an outage of the store.

Change: a refused connection shows that the server's process has ended. When the server is tried again it counts as cold for the configured time, or until its record says for how long; its first request begins that time anew. Timed-out connects change nothing, nor do refusals of engines, whose agents report a start.

Conclusion: what an entry sees itself comes before the record. Servers that go dark still return unnoticed (postmortem).

--- a/core/placement/cold.go
+++ b/core/placement/cold.go
@@ -14,6 +14,9 @@
 	// share is this entry's part of the rate in the view with the given number.
 	share coldstart.Share
 	view  int
+	// ended means that the server refused a connection, and was not tried again since then.
+	// returning means that it may be again, but got no request yet.
+	ended, returning bool
 }
 
 // begin records for how much longer the server is cold.
@@ -22,8 +25,13 @@
 	c.allowance.Begin(now.Add(remaining), now)
 }
 
-// take counts a request.
-func (c *coldState) take(now time.Time) {
+// take counts a request to a server that is cold for the given time after its start.
+func (c *coldState) take(duration time.Duration, now time.Time) {
+	if c.returning {
+		// It may have started only now.
+		c.returning = false
+		c.begin(max(duration, c.allowance.Remaining(now)), now)
+	}
 	if c.begun {
 		c.allowance.Take(now)
 		c.begun = c.allowance.Cold(now)
@@ -51,14 +59,28 @@
 	if m == nil {
 		return false
 	}
+	m.cold.ended, m.cold.returning = false, false
 	m.cold.begin(remaining, now)
 	return f.traits[m.server.Service].Pace.Limited()
 }
 
-// HasCold reports whether a server is cold and limited.
+// expectColdReturn makes a server whose process has ended count as cold when it is next
+// tried: it may be back under its id before its record says that it has started. Agents
+// report the start of an engine.
+func (f *Fleet) expectColdReturn(m *member) {
+	m.cold.ended = m.reportedAt.IsZero()
+}
+
+// beginReturn is called when a server that refused a connection may be tried again.
+func (c *coldState) beginReturn(duration time.Duration, now time.Time) {
+	c.ended, c.returning = false, true
+	c.begin(max(duration, c.allowance.Remaining(now)), now)
+}
+
+// HasCold reports whether a server is cold and limited, or expected to be.
 func (f *Fleet) HasCold(now time.Time) bool {
 	for _, m := range f.members {
-		if m.cold.allowance.Cold(now) && f.traits[m.server.Service].Pace.Limited() {
+		if (m.cold.ended || m.cold.allowance.Cold(now)) && f.traits[m.server.Service].Pace.Limited() {
 			return true
 		}
 	}
@@ -68,13 +90,16 @@
 // coldWait returns the time until this entry may send a request to a server; 0 if it
 // may now.
 func (f *Fleet) coldWait(m *member, now time.Time) time.Duration {
-	if !m.cold.allowance.Cold(now) {
+	if !m.cold.ended && !m.cold.allowance.Cold(now) {
 		return 0
 	}
 	pace := f.traits[m.server.Service].Pace
 	if !pace.Limited() {
 		return 0
 	}
+	if m.cold.ended && !now.Before(m.excludedUntil) {
+		m.cold.beginReturn(pace.Duration, now)
+	}
 	return m.cold.allowance.Wait(pace.PerSecond, f.coldShare(m, pace), now)
 }
 
--- a/core/placement/filter.go
+++ b/core/placement/filter.go
@@ -118,7 +118,7 @@
 	*s = eligibility.Server{
 		Region: m.region, Draining: m.server.Draining, Misdirected: m.misdirected, Evacuated: m.evacuated,
 		Down: fresh && (m.report.Down || m.restarted()), SetAside: (now.Before(m.excludedUntilFor(q)) || f.isSilent(m)) && len(q.Only) == 0,
-		Tried: q.excludes(m.server.ID), Cold: m.cold.begun && f.coldWait(m, now) > 0,
+		Tried: q.excludes(m.server.ID), Cold: (m.cold.begun || m.cold.ended) && f.coldWait(m, now) > 0,
 	}
 	if q.Model != "" {
 		s.WeightVersion, s.Loading = f.weightVersion(m), fresh && m.report.Loading
--- a/core/placement/filter_test.go
+++ b/core/placement/filter_test.go
@@ -243,3 +243,76 @@
 		}
 	}
 }
+
+// A plain server whose process has ended may be back, cold and under its id, before its record
+// says so: such servers got 31 to 67 requests in a second of 30 allowed. It counts as cold from
+// the first request on, however long it was set aside.
+func TestServerThatRefusedAConnectionReturnsCold(t *testing.T) {
+	c := qt.New(t)
+	f := plainFleet(coldstart.Pace{PerSecond: 10, MaxPerSecond: 20, Duration: 3 * time.Second})
+	refused := false
+	var sent []time.Duration
+	for at := time.Duration(0); at < 6*time.Second; at += 10 * time.Millisecond {
+		choice, miss := f.Choose(start.Add(at), Query{Service: "desk"})
+		c.Assert(miss, qt.Equals, Found)
+		outcome := Succeeded
+		switch {
+		case choice.Server.ID != "e0":
+		case refused:
+			sent = append(sent, at)
+		default:
+			refused, outcome = true, Refused
+		}
+		f.Done(start.Add(at), choice.Handle, outcome)
+	}
+	cold := 0
+	for _, at := range sent {
+		if at < sent[0]+3*time.Second {
+			cold++
+		}
+	}
+	c.Check(cold >= 10 && cold <= 31, qt.IsTrue, qt.Commentf("%d requests in three seconds", cold))
+	c.Check(len(sent) > cold+20, qt.IsTrue, qt.Commentf("%d requests after that", len(sent)-cold))
+}
+
+// plainFleet returns a fleet with three servers of the service desk.
+func plainFleet(pace coldstart.Pace) *Fleet {
+	f := NewFleet(DefaultConfig("a"), NewPublishedVersions(time.Hour, 0), 1)
+	for i := range 3 {
+		f.Put(Server{ID: fmt.Sprint("e", i), Address: fmt.Sprint("10.0.0.", i, ":1"), Service: "desk", Zone: "a", Slots: 100})
+	}
+	f.SetTraits(map[string]Traits{"desk": {Pace: pace}})
+	return f
+}
+
+// A server is used as before without a limit for cold ones, after a connection that timed out,
+// if its record has said since then that it is warm soon, and if it is an engine, whose agent
+// reports its start.
+func TestServerIsNotTakenForCold(t *testing.T) {
+	limited := coldstart.Pace{PerSecond: 10, MaxPerSecond: 20, Duration: 3 * time.Second}
+	for _, test := range []struct {
+		name          string
+		pace          coldstart.Pace
+		outcome       Outcome
+		before, after func(f *Fleet, s Server)
+	}{
+		{name: "no limit", outcome: Refused},
+		{name: "timed out", pace: limited, outcome: Unreachable},
+		{name: "engine", pace: limited, outcome: Refused, before: func(f *Fleet, s Server) { f.Report(Report{Address: s.Address, WeightVersion: 1}, start) }},
+		{name: "record", pace: limited, outcome: Refused, after: func(f *Fleet, s Server) { f.RecordCold(s.ID, time.Millisecond, start) }},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			f := plainFleet(test.pace)
+			choice, _ := f.Choose(start, Query{Service: "desk"})
+			if test.before != nil {
+				test.before(f, choice.Server)
+			}
+			f.Done(start, choice.Handle, test.outcome)
+			if test.after != nil {
+				test.after(f, choice.Server)
+			}
+			c.Check(f.HasCold(start.Add(time.Second)), qt.IsFalse)
+		})
+	}
+}
--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -89,6 +89,8 @@
 	Misdirected
 	// Unreachable means that no connection could be established.
 	Unreachable
+	// Refused means that the server's VM refused the connection, since no process listens.
+	Refused
 	// Broken means that the answer was missing, truncated or malformed.
 	Broken
 	// Errored means that the server answered completely with a server error.
@@ -463,7 +465,7 @@
 		m.tokensSinceReport += q.Tokens
 		f.recordTokens(q.Service, q.Tokens)
 	}
-	m.cold.take(now)
+	m.cold.take(f.traits[m.server.Service].Pace.Duration, now)
 	choice := Choice{Handle: Handle{member: m, tokens: q.Tokens, sentAt: now}, Server: m.server, Version: f.weightVersion(m), Load: load, ReportAge: m.reportAge(now)}
 	if f.tracksBackpressure() {
 		permit, taken := f.cfg.Backpressure.TakePermit(m.server.Instance(), now)
@@ -699,6 +701,9 @@
 		m.misdirected = true
 	case Unreachable:
 		f.setAside(m, now)
+	case Refused:
+		f.setAside(m, now)
+		f.expectColdReturn(m)
 	case Broken, Silent:
 		f.recordFailure(m, now)
 	case Canceled, Errored:
--- a/node/gateway/exchange.go
+++ b/node/gateway/exchange.go
@@ -8,6 +8,7 @@
 	"net/http/httptrace"
 	"slices"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/laburnumloft/laburnumloft/core/placement"
@@ -62,6 +63,8 @@
 	switch {
 	case errors.Is(e.err, errPermitExpired), errors.Is(e.err, errNotAllowed):
 		return placement.Canceled
+	case !e.sent && errors.Is(e.err, syscall.ECONNREFUSED):
+		return placement.Refused
 	case !e.sent:
 		return placement.Unreachable
 	case e.err != nil:
--- a/node/gateway/place.go
+++ b/node/gateway/place.go
@@ -233,11 +233,16 @@
 }
 
 func (g *Gateway) releaseServer(choice placement.Choice, outcome placement.Outcome) {
+	now := bootclock.Now()
 	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.fleet.Done(bootclock.Now(), choice.Handle, outcome)
+	g.fleet.Done(now, choice.Handle, outcome)
+	returnsCold := outcome == placement.Refused && g.fleet.HasCold(now)
 	if outcome == placement.Shed || outcome == placement.ResumeShed {
 		attempts.Add("shed", 1)
 	}
 	g.notifyWaiters()
+	g.mu.Unlock()
+	if returnsCold {
+		g.setEntriesView()
+	}
 }
