backpressure: a server's later instance keeps what it said before its record

Cause: what a server says is kept under the start time of the record that the entry knows, so that the refusals of the new instance belonged to the old one.

Change: with a record of a later start, the limit and the pause that were named since that start pass to the new instance.

Conclusion: the time of what was said tells whose it is, not the record that was known.

--- a/core/backpressure/tracker.go
+++ b/core/backpressure/tracker.go
@@ -86,9 +86,11 @@
 	limitAsOf    time.Time
 	leaving      bool
 	leavingSince time.Time
-	quietUntil   time.Time
-	touchedAt    time.Time
-	wallet       wallet
+	// quietUntil is the end of the time for which the server wants no requests, and
+	// quietAsOf when it last named one.
+	quietUntil, quietAsOf time.Time
+	touchedAt             time.Time
+	wallet                wallet
 }
 
 // Tracker holds what an entry knows about the servers in need.
@@ -132,7 +134,28 @@
 		if !now.Before(s.quietUntil) {
 			changes = append(changes, Change{Kind: QuietBegun, Server: server, QuietFor: signals.QuietFor})
 		}
-		s.quietUntil = until
+		s.quietUntil, s.quietAsOf = until, now
+	}
+	return changes
+}
+
+// Succeed records that an instance of a server started at a time. Its answers may have come
+// before its record, so that they were taken for those of an earlier instance: a limit or a
+// quiet time that was named since the start is its own. A server that said that it leaves
+// has ended since then.
+func (t *Tracker) Succeed(server Server, started, now time.Time) (changes []Change) {
+	for other, earlier := range t.servers {
+		if other.ID != server.ID || other.Born >= server.Born {
+			continue
+		}
+		var signals Signals
+		if earlier.limited && earlier.limitAsOf.After(started) {
+			signals.Limit, signals.Rate = LimitNamed, earlier.rate
+		}
+		if earlier.quietAsOf.After(started) {
+			signals.QuietFor = max(0, earlier.quietUntil.Sub(now))
+		}
+		changes = append(changes, t.Observe(server, signals, started, now)...)
 	}
 	return changes
 }
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -244,11 +244,17 @@
 
 // PutServer adds or updates a server from its registry record.
 func (g *Gateway) PutServer(s placement.Server) bool {
+	now := bootclock.Now()
 	g.mu.Lock()
 	changed := g.fleet.Put(s)
-	cold := changed && s.ColdRemaining > 0 && g.fleet.RecordCold(s.ID, s.ColdRemaining, bootclock.Now())
+	cold := changed && s.ColdRemaining > 0 && g.fleet.RecordCold(s.ID, s.ColdRemaining, now)
+	var needs []backpressure.Change
+	if changed && s.Born > 0 {
+		needs = g.pressure.Succeed(s.Instance(), now.Add(-time.Since(time.UnixMilli(s.Born))), now)
+	}
 	g.notifyWaiters()
 	g.mu.Unlock()
+	g.recordChanges(needs, s.Service, "earlier_instance")
 	if cold {
 		g.setEntriesView()
 	}
