--- a/core/placement/cold.go
+++ b/core/placement/cold.go
@@ -27,6 +27,7 @@
 
 // take counts a request to a server that is cold for the given time after its start.
 func (c *coldState) take(duration time.Duration, now time.Time) {
+	c.ended = false
 	if c.returning {
 		// It may have started only now.
 		c.returning = false
--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -596,9 +596,9 @@
 	return 0, noBasis
 }
 
-// unproven returns those of the known parts, which are sorted, without a sound answer that began after the
+// unproven returns those of the known parts without a sound answer that began after the
 // crash. Other answers since then show that engines work, so that the lack of one for
-// these parts means something.
+// these parts means something. The parts are sorted.
 func (t *Tracker) unproven(c *crash, known []prompt.Part) (out []prompt.Part) {
 	if !t.lastSound.After(c.at) {
 		return nil
