backpressure: a limit that a later instance names stays with its next record

Change: without a limit of the earlier instance nothing is said of one.

Evidence: TestSucceedKeepsWhatWasSaidSinceTheStart, extended, failed before (rate 0).

--- a/core/backpressure/successor_test.go
+++ b/core/backpressure/successor_test.go
@@ -31,6 +31,12 @@
 			_, limited := tr.Limit(later)
 			c.Check(limited, qt.Equals, test.limited)
 			c.Check(tr.Succeed(earlier, test.started, now), qt.HasLen, 0)
+			// A limit that the later instance names stays when its record changes once more,
+			// whatever the clocks say.
+			tr.Observe(later, Signals{Limit: LimitNamed, Rate: 3}, now, now)
+			tr.Succeed(later, now.Add(time.Hour), now.Add(2*time.Second))
+			rate, _ := tr.Limit(later)
+			c.Check(rate, qt.Equals, 3.0)
 		})
 	}
 }
--- a/core/backpressure/tracker.go
+++ b/core/backpressure/tracker.go
@@ -148,7 +148,8 @@
 		if other.ID != server.ID || other.Born >= server.Born {
 			continue
 		}
-		var signals Signals
+		// What the later instance has named itself stays.
+		signals := Signals{Limit: LimitUnreadable}
 		if earlier.limited && earlier.limitAsOf.After(started) {
 			signals.Limit, signals.Rate = LimitNamed, earlier.rate
 		}
