bench/fleet: engines do not open their ports after their test

Cause: the timer went on after the end of the test if an engine had crashed in its last 0.4 s. It then met the next test's engine on the same address, or took the address from it. The test of long prompts ends right after its last crash, the older one does not.

Change: a restart that is due after the test is given up, and the test waits for those under way.

No product code is changed.

--- a/bench/fleet/fleet_test.go
+++ b/bench/fleet/fleet_test.go
@@ -85,6 +85,8 @@
 	noticeTimeout, noticeTarget time.Duration
 	// patience is how long eventually waits, if it differs from usualPatience.
 	patience time.Duration
+	// restarts are the engines that are about to open their ports again.
+	restarts sync.WaitGroup
 	// crashes counts the engines that crashed under a deadly part.
 	crashes atomic.Int32
 
@@ -181,6 +183,7 @@
 	var beats sync.WaitGroup
 	beats.Go(func() { f.beat(ctx) })
 	c.Cleanup(func() { cancel(); beats.Wait() })
+	c.Cleanup(f.restarts.Wait)
 	c.Cleanup(f.killAll)
 	for i := range entries {
 		f.entries = append(f.entries, f.spawn("laburnum-entry", f.settings(entryIP(i), "entry", i)))
@@ -215,7 +218,14 @@
 			_ = server.Close()
 			f.engines[i].Crash()
 			f.crashes.Add(1)
-			time.AfterFunc(engineRestart, func() { f.listenEngine(i) })
+			f.restarts.Go(func() {
+				select {
+				case <-time.After(engineRestart):
+					f.listenEngine(i)
+				case <-f.c.Context().Done():
+					// The next test uses the same addresses.
+				}
+			})
 		})
 	})
 }
