response: a part of an answer cut by a reset is no whole answer

Callers got a part of an answer as a complete one. A server that had read only the beginning of a long upload answered 200 with neither a length nor chunks, sent a part of the body and reset the connection. The same made an operation behind an agent "completed" with the part as its result, a staged piece count as stored and an append as written.

Cause: Linux reports a reset once for a socket. The write of the request and the read of the answer both wait for it; if the write takes ECONNRESET, the read returns 0 bytes, which net/http takes for the end of a body that only the connection's end delimits.

Change: node/lib/response wraps the connections of all HTTP/1 clients that read answers. After the first byte of an answer, the end of the input is returned only once the request has been written without an error; otherwise reads fail. The write that took the error has either failed or not yet returned when the read finds the end, so that the order in which the two return does not matter, and no time has to pass. The transport's trace says when a request begins and ends on a connection. HTTP/2 frames each response and stays as it is.

A server that closes without reading the upload makes the kernel send a reset. Its answer, if nothing but the connection's end delimits it, can't be told from a part and is now 502.

--- a/node/agent/agent.go
+++ b/node/agent/agent.go
@@ -21,6 +21,7 @@
 	"github.com/laburnumloft/laburnumloft/node/lib/intake"
 	"github.com/laburnumloft/laburnumloft/node/lib/lifecycle"
 	"github.com/laburnumloft/laburnumloft/node/lib/platform"
+	"github.com/laburnumloft/laburnumloft/node/lib/response"
 	"github.com/laburnumloft/laburnumloft/node/lib/ring"
 	"github.com/laburnumloft/laburnumloft/node/lib/secure"
 	"github.com/laburnumloft/laburnumloft/node/lib/telemetry"
@@ -125,7 +126,7 @@
 	cfg.Rollout = cfg.Rollout.withDefaults()
 	base, platformBase := cfg.Transport, cfg.Transport
 	if base == nil {
-		base, platformBase = cfg.Channel.Transport(lifecycle.DataTransport(idlePerHost)), lifecycle.DataTransport(idlePerHost)
+		base, platformBase = cfg.Channel.Transport(lifecycle.DataTransport(idlePerHost)), response.NewTransport(lifecycle.DataTransport(idlePerHost))
 	}
 	client := &http.Client{Transport: &telemetry.Transport{Base: base}}
 	platformClient := &http.Client{Transport: &telemetry.Transport{Base: platformBase}}
--- a/node/agent/engine.go
+++ b/node/agent/engine.go
@@ -8,6 +8,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/laburnumloft/laburnumloft/node/lib/lifecycle"
+	"github.com/laburnumloft/laburnumloft/node/lib/response"
 	"github.com/laburnumloft/laburnumloft/node/lib/telemetry"
 	"github.com/laburnumloft/laburnumloft/node/lib/wire"
 )
@@ -25,7 +26,7 @@
 func newEngineClient(url string, gate *backendGate) *engineClient {
 	// Each call has a connection of its own: on a kept one, a late copy of an earlier
 	// answer would be taken for the next one.
-	base := signalTransport{&http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: lifecycle.MaxResponseHeaderBytes}, gate}
+	base := signalTransport{response.NewTransport(&http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: lifecycle.MaxResponseHeaderBytes}), gate}
 	client := &http.Client{Transport: &telemetry.Transport{Base: base}}
 	return &engineClient{client: client, base: sling.New().Client(client).Base(url), url: url}
 }
--- a/node/agent/operations_backend.go
+++ b/node/agent/operations_backend.go
@@ -13,6 +13,7 @@
 
 	"github.com/laburnumloft/laburnumloft/core/operation"
 	"github.com/laburnumloft/laburnumloft/node/lib/lifecycle"
+	"github.com/laburnumloft/laburnumloft/node/lib/response"
 	"github.com/laburnumloft/laburnumloft/node/lib/telemetry"
 	"github.com/laburnumloft/laburnumloft/node/lib/wire"
 )
@@ -34,12 +35,12 @@
 // Go's transport replays a request only on a reused connection, and a client
 // repeats a POST that is redirected with status 307 or 308; both are off.
 func newOperationBackend(baseURL string, gate *backendGate) *operationBackend {
-	transport := &http.Transport{
+	transport := response.NewTransport(&http.Transport{
 		DisableKeepAlives: true,
 		DialContext:       (&net.Dialer{Timeout: backendDialTimeout}).DialContext,
 
 		MaxResponseHeaderBytes: lifecycle.MaxResponseHeaderBytes,
-	}
+	})
 	return &operationBackend{url: baseURL, gate: gate, client: &http.Client{
 		Transport:     &telemetry.Transport{Base: signalTransport{transport, gate}},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
--- a/node/cmd/laburnum-entry/explain.go
+++ b/node/cmd/laburnum-entry/explain.go
@@ -19,6 +19,7 @@
 	"github.com/laburnumloft/laburnumloft/node/decision"
 	"github.com/laburnumloft/laburnumloft/node/gateway"
 	"github.com/laburnumloft/laburnumloft/node/lib/options"
+	"github.com/laburnumloft/laburnumloft/node/lib/response"
 )
 
 const explainHelp = "With ID, reads log lines of any number of processes on standard input and prints what decided one request, in order. " +
@@ -137,7 +138,8 @@
 	if err != nil {
 		return answer, eris.Wrap(err, "building the question")
 	}
-	resp, err := http.DefaultClient.Do(req.WithContext(ctx))
+	client := &http.Client{Transport: response.NewTransport(http.DefaultTransport.(*http.Transport).Clone())}
+	resp, err := client.Do(req.WithContext(ctx))
 	if err != nil {
 		return answer, eris.Wrap(err, "asking the entry")
 	}
--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -22,6 +22,7 @@
 	"github.com/laburnumloft/laburnumloft/node/lib/intake"
 	"github.com/laburnumloft/laburnumloft/node/lib/lifecycle"
 	"github.com/laburnumloft/laburnumloft/node/lib/platform"
+	"github.com/laburnumloft/laburnumloft/node/lib/response"
 	"github.com/laburnumloft/laburnumloft/node/lib/secure"
 	"github.com/laburnumloft/laburnumloft/node/lib/telemetry"
 	"github.com/laburnumloft/laburnumloft/node/lib/wire"
@@ -90,7 +91,7 @@
 // New returns an entry that is not started yet.
 func New(cfg Config) *Entry {
 	client := &http.Client{Transport: &telemetry.Transport{Base: cfg.Channel.Transport(lifecycle.DataTransport(idlePerHost))}}
-	platformClient := &http.Client{Transport: &telemetry.Transport{Base: platform.LimitBody(lifecycle.DataTransport(idlePerHost), settingsPageBytes)}}
+	platformClient := &http.Client{Transport: &telemetry.Transport{Base: platform.LimitBody(response.NewTransport(lifecycle.DataTransport(idlePerHost)), settingsPageBytes)}}
 	e := &Entry{
 		cfg:         cfg,
 		logger:      cfg.Logger,
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -145,7 +145,7 @@
 // Gateway serves requests according to the active configuration.
 type Gateway struct {
 	cfg    Config
-	client *http.Transport
+	client http.RoundTripper
 	table  atomic.Pointer[route.Table]
 	// configuring is held while a configuration is activated. Two of them may come from
 	// the store and from an entry at once, and what the older one says of servers and
--- a/node/gateway/transport.go
+++ b/node/gateway/transport.go
@@ -9,13 +9,14 @@
 	"time"
 
 	"github.com/laburnumloft/laburnumloft/node/lib/lifecycle"
+	"github.com/laburnumloft/laburnumloft/node/lib/response"
 )
 
 // newTransport returns the transport to backend servers. Every request uses a
 // new connection: on a reused connection a late or extra answer could be
 // attributed to the next request, and net/http may resend a request when a
 // reused connection turns out to be closed.
-func newTransport() *http.Transport {
+func newTransport() http.RoundTripper {
 	// Keep-alive probes are off: they cost four system calls, and the request's
 	// timeout or deadline closes a dead connection long before the probes
 	// would detect it. There is no limit on unacknowledged bytes either: it would
@@ -40,14 +41,14 @@
 		}
 		return conn, nil
 	}
-	return &http.Transport{
+	return response.NewTransport(&http.Transport{
 		DialContext:            dial,
 		DisableKeepAlives:      true,
 		DisableCompression:     true,
 		MaxResponseHeaderBytes: lifecycle.MaxResponseHeaderBytes,
 		WriteBufferSize:        4 << 10,
 		ReadBufferSize:         4 << 10,
-	}
+	})
 }
 
 // errAttemptDone is the cause of the end of an attempt's context after the attempt.
--- a/node/lib/secure/secure.go
+++ b/node/lib/secure/secure.go
@@ -13,6 +13,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/laburnumloft/laburnumloft/node/lib/options"
+	"github.com/laburnumloft/laburnumloft/node/lib/response"
 	"github.com/laburnumloft/laburnumloft/node/lib/wire"
 )
 
@@ -120,10 +121,10 @@
 // http URLs, which it changes to https if TLS is configured.
 func (c *Channel) Transport(base *http.Transport) http.RoundTripper {
 	if c == nil {
-		return base
+		return response.NewTransport(base)
 	}
 	base.TLSClientConfig = c.tls
-	return &transport{channel: c, base: base}
+	return &transport{channel: c, base: response.NewTransport(base)}
 }
 
 type transport struct {
--- a/node/operator/operator.go
+++ b/node/operator/operator.go
@@ -15,6 +15,7 @@
 	"github.com/laburnumloft/laburnumloft/core/settings"
 	"github.com/laburnumloft/laburnumloft/node/lib/lifecycle"
 	"github.com/laburnumloft/laburnumloft/node/lib/platform"
+	"github.com/laburnumloft/laburnumloft/node/lib/response"
 	"github.com/laburnumloft/laburnumloft/node/lib/wire"
 )
 
@@ -52,7 +53,9 @@
 // New returns a client of the log at logURL and the entry at entryURL. Either URL
 // may be empty.
 func New(logURL, entryURL string) *Client {
-	client := &http.Client{Transport: &http.Transport{DialContext: (&net.Dialer{Timeout: 2 * time.Second}).DialContext, MaxResponseHeaderBytes: lifecycle.MaxResponseHeaderBytes}}
+	client := &http.Client{Transport: response.NewTransport(&http.Transport{
+		DialContext: (&net.Dialer{Timeout: 2 * time.Second}).DialContext, MaxResponseHeaderBytes: lifecycle.MaxResponseHeaderBytes,
+	})}
 	c := &Client{http: client, entry: entryURL, fold: settings.NewFold()}
 	if logURL != "" {
 		c.log = platform.NewLog(logURL, client)
--- a/node/stager/peers.go
+++ b/node/stager/peers.go
@@ -18,6 +18,7 @@
 
 	"github.com/laburnumloft/laburnumloft/core/rollout"
 	"github.com/laburnumloft/laburnumloft/node/lib/lifecycle"
+	"github.com/laburnumloft/laburnumloft/node/lib/response"
 )
 
 // Paths of the requests between agents.
@@ -60,10 +61,10 @@
 	dialer := &net.Dialer{Timeout: peerDialTimeout}
 	return &peerClient{backoffUntil: map[string]time.Time{}, client: &http.Client{
 		Timeout: pieceTimeout,
-		Transport: &http.Transport{
+		Transport: response.NewTransport(&http.Transport{
 			DialContext: dialer.DialContext, DisableCompression: true, MaxIdleConnsPerHost: 4, IdleConnTimeout: 5 * time.Second,
 			MaxResponseHeaderBytes: lifecycle.MaxResponseHeaderBytes,
-		},
+		}),
 	}}
 }
 
