response: an answer with a malformed field name is none

Callers got answers in whose head the name of a field held a blank, without that line; with "Transfer-Encoding : chunked" the body that they got held the sizes of the chunks. Behind an agent such an answer counted as the result of an operation, a refusal or a status, and what it said about the server's limits was observed.

Cause: net/http rejects names with control bytes, but keeps those with a blank as fields of their own, so that a line that delimits the body is not understood.

Change: node/lib/response, which all HTTP/1 clients share, rejects responses with a name that is no token, in the head, in the heads of interim responses and in a trailer. Interim heads and trailers are rejected because names with control bytes already are there. net/http does not limit the number of interim responses once they are looked at, so that their heads are limited to the size of one head.

--- a/node/agent/broken_answer_test.go
+++ b/node/agent/broken_answer_test.go
@@ -16,17 +16,16 @@
 // completed, with a part of the answer as its result.
 func TestOperationCutByAResetDuringTheUpload(t *testing.T) {
 	c := qt.New(t)
-	part := rawserver.ByConnection.Cut("HTTP/1.1 200 OK\r\n", "result")
-	for _, answer := range append(rawserver.Resets(part), rawserver.Early(part)) {
-		url := "http://" + rawserver.StartSame(c, answer).Address()
+	for _, answer := range rawserver.BeforeUpload("200 OK", "result") {
+		url := "http://" + rawserver.StartSame(c, answer.Answer).Address()
 		backend, want := newOperationBackend(url, newBackendGate(url, hclog.NewNullLogger())), operation.OutcomeUnknown
-		if answer.End == rawserver.Orderly {
+		if answer.Valid {
 			want = operation.OutcomeCompleted
 		}
 		for n := range 3 * len(rawserver.UploadBytes) {
 			size := rawserver.UploadBytes[n/3]
 			result := backend.send(c.Context(), "", wire.Fence{}, "charge", bytes.Repeat([]byte("b"), size))
-			c.Check(result.Outcome, qt.Equals, want, qt.Commentf("%d bytes, reset after %v: %q", size, answer.Pause, result.Body))
+			c.Check(result.Outcome, qt.Equals, want, qt.Commentf("%d bytes, %s: %q", size, answer.Name, result.Body))
 		}
 	}
 }
--- a/node/agent/status_test.go
+++ b/node/agent/status_test.go
@@ -1,51 +1,34 @@
 package agent
 
 import (
-	"bufio"
 	"errors"
-	"fmt"
-	"io"
-	"net"
-	"net/http"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/laburnumloft/laburnumloft/core/operation"
 	"github.com/laburnumloft/laburnumloft/node/lib/wire"
+	"github.com/laburnumloft/laburnumloft/standin/rawserver"
 )
 
 // listenWithStatus returns the URL of a backend server that answers with a status line and a
-// refusal that says that nothing has run.
+// refusal that says that nothing has run. Further lines of the head may follow the status.
 func listenWithStatus(c *qt.C, status string) string {
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
-	c.Assert(err, qt.IsNil)
-	c.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer func() { _ = conn.Close() }()
-				req, err := http.ReadRequest(bufio.NewReader(conn))
-				if err != nil {
-					return
-				}
-				_, _ = io.Copy(io.Discard, req.Body)
-				_, _ = fmt.Fprintf(conn, "HTTP/1.1 %s\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s", status, len(refusal503), refusal503)
-			}()
-		}
-	}()
-	return "http://" + listener.Addr().String()
+	answer := rawserver.ByLength.Whole("HTTP/1.1 "+status+"\r\nContent-Type: application/json\r\n", refusal503)
+	return "http://" + rawserver.StartSame(c, rawserver.Answer{Bytes: answer, ReadFirst: rawserver.WholeBody}).Address()
 }
 
 // A status that ends no request is no answer: what was sent may have run. An operation was
-// reported as failed with status 0, a request as not run, and a load order as refused.
+// reported as failed with status 0, a request as not run, and a load order as refused. The same
+// holds for a head with a malformed field, and what either says about the server must not count.
 func TestAnswerWithoutFinalStatusIsNone(t *testing.T) {
-	for _, status := range []string{"000 Zero", "001 One", "099 Low", "101 Switching Protocols"} {
+	statuses := []string{"000 Zero", "001 One", "099 Low", "101 Switching Protocols"}
+	for _, line := range rawserver.MalformedFields() {
+		statuses = append(statuses, "200 OK\r\n"+line, "503 Full\r\nRetry-After: 20\r\n"+line, "103 Hints\r\n"+line+"\r\n\r\nHTTP/1.1 429 Busy")
+	}
+	for _, status := range statuses {
 		t.Run(status, func(t *testing.T) {
 			c := qt.New(t)
 			url := listenWithStatus(c, status)
@@ -63,6 +46,9 @@
 			answered, err := engine.load(c.Context(), wire.LoadOrder{Model: "m", Version: "v1"})
 			c.Check(err, qt.IsNotNil)
 			c.Check(answered, qt.IsFalse)
+			_, err = engine.status(c.Context())
+			c.Check(err, qt.IsNotNil)
+			c.Check(gate.wait(time.Now()), qt.Equals, time.Duration(0))
 		})
 	}
 }
--- a/node/gateway/broken_answer_test.go
+++ b/node/gateway/broken_answer_test.go
@@ -37,15 +37,14 @@
 func TestAnswerCutByAResetDuringTheUpload(t *testing.T) {
 	heads := []string{"HTTP/1.1 200 OK\r\n", "HTTP/1.1 200 OK\r\nConnection: close\r\n", "HTTP/1.0 200 OK\r\n"}
 	for _, path := range allPaths {
-		for _, cut := range rawserver.Resets("") {
-			t.Run(fmt.Sprint(path, cut.Pause), func(t *testing.T) {
+		for _, pause := range rawserver.ResetPauses {
+			t.Run(fmt.Sprint(path, pause), func(t *testing.T) {
 				t.Parallel()
 				c := qt.New(t)
 				var answers atomic.Int32
 				r := rawGateway(c, func(fields string) rawserver.Answer {
-					answer := cut
-					answer.Bytes = rawserver.ByConnection.Cut(heads[int(answers.Add(1))%len(heads)]+fields, oneEvent)
-					return answer
+					bytes := rawserver.ByConnection.Cut(heads[int(answers.Add(1))%len(heads)]+fields, oneEvent)
+					return rawserver.Answer{Bytes: bytes, Pause: pause, End: rawserver.Reset}
 				})
 				for n := range len(rawserver.UploadBytes) * len(heads) {
 					size := rawserver.UploadBytes[n/len(heads)]
@@ -60,19 +59,36 @@
 
 // A whole answer may come before the request has been read.
 func TestWholeAnswerBeforeTheUploadIsRead(t *testing.T) {
+	c := qt.New(t)
 	for _, path := range allPaths {
 		for _, framing := range []rawserver.Framing{rawserver.ByConnection, rawserver.ByLength, rawserver.ByChunks} {
 			for _, status := range []int{http.StatusOK, http.StatusRequestEntityTooLarge} {
-				t.Run(fmt.Sprintf("%s/%s/%d", path, framing, status), func(t *testing.T) {
-					c := qt.New(t)
-					r := rawGateway(c, func(fields string) rawserver.Answer {
-						return rawserver.Early(framing.Whole(fmt.Sprintf("HTTP/1.1 %d Text\r\n%s", status, fields), oneEvent))
-					})
-					resp, body, err := r.do(c, http.MethodPost, path, strings.Repeat("b", rawserver.UploadBytes[2]))
-					c.Assert(err, qt.IsNil)
-					c.Check(resp.StatusCode, qt.Equals, status)
-					c.Check(body, qt.Equals, oneEvent)
+				r := rawGateway(c, func(fields string) rawserver.Answer {
+					return rawserver.Answer{Bytes: framing.Whole(fmt.Sprintf("HTTP/1.1 %d Text\r\n%s", status, fields), oneEvent)}
+				})
+				resp, body, err := r.do(c, http.MethodPost, path, strings.Repeat("b", rawserver.UploadBytes[2]))
+				c.Assert(err, qt.IsNil, qt.Commentf("%s, by %s, %d", path, framing, status))
+				c.Check(resp.StatusCode, qt.Equals, status)
+				c.Check(body, qt.Equals, oneEvent)
+			}
+		}
+	}
+}
+
+// The name of a field may hold a blank or a control byte, in the head of an answer or of an
+// interim response. With a blank it was passed on without the line, and with the sizes of the
+// chunks in its body if the line was to announce them.
+func TestAnswerWithAMalformedFieldName(t *testing.T) {
+	c := qt.New(t)
+	for _, path := range allPaths {
+		for _, head := range []string{"200 OK\r\n%s", "500 Failed\r\n%s", "503 Full\r\nNot-Run: 1\r\n%s", "103 Hints\r\n%s\r\n\r\nHTTP/1.1 200 OK"} {
+			for _, line := range rawserver.MalformedFields() {
+				r := rawGateway(c, func(fields string) rawserver.Answer {
+					return rawserver.Answer{Bytes: "HTTP/1.1 " + fmt.Sprintf(head, line) + "\r\n" + fields + "\r\n" + oneEvent, ReadFirst: rawserver.WholeBody}
 				})
+				resp, body, err := r.do(c, http.MethodPost, path, "request")
+				c.Assert(err, qt.IsNil)
+				c.Check(resp.StatusCode, qt.Equals, http.StatusBadGateway, qt.Commentf("%s, %q: %q", path, fmt.Sprintf(head, line), body))
 			}
 		}
 	}
--- a/node/gateway/status_test.go
+++ b/node/gateway/status_test.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"context"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"testing"
@@ -13,31 +12,15 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/laburnumloft/laburnumloft/core/placement"
+	"github.com/laburnumloft/laburnumloft/standin/rawserver"
 )
 
 // statusServer answers each request with a status line of its own and returns its address.
 func statusServer(c *qt.C, status string) (address string) {
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
-	c.Assert(err, qt.IsNil)
-	c.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer func() { _ = conn.Close() }()
-				req, err := http.ReadRequest(bufio.NewReader(conn))
-				if err != nil {
-					return
-				}
-				_, _ = io.Copy(io.Discard, req.Body)
-				_, _ = fmt.Fprintf(conn, "HTTP/1.1 %s\r\nId: %s\r\nSignature: s\r\nContent-Length: 4\r\n\r\nbody", status, req.Header.Get("Id"))
-			}()
-		}
-	}()
-	return listener.Addr().String()
+	return rawserver.Start(c, func(r *http.Request) rawserver.Answer {
+		head := fmt.Sprintf("HTTP/1.1 %s\r\nId: %s\r\nSignature: s\r\n", status, r.Header.Get("Id"))
+		return rawserver.Answer{Bytes: rawserver.ByLength.Whole(head, "body"), ReadFirst: rawserver.WholeBody}
+	}).Address()
 }
 
 // A status that ends no request is no answer. Passed on, one below 100 made the handler panic
--- /dev/null
+++ b/node/lib/response/head_test.go
@@ -0,0 +1,44 @@
+package response
+
+import (
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/laburnumloft/laburnumloft/standin/rawserver"
+)
+
+// fetch returns the body of a server's answer, or the error of any of its parts.
+func fetch(c *qt.C, answer string) (string, error) {
+	s := rawserver.StartSame(c, rawserver.Answer{Bytes: answer, ReadFirst: rawserver.WholeBody})
+	client := &http.Client{Transport: NewTransport(&http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: 1 << 10})}
+	resp, err := client.Get("http://" + s.Address())
+	if err != nil {
+		return "", err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(resp.Body)
+	return string(body), err
+}
+
+// A malformed line in an interim response or in a trailer must not go unnoticed, and endless
+// interim responses must end the call; sound ones must not.
+func TestInterimResponsesAndTrailers(t *testing.T) {
+	const hints, end = "HTTP/1.1 103 Hints\r\nLink: </a>\r\n\r\n", "0\r\nX-Sum: 1\r\n\r\n"
+	head := "HTTP/1.1 200 OK\r\nTrailer: X-Sum, X Other\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n"
+	c := qt.New(t)
+	body, err := fetch(c, strings.Repeat(hints, 8)+head+end)
+	c.Assert(err, qt.IsNil)
+	c.Check(body, qt.Equals, "body")
+	for _, line := range rawserver.MalformedFields() {
+		_, err := fetch(c, "HTTP/1.1 103 Hints\r\n"+line+"\r\n\r\n"+head+end)
+		c.Check(err, qt.IsNotNil, qt.Commentf("interim, %q", line))
+		_, err = fetch(c, head+"0\r\n"+line+"\r\n\r\n")
+		c.Check(err, qt.IsNotNil, qt.Commentf("trailer, %q", line))
+	}
+	_, err = fetch(c, strings.Repeat(hints, 1<<10)+head+end)
+	c.Check(err, qt.ErrorIs, errInterimHeads)
+}
--- a/node/lib/response/response.go
+++ b/node/lib/response/response.go
@@ -3,6 +3,7 @@
 package response
 
 import (
+	"cmp"
 	"context"
 	"crypto/tls"
 	"net"
@@ -19,6 +20,8 @@
 // Transport is a round tripper whose responses are whole or fail.
 type Transport struct {
 	base http.RoundTripper
+	// maxHeadBytes limits the heads of all interim responses to a request.
+	maxHeadBytes int64
 }
 
 // NewTransport returns a transport that sends requests with base, whose connections it wraps.
@@ -28,7 +31,7 @@
 	if p := base.Protocols; p == nil || !p.HTTP2() && !p.UnencryptedHTTP2() {
 		base.DialContext = trackConnections(base.DialContext)
 	}
-	return &Transport{base: base}
+	return &Transport{base: base, maxHeadBytes: cmp.Or(base.MaxResponseHeaderBytes, http.DefaultMaxHeaderBytes)}
 }
 
 type dialFunc func(ctx context.Context, network, address string) (net.Conn, error)
@@ -49,6 +52,7 @@
 // RoundTrip implements http.RoundTripper.
 func (t *Transport) RoundTrip(req *http.Request) (*http.Response, error) {
 	var sending *conn
+	interim := interimHeads{remaining: t.maxHeadBytes}
 	ctx := httptrace.WithClientTrace(req.Context(), &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) {
 			if sending = tracked(info.Conn); sending != nil {
@@ -61,8 +65,20 @@
 				sending.endRequest(info.Err)
 			}
 		},
+		Got1xxResponse: interim.check,
 	})
-	return t.base.RoundTrip(req.WithContext(ctx))
+	resp, err := t.base.RoundTrip(req.WithContext(ctx))
+	if err != nil {
+		return nil, err
+	}
+	if err := checkNames(resp.Header); err != nil {
+		_ = resp.Body.Close()
+		return nil, err
+	}
+	if len(resp.TransferEncoding) > 0 {
+		resp.Body = &trailerChecker{ReadCloser: resp.Body, resp: resp}
+	}
+	return resp, nil
 }
 
 // tracked returns the conn below the connection that net/http uses, or nil if there is none.
--- a/standin/rawserver/rawserver.go
+++ b/standin/rawserver/rawserver.go
@@ -75,18 +75,55 @@
 // that an answer comes while they are being sent.
 var UploadBytes = []int{1 << 20, 6 << 20, 12 << 20}
 
-// Resets returns answers that come before the request has been read and end with a reset: while
-// they are sent, while the caller reads them and when it waits for more.
-func Resets(bytes string) []Answer {
-	var answers []Answer
-	for _, pause := range []time.Duration{0, 3 * time.Millisecond, 60 * time.Millisecond} {
-		answers = append(answers, Answer{Bytes: bytes, Pause: pause, End: Reset})
+// ResetPauses are times between an answer and a reset.
+var ResetPauses = []time.Duration{0, 3 * time.Millisecond, 60 * time.Millisecond}
+
+// orderlyPause is the time between an answer and the end of the output.
+const orderlyPause = 20 * time.Millisecond
+
+// SoundField is a line of a head that is well formed.
+const SoundField = "X-Field: v"
+
+// MalformedFields returns lines of a head in which the name of a field has a blank or a control
+// byte. A blank at the begin of a line is left out: it continues the line before.
+func MalformedFields() []string {
+	lines := []string{"X Field: v", "X-Field : v", "Transfer-Encoding : chunked", "Content-Length : 2", "Transfer Encoding: chunked", "X\tField: v", "X-Field\t: v"}
+	for _, b := range "\x00\x01\x08\x0b\x0c\x0e\x1b\x1f\x7f" {
+		lines = append(lines, fmt.Sprintf("%cX-Field: v", b), fmt.Sprintf("X-%cField: v", b), fmt.Sprintf("X-Field%c: v", b))
+	}
+	return lines
+}
+
+// Judged is an answer with what a caller must make of it.
+type Judged struct {
+	Answer
+	// Name tells the answer from others.
+	Name string
+	// Valid means that a caller may take it for an answer.
+	Valid bool
+}
+
+// WithFields returns an answer with a sound field, and the same with each malformed one.
+func WithFields(status, body string) []Judged {
+	var answers []Judged
+	for _, line := range append([]string{SoundField}, MalformedFields()...) {
+		bytes := ByConnection.Whole("HTTP/1.1 "+status+"\r\n"+line+"\r\n", body)
+		answers = append(answers, Judged{Answer{Bytes: bytes, ReadFirst: WholeBody}, fmt.Sprintf("%q", line), line == SoundField})
 	}
 	return answers
 }
 
-// Early returns an answer that comes before the request has been read and ends in order.
-func Early(bytes string) Answer { return Answer{Bytes: bytes, Pause: 20 * time.Millisecond} }
+// BeforeUpload returns an answer that comes before the request has been read: once it ends in
+// order, and then with a reset while it is sent, while the caller reads it and when the caller
+// waits for more.
+func BeforeUpload(status, body string) []Judged {
+	bytes := ByConnection.Cut("HTTP/1.1 "+status+"\r\n", body)
+	answers := []Judged{{Answer{Bytes: bytes, Pause: orderlyPause}, "ends in order", true}}
+	for _, pause := range ResetPauses {
+		answers = append(answers, Judged{Answer{Bytes: bytes, Pause: pause, End: Reset}, fmt.Sprintf("reset after %v", pause), false})
+	}
+	return answers
+}
 
 // Test is the part of testing.TB that a server needs.
 type Test interface {
