response: an answer of another version than HTTP/1 is none

An answer on an HTTP/1 connection that began with HTTP/0.9, HTTP/2.0 or HTTP/3.0 was read as one of HTTP/1 and passed on: net/http takes any version of the status line. Responses of other major versions are read otherwise, so that the client now fails. HTTP/1.0 and all of HTTP/1 still pass, and connections of HTTP/2 are not looked at.

--- a/node/lib/response/head.go
+++ b/node/lib/response/head.go
@@ -15,12 +15,24 @@
 // the body may go unnoticed.
 var ErrFieldName = eris.New("the name of a field of the response is no token")
 
+// ErrVersion means that a response on an HTTP/1 connection names another version, whose
+// responses look otherwise.
+var ErrVersion = eris.New("the response on an HTTP/1 connection is of another version")
+
 // errInterimHeads means that the heads of interim responses exceed the limit of a head.
 var errInterimHeads = eris.New("the interim responses are longer than any valid ones")
 
 // interimHeadBytes is the least that the head of an interim response counts.
 const interimHeadBytes = 64
 
+// checkHead returns an error if the head of a response is malformed.
+func checkHead(resp *http.Response, http1 bool) error {
+	if http1 && resp.ProtoMajor != 1 {
+		return ErrVersion
+	}
+	return checkNames(resp.Header)
+}
+
 // checkNames returns an error if the name of a field is malformed.
 func checkNames(fields map[string][]string) error {
 	for name, values := range fields {
--- a/node/lib/response/head_test.go
+++ b/node/lib/response/head_test.go
@@ -1,6 +1,7 @@
 package response
 
 import (
+	"errors"
 	"io"
 	"net/http"
 	"strings"
@@ -42,3 +43,12 @@
 	_, err = fetch(c, strings.Repeat(hints, 1<<10)+head+end)
 	c.Check(err, qt.ErrorIs, errInterimHeads)
 }
+
+// What looks like a response of another version can't be read as one of HTTP/1.
+func TestStatusLines(t *testing.T) {
+	c := qt.New(t)
+	for version, want := range map[string]error{"1.0": nil, "1.1": nil, "0.9": ErrVersion, "2.0": ErrVersion, "3.0": ErrVersion} {
+		_, err := fetch(c, "HTTP/"+version+" 200 OK\r\n\r\nbody")
+		c.Check(errors.Is(err, want), qt.IsTrue, qt.Commentf("%s: %v", version, err))
+	}
+}
--- a/node/lib/response/response.go
+++ b/node/lib/response/response.go
@@ -71,7 +71,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := checkNames(resp.Header); err != nil {
+	if err := checkHead(resp, sending != nil); err != nil {
 		_ = resp.Body.Close()
 		return nil, err
 	}
