response: an HTTP/1.0 answer with a transfer encoding is none

A caller got the sizes of the chunks in its body if an answer of HTTP/1.0 had "Transfer-Encoding: chunked": net/http drops the field of such an answer and takes the body up to the end of the connection. RFC 9112, 6.1, calls the framing of such an answer faulty.

net/http leaves no trace of the field, so that the connection keeps the head as it came, up to its empty line, and net/textproto reads it again if the answer is of HTTP/1.0. Its size is limited by net/http as before. Answers of HTTP/1.0 with a length or with the end of the connection still pass.

--- a/node/lib/response/conn.go
+++ b/node/lib/response/conn.go
@@ -22,6 +22,8 @@
 	responded bool
 	// failed means that a write has failed, closed that Close was called.
 	failed, closed bool
+	// head is the head of the response to the current request; none with TLS.
+	head headRecorder
 }
 
 func newConn(inner net.Conn) *conn {
@@ -30,10 +32,21 @@
 	return c
 }
 
-func (c *conn) beginRequest() {
+// beginRequest records that a request is begun; plain means that it is not encrypted.
+func (c *conn) beginRequest(plain bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.sending, c.responded = true, false
+	c.head = headRecorder{ended: !plain}
+}
+
+// takeHead returns the head of the response and ends its recording.
+func (c *conn) takeHead() headRecorder {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	head := c.head
+	c.head = headRecorder{ended: true}
+	return head
 }
 
 func (c *conn) endRequest(err error) {
@@ -65,6 +78,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.responded = c.responded || n > 0
+	c.head.record(p[:n])
 	if !errors.Is(err, io.EOF) || !c.responded {
 		return n, err
 	}
--- a/node/lib/response/conn_test.go
+++ b/node/lib/response/conn_test.go
@@ -41,7 +41,7 @@
 				writes, result := make(chan error), make(chan error, 1)
 				input, send := io.Pipe()
 				c := newConn(&scriptedConn{input: input, writes: writes})
-				c.beginRequest()
+				c.beginRequest(true)
 				go func() { _, _ = c.Write([]byte("request")) }()
 				go func() {
 					_, err := io.ReadFull(c, make([]byte, 5))
--- a/node/lib/response/head.go
+++ b/node/lib/response/head.go
@@ -25,12 +25,20 @@
 // interimHeadBytes is the least that the head of an interim response counts.
 const interimHeadBytes = 64
 
-// checkHead returns an error if the head of a response is malformed.
-func checkHead(resp *http.Response, http1 bool) error {
-	if http1 && resp.ProtoMajor != 1 {
+// checkHead returns an error if the head of a response is malformed. c is nil with HTTP/2.
+func checkHead(resp *http.Response, c *conn) error {
+	if err := checkNames(resp.Header); err != nil || c == nil {
+		return err
+	}
+	head := c.takeHead()
+	switch {
+	case resp.ProtoMajor != 1:
 		return ErrVersion
+	case resp.ProtoMinor == 0 && len(head.raw) > 0:
+		return head.checkTransferEncoding()
+	default:
+		return nil
 	}
-	return checkNames(resp.Header)
 }
 
 // checkNames returns an error if the name of a field is malformed.
--- a/node/lib/response/head_test.go
+++ b/node/lib/response/head_test.go
@@ -44,6 +44,20 @@
 	c.Check(err, qt.ErrorIs, errInterimHeads)
 }
 
+// net/http drops the transfer encoding of a response of HTTP/1.0 and passes on the encoded body.
+func TestTransferEncodingOfHTTP10(t *testing.T) {
+	c := qt.New(t)
+	for _, before := range []string{"", "HTTP/1.1 103 Hints\r\n\r\n", "HTTP/1.0 103 Hints\nLink: </a>\n\n"} {
+		_, err := fetch(c, before+rawserver.ByChunks.Whole("HTTP/1.0 200 OK\r\n", "body"))
+		c.Check(err, qt.ErrorIs, ErrTransferEncoding, qt.Commentf("%q", before))
+		for _, framing := range []rawserver.Framing{rawserver.ByLength, rawserver.ByConnection} {
+			body, err := fetch(c, before+framing.Whole("HTTP/1.0 200 OK\r\n", "body"))
+			c.Check(err, qt.IsNil)
+			c.Check(body, qt.Equals, "body")
+		}
+	}
+}
+
 // What looks like a response of another version can't be read as one of HTTP/1.
 func TestStatusLines(t *testing.T) {
 	c := qt.New(t)
--- a/node/lib/response/response.go
+++ b/node/lib/response/response.go
@@ -56,7 +56,7 @@
 	ctx := httptrace.WithClientTrace(req.Context(), &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) {
 			if sending = tracked(info.Conn); sending != nil {
-				sending.beginRequest()
+				sending.beginRequest(sending == info.Conn)
 			}
 		},
 		// A request that is sent once more gets its next connection after this call.
@@ -71,7 +71,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := checkHead(resp, sending != nil); err != nil {
+	if err := checkHead(resp, sending); err != nil {
 		_ = resp.Body.Close()
 		return nil, err
 	}
