response: an answer with a folded line in its head is none

If the name of a field began with a blank, net/http added its line to the value of the field before, which the caller got: a signature with a part of another field, or a Content-Length that was not seen. RFC 9112, 5.2, lets a gateway reject such an answer, and no server may send one. The recorded heads show the lines; those of interim responses count, as their names do.

A line of a body that begins with a blank is no such line (TestStatusLines).

--- a/node/lib/response/head.go
+++ b/node/lib/response/head.go
@@ -34,6 +34,8 @@
 	switch {
 	case resp.ProtoMajor != 1:
 		return ErrVersion
+	case head.folded:
+		return ErrFoldedLine
 	case resp.ProtoMinor == 0 && len(head.raw) > 0:
 		return head.checkTransferEncoding()
 	default:
--- a/node/lib/response/head_test.go
+++ b/node/lib/response/head_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"strings"
@@ -58,11 +59,22 @@
 	}
 }
 
+// A name that begins with a blank makes its line a part of the value before, which was passed on.
+func TestFoldedLines(t *testing.T) {
+	c := qt.New(t)
+	for _, line := range []string{" X-Field: v", "\tX-Field: v", " Content-Length: 2", "  "} {
+		for _, head := range []string{"HTTP/1.1 200 OK\r\nX-Sum: s\r\n%s\r\n", "HTTP/1.1 103 Hints\r\nX-Sum: s\r\n%s\r\n\r\nHTTP/1.1 200 OK\r\n"} {
+			_, err := fetch(c, rawserver.ByConnection.Whole(fmt.Sprintf(head, line), "a\n body"))
+			c.Check(err, qt.ErrorIs, ErrFoldedLine, qt.Commentf("%q in %q", line, head))
+		}
+	}
+}
+
 // What looks like a response of another version can't be read as one of HTTP/1.
 func TestStatusLines(t *testing.T) {
 	c := qt.New(t)
 	for version, want := range map[string]error{"1.0": nil, "1.1": nil, "0.9": ErrVersion, "2.0": ErrVersion, "3.0": ErrVersion} {
-		_, err := fetch(c, "HTTP/"+version+" 200 OK\r\n\r\nbody")
+		_, err := fetch(c, "HTTP/"+version+" 200 OK\r\n\r\na\n body")
 		c.Check(errors.Is(err, want), qt.IsTrue, qt.Commentf("%s: %v", version, err))
 	}
 }
