--- a/node/lib/response/conn.go
+++ b/node/lib/response/conn.go
@@ -16,7 +16,8 @@
 	mu      sync.Mutex
 	changed *sync.Cond
 	// sending means that net/http is writing a request, writing that a call of Write has not
-	// returned. The last bytes of a request may be written after sending has ended.
+	// returned. The last bytes of a request, from net/http's buffer, are written after sending
+	// has ended.
 	sending, writing bool
 	// responded means that bytes have arrived since the request was begun.
 	responded bool
@@ -27,7 +28,7 @@
 }
 
 func newConn(inner net.Conn) *conn {
-	c := &conn{Conn: inner}
+	c := &conn{Conn: inner, head: headRecorder{ended: true}}
 	c.changed = sync.NewCond(&c.mu)
 	return c
 }
@@ -49,6 +50,7 @@
 	return head
 }
 
+// endRequest records that net/http has written the request to its buffer, or why it could not.
 func (c *conn) endRequest(err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/node/lib/response/rawhead.go
+++ b/node/lib/response/rawhead.go
@@ -56,7 +56,8 @@
 	}
 }
 
-// checkTransferEncoding returns an error if the head of a response of HTTP/1.0 has a transfer encoding.
+// checkTransferEncoding returns an error if the head, of a response of HTTP/1.0, has a transfer
+// encoding.
 func (h *headRecorder) checkTransferEncoding() error {
 	reader := textproto.NewReader(bufio.NewReader(bytes.NewReader(h.raw)))
 	if _, err := reader.ReadLine(); err != nil {
