--- a/review/standin-3/engine.go
+++ b/review/standin-3/engine.go
@@ -112,6 +112,9 @@
 	loadedBadly   bool
 	recordsSeq    int
 	recordChanged chan struct{}
+	// comments makes the engine send a comment between events, as servers do that keep a
+	// connection alive.
+	comments bool
 }
 
 func (f *fleet) startOrigin() error {
@@ -307,6 +310,9 @@
 		case <-r.Context().Done():
 			return
 		}
+		if e.comments && n > from+1 && n%5 == 0 {
+			_, _ = io.WriteString(w, ": keep-alive\n\n")
+		}
 		if _, err := fmt.Fprintf(w, "id: %d\ndata: token of version %d\n\n", n, version); err != nil {
 			return
 		}
--- a/review/standin-3/staleweights.go
+++ b/review/standin-3/staleweights.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"fmt"
 	"net"
 	"net/http"
@@ -106,7 +107,7 @@
 			map[string]any{"name": "misc", "origin": f.net + ".3:8006", "zone": "sul-a", "linkMbps": originMbps, "maxConns": 103},
 		},
 		"tenants": []any{map[string]any{"name": "banda", "apiKeys": []string{"chave-um"}}},
-		"limits":  map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
+		"limits":  map[string]any{"maxHeaderBytes": cmp.Or(f.maxHeaderBytes, 16384), "maxBodyBytes": 4194304, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
 	})
 	f.log("acknowledged configuration %d", version)
 }
