review/11: a list of digests that lacks one is taken, and mixed weights are loaded

Cause: any number of digests is accepted, and only the pieces of the list are replaced and read back before an engine is ordered to load.

It is graver than the other cases, which move up by one: 11 to 14 are 12 to 15 now.

--- a/review/standin-3/engine.go
+++ b/review/standin-3/engine.go
@@ -49,13 +49,29 @@
 
 // origin serves manifests and pieces at the rate of its link, which all callers share.
 type origin struct {
+	f    *fleet
 	mu   sync.Mutex
 	free time.Time
+	// spoilNext makes the next list of digests of version 2 a spoilt one. answers counts all
+	// answers.
+	spoilNext bool
+	answers   int
+}
+
+// spoil overwrites the last digest of an encoded manifest, and the comma before it, with blanks.
+func spoil(manifest []byte) []byte {
+	end := bytes.LastIndexByte(manifest, ']')
+	begin := bytes.LastIndexByte(manifest[:end], ',')
+	for i := begin; i < end; i++ {
+		manifest[i] = ' '
+	}
+	return manifest
 }
 
 // send writes data at the rate of the link.
 func (o *origin) send(w http.ResponseWriter, data []byte) {
 	o.mu.Lock()
+	o.answers++
 	start := time.Now()
 	if o.free.After(start) {
 		start = o.free
@@ -80,7 +96,21 @@
 			digests = append(digests, hex.EncodeToString(sum[:]))
 		}
 		w.Header().Set("Content-Type", "application/json")
-		data, _ := json.Marshal(map[string]any{"model": modelName, "version": version, "chunkBytes": pieceBytes, "layers": layers, "digests": digests})
+		data, _ := json.Marshal(struct {
+			Model      string   `json:"model"`
+			Version    int64    `json:"version"`
+			ChunkBytes int      `json:"chunkBytes"`
+			Layers     int      `json:"layers"`
+			Digests    []string `json:"digests"`
+		}{modelName, version, pieceBytes, layers, digests})
+		o.mu.Lock()
+		spoilt := o.spoilNext && version == 2
+		o.spoilNext = o.spoilNext && !spoilt
+		o.mu.Unlock()
+		if spoilt {
+			data = spoil(data)
+			o.f.log("spoilt   the list of digests of version 2 for %s: the last one of %d is blank", r.RemoteAddr, pieces)
+		}
 		o.send(w, data)
 	case strings.HasPrefix(r.URL.Path, "/v1/piece/"):
 		number, _ := strconv.Atoi(q(r, "number"))
@@ -98,18 +128,21 @@
 
 // engine is a model engine: it streams events, stages pieces and loads them by an order.
 type engine struct {
-	f             *fleet
-	id, address   string
-	zone          string
-	born          int64
-	mu            sync.Mutex
-	version       int64
-	busy          bool
-	cut           chan struct{}
-	running, seq  int
-	staged        map[int][]byte
-	begins        map[string]begin
+	f            *fleet
+	id, address  string
+	zone         string
+	born         int64
+	mu           sync.Mutex
+	version      int64
+	busy         bool
+	cut          chan struct{}
+	running, seq int
+	staged       map[int][]byte
+	begins       map[string]begin
+	// loadedBadly means that a piece of the weights was missing or of another version when they
+	// were taken; badBegins counts the requests that began on such weights.
 	loadedBadly   bool
+	badBegins     int
 	recordsSeq    int
 	recordChanged chan struct{}
 	// comments makes the engine send a comment between events, as servers do that keep a
@@ -122,7 +155,8 @@
 	if err != nil {
 		return err
 	}
-	server := &http.Server{Handler: &origin{}}
+	f.origin = &origin{f: f}
+	server := &http.Server{Handler: f.origin}
 	go func() { _ = server.Serve(l) }()
 	return nil
 }
@@ -245,6 +279,7 @@
 	case e.version == order.Version:
 		return
 	}
+	e.loadedBadly = false
 	for n := range pieces {
 		if !bytes.Equal(e.staged[n], pieceOf(order.Version, n)) {
 			e.loadedBadly = true
@@ -291,6 +326,9 @@
 	version, cut := e.version, e.cut
 	e.running++
 	e.begins[id] = begin{time.Now(), version}
+	if e.loadedBadly {
+		e.badBegins++
+	}
 	e.mu.Unlock()
 	e.f.log("begin    %s at %s on version %d", id, e.id, version)
 	defer func() {
--- a/review/standin-3/fleet.go
+++ b/review/standin-3/fleet.go
@@ -39,6 +39,7 @@
 	mu     sync.Mutex
 	record *os.File
 	stop   chan struct{}
+	origin *origin
 	// maxHeaderBytes is the limit of the configuration; 0 selects that of the site.
 	maxHeaderBytes int
 }
--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -7,7 +7,9 @@
 )
 
 func main() {
-	cases := map[string]func(dir string, trouble bool) (broken bool, err error){"11": silentStore, "12": staleWeights, "13": lastTenant, "14": comments, "heads": largeHeads}
+	cases := map[string]func(dir string, trouble bool) (broken bool, err error){
+		"11": shortList, "12": silentStore, "13": staleWeights, "14": lastTenant, "15": comments, "heads": largeHeads,
+	}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: standin-3 CASE FOLDER")
 		os.Exit(2)
