--- a/review/standin-3/engine.go
+++ b/review/standin-3/engine.go
@@ -385,6 +385,8 @@
 	p.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "LABURNUMLOFT_CONFIG=" + path}
 	// The process ends with this one, however that ends.
 	p.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	if err := p.Start(); err != nil {
 		return err
 	}
--- a/review/standin-3/fleet.go
+++ b/review/standin-3/fleet.go
@@ -14,6 +14,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -59,6 +60,7 @@
 	if f.dir, err = os.MkdirTemp("", "review3"); err != nil {
 		return nil, err
 	}
+	f.endEarly()
 	for range 50 {
 		f.net = fmt.Sprintf("127.%d.%d", 20+rand.IntN(200), rand.IntN(250))
 		inner, lerr := net.Listen("tcp4", f.net+".2:8007")
@@ -83,6 +85,29 @@
 	fmt.Fprintf(f.record, "%8.3f %s\n", time.Since(f.start).Seconds(), fmt.Sprintf(format, args...))
 }
 
+// mostTime is the longest that a case may take.
+const mostTime = 110 * time.Second
+
+// endEarly ends this process with 2, and those that the fleet started before it, on a signal to
+// stop or after mostTime.
+func (f *fleet) endEarly() {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	go func() {
+		select {
+		case <-signals:
+		case <-time.After(mostTime):
+		}
+		// Nothing more is started while the lock is held.
+		f.mu.Lock()
+		for _, p := range f.processes {
+			_ = p.Process.Kill()
+		}
+		_ = os.RemoveAll(f.dir)
+		os.Exit(2)
+	}()
+}
+
 // close ends all processes that the fleet started.
 func (f *fleet) close() {
 	close(f.stop)
