--- a/review/standin-3/fleet.go
+++ b/review/standin-3/fleet.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"strings"
 	"sync"
