stager: a manifest must list the configured number of pieces

Cause: a manifest was held only against its own digests. A manifest that lost its last digest on the way from the origin matches all of its own pieces, so the agent fetched, verified and loaded 47 of 48 pieces. The engine kept the last piece of version 1, which no check reads back. The same manifest could come from an agent, from the store's record and from an entry that writes that record. One that is too long never completes and is never doubted.

Change: the configuration names the number of pieces; it now reaches agents (route.Engine.Pieces). Manifests of the origin, of agents and of the store are refused if they list another number, by agents and by the entries that write the record. The check is made at each use, so that a number that becomes known later, or changes, holds a load order back, ends a fetch and keeps the pieces whose digests stay. If the number or the version is not known beforehand, two sources, or two answers of the origin, must give the same manifest (rollout.ListAgreement).

The targets of older tests name the number of pieces as the configuration does.

Conclusion: the count and the version are checked against what is known apart from the list; nothing but the list was asked before.

--- a/bench/fleet/fleet_test.go
+++ b/bench/fleet/fleet_test.go
@@ -401,7 +401,7 @@
 			hold("/hold/", "unsafe", false), hold("/holdsafe/", "safe", false), hold("/holdstream/", "streaming", false),
 		},
 		"services": []any{
-			map[string]any{"name": "llm", "engine": map[string]any{"slots": 16, "models": []any{map[string]any{"name": model}}, "layers": platform.Pieces}},
+			map[string]any{"name": "llm", "engine": map[string]any{"slots": 16, "models": []any{map[string]any{"name": model}}, "layers": platform.Pieces, "chunks": platform.Pieces}},
 			map[string]any{"name": "switching", "coldPerS": coldPerSecond, "coldStartS": coldStart.Seconds()},
 			map[string]any{"name": "holding"},
 			map[string]any{"name": "weights", "origin": originAddress(), "zone": "z"},
--- a/bench/fleet/restore_test.go
+++ b/bench/fleet/restore_test.go
@@ -227,7 +227,7 @@
 func (f *fleet) manifestAtAllAgents() bool {
 	for i := range engines {
 		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
-		_, err := stager.FetchManifest(ctx, f.client, fmt.Sprintf("%s:%d", engineIP(i), ownPort), model, 1)
+		_, err := stager.FetchManifest(ctx, f.client, fmt.Sprintf("%s:%d", engineIP(i), ownPort), stager.ManifestRequirements{Model: model, Version: 1, Pieces: platform.Pieces})
 		cancel()
 		if err != nil {
 			return false
--- a/bench/fleet/soak_test.go
+++ b/bench/fleet/soak_test.go
@@ -101,6 +101,7 @@
 		},
 		toggle(f.store.SetDown), toggle(f.store.SetLosing), toggle(f.origin.SetDown),
 		toggle(func(on bool) { f.origin.SetCorrupt(map[bool]int{true: 5}[on]) }),
+		func(time.Duration) { f.origin.ShortenLists(1 + piece) },
 		toggle(func(on bool) { f.plains[plain].SetFaults(map[bool]int{true: 7}[on], 0, map[bool]int{true: 5}[on]) }),
 		toggle(func(on bool) { f.engines[engine].SetFaults(map[bool]int{true: 9}[on], map[bool]int{true: 4}[on], 0) }),
 		func(time.Duration) { f.engines[engine].Crash() },
--- a/bench/fleet/whole_soak_test.go
+++ b/bench/fleet/whole_soak_test.go
@@ -158,7 +158,7 @@
 		})
 	}
 	services := []any{
-		map[string]any{"name": "llm", "engine": map[string]any{"slots": 16, "models": []any{map[string]any{"name": model}}, "layers": platform.Pieces}},
+		map[string]any{"name": "llm", "engine": map[string]any{"slots": 16, "models": []any{map[string]any{"name": model}}, "layers": platform.Pieces, "chunks": platform.Pieces}},
 		map[string]any{"name": "weights", "origin": originAddress(), "zone": "z"},
 	}
 	for _, name := range []string{"switching", "lone"} {
--- a/core/route/route.go
+++ b/core/route/route.go
@@ -116,6 +116,8 @@
 	MemoryTokens int `json:",omitempty"`
 	// UsualAnswer is the mean number of tokens of an answer; 0 means unknown.
 	UsualAnswer float64 `json:",omitempty"`
+	// Pieces is the number of pieces of one version of the weights; 0 means unknown.
+	Pieces int `json:",omitempty"`
 }
 
 // Service is a group of backend servers or the origin server of weights.
--- a/node/stager/fetch.go
+++ b/node/stager/fetch.go
@@ -60,7 +60,7 @@
 }
 
 // errManifestReplaced means that the fetch begins anew with another manifest.
-var errManifestReplaced = eris.New("the manifest did not match the pieces and was replaced")
+var errManifestReplaced = eris.New("the manifest did not match the pieces or their number")
 
 // pullResult is the outcome of one pull. feed means that the piece came from
 // outside the region.
@@ -197,6 +197,9 @@
 	if err := f.pullMissing(ctx, &wait); err != nil {
 		return err
 	}
+	if !f.store.fits(f.manifest) {
+		return errManifestReplaced
+	}
 	if fromOrigin || f.replacement {
 		f.publish(f.manifest)
 	}
@@ -236,6 +239,10 @@
 	feeding, exchanging := 0, 0
 	peersRefreshed := time.Now()
 	for f.swarm.Remaining() > 0 {
+		if !f.store.fits(f.manifest) {
+			f.cfg.Log.Event("manifest_refused", "model", f.manifest.Model, "version", f.manifest.Version, "reason", ErrPieceCount.Error(), "digests", len(f.manifest.Digests))
+			return errManifestReplaced
+		}
 		f.recordAnnouncements()
 		if time.Since(peersRefreshed) >= peerRefreshInterval {
 			peersRefreshed = time.Now()
--- a/node/stager/loader.go
+++ b/node/stager/loader.go
@@ -213,6 +213,9 @@
 		if err != nil {
 			return err
 		}
+		if !s.store.fits(m) {
+			return ErrSuperseded
+		}
 		now := bootclock.Now()
 		callCtx, cancel := context.WithTimeout(ctx, rollout.LoadOrderTimeout)
 		err = s.cfg.Engine.Load(callCtx, m.Model, m.Version, checks.OrderBefore(now))
--- a/node/stager/manifest.go
+++ b/node/stager/manifest.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
+	"errors"
 	"math/rand/v2"
 	"strings"
 	"time"
@@ -26,6 +27,61 @@
 	manifestJitter = 4 * time.Second
 )
 
+// ManifestRequirements are what is known of a manifest apart from its own content.
+type ManifestRequirements struct {
+	Model string
+	// Version is 0 if any version is wanted.
+	Version int64
+	// Pieces is the number of pieces; 0 means unknown.
+	Pieces int
+}
+
+// Check reports, as an error, that a manifest is malformed or not the wanted one.
+func (r ManifestRequirements) Check(m *Manifest) error {
+	if err := validateManifest(m, r.Model, r.Version); err != nil {
+		return err
+	}
+	if !hasPieces(m, r.Pieces) {
+		return ErrPieceCount
+	}
+	return nil
+}
+
+// hasPieces reports whether a manifest lists a number of pieces; 0 means unknown.
+func hasPieces(m *Manifest, pieces int) bool {
+	return pieces == 0 || len(m.Digests) == pieces
+}
+
+// requirements returns what is known of the manifest of a version; version 0 means the
+// newest.
+func (s *Stager) requirements(model string, version int64) ManifestRequirements {
+	return ManifestRequirements{Model: model, Version: version, Pieces: s.store.pieceCount(model)}
+}
+
+// accept checks a manifest from a source. A manifest whose version or length can't be
+// checked may be cut short, which no piece shows. It is accepted once another source, or
+// another answer of the origin, has given the same one.
+func (s *Stager) accept(want ManifestRequirements, m *Manifest, source string) error {
+	if err := want.Check(m); err != nil {
+		return err
+	}
+	if want.Version > 0 && want.Pieces > 0 {
+		return nil
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.unconfirmed.Record(rollout.DigestList{Model: m.Model, Version: m.Version, Digests: m.Digests}, source) {
+		return ErrUnconfirmed
+	}
+	return nil
+}
+
+// sourceRecord is the source of manifests that other agents published in the store.
+const sourceRecord = "record"
+
+// originReads is how often one attempt reads a manifest that can't be checked.
+const originReads = 2
+
 // findManifest returns a manifest from memory, from an agent that announced the
 // version, from the origin, or from other agents if the origin fails, and whether
 // it came from the origin. Version 0 means the newest.
@@ -33,49 +89,58 @@
 	if m := s.store.manifestOf(model, version); m != nil {
 		return m, false, nil
 	}
-	if m := s.publishedManifest(model, version); m != nil {
+	want := s.requirements(model, version)
+	if m := s.publishedManifest(model, version); m != nil && s.accept(want, m, sourceRecord) == nil {
 		return m, false, nil
 	}
 	peers := s.cfg.Peers()
 	if version > 0 {
-		if m := s.manifestFromAnnouncer(ctx, peers, model, version); m != nil {
+		if m := s.manifestFromAnnouncer(ctx, peers, want); m != nil {
 			return m, false, nil
 		}
 	}
-	m, err = origin.Manifest(ctx, model, version)
-	if err == nil {
-		err = validateManifest(m, model, version)
-	}
-	if err == nil {
+	if m, err = s.manifestFromOrigin(ctx, origin, want); err == nil {
 		return m, true, nil
 	}
 	if ctx.Err() != nil {
 		return nil, false, err
 	}
-	s.cfg.Log.Event("manifest_failed", "from", "origin", "version", version, "cause", err.Error())
-	if m := s.manifestFromPeers(ctx, peers, model, version); m != nil {
+	s.cfg.Log.Event("manifest_failed", "from", rollout.OriginSource, "version", version, "cause", err.Error())
+	if m := s.manifestFromPeers(ctx, peers, want); m != nil {
 		return m, false, nil
 	}
 	return nil, false, err
 }
 
+// manifestFromOrigin reads a manifest from the origin, and once more if it can't be checked.
+func (s *Stager) manifestFromOrigin(ctx context.Context, origin Origin, want ManifestRequirements) (m *Manifest, err error) {
+	for range originReads {
+		if m, err = origin.Manifest(ctx, want.Model, want.Version); err == nil {
+			err = s.accept(want, m, rollout.OriginSource)
+		}
+		if !errors.Is(err, ErrUnconfirmed) {
+			break
+		}
+	}
+	return m, err
+}
+
 // replaceManifest reads a manifest again because a piece does not match it, from the origin
 // and, if that one does not fit either, from other agents. It replaces the manifest by one
 // that has the digest with which the piece arrived, and reports whether it found one.
 func (s *Stager) replaceManifest(ctx context.Context, origin Origin, m *Manifest, piece int, digest string) bool {
-	fits := func(other *Manifest) bool {
-		return len(other.Digests) > piece && other.Digests[piece] == digest
+	// The number of pieces of the manifest in use was checked or confirmed.
+	want := ManifestRequirements{Model: m.Model, Version: m.Version, Pieces: len(m.Digests)}
+	fits := func(other *Manifest, _ string) bool {
+		return want.Check(other) == nil && other.Digests[piece] == digest
 	}
+	from := rollout.OriginSource
 	found, err := origin.Manifest(ctx, m.Model, m.Version)
-	if err == nil {
-		err = validateManifest(found, m.Model, m.Version)
-	}
-	from := "origin"
-	if err != nil || !fits(found) {
+	if err != nil || !fits(found, from) {
 		from = "agent"
-		found = s.selectManifest(ctx, s.cfg.Peers(), m.Model, m.Version, fits)
+		found = s.selectManifest(ctx, s.cfg.Peers(), want, fits)
 	}
-	if found == nil || !fits(found) {
+	if found == nil {
 		s.cfg.Log.Event("manifest_doubted", "model", m.Model, "version", m.Version, "number", piece, "replaced", false)
 		return false
 	}
@@ -93,8 +158,8 @@
 // malformed one, and one that is older than what is known: a copy of the store may hold
 // it.
 func (s *Stager) HandleManifest(m *Manifest) {
-	if validateManifest(m, m.Model, m.Version) != nil {
-		s.cfg.Log.Event("manifest_refused", "model", m.Model, "version", m.Version, "reason", "malformed")
+	if err := s.requirements(m.Model, m.Version).Check(m); err != nil {
+		s.cfg.Log.Event("manifest_refused", "model", m.Model, "version", m.Version, "reason", err.Error(), "digests", len(m.Digests))
 		return
 	}
 	s.mu.Lock()
@@ -151,13 +216,13 @@
 // It waits up to announcerTimeout for such an agent, because the manifest
 // requests of a large fleet would delay the first pieces at the origin. The
 // first manifestOriginAgents of a region don't wait.
-func (s *Stager) manifestFromAnnouncer(ctx context.Context, peers []rollout.Peer, model string, version int64) *Manifest {
+func (s *Stager) manifestFromAnnouncer(ctx context.Context, peers []rollout.Peer, want ManifestRequirements) *Manifest {
 	timeout := announcerTimeout
 	if s.regionRank(peers) < manifestOriginAgents {
 		timeout = 0
 	}
 	for start := time.Now(); ; {
-		if m := s.manifestFromPeers(ctx, s.announcers(peers, version), model, version); m != nil {
+		if m := s.manifestFromPeers(ctx, s.announcers(peers, want.Version), want); m != nil {
 			return m
 		}
 		if time.Since(start) >= timeout || sleep(ctx, pollInterval) != nil {
@@ -167,13 +232,13 @@
 }
 
 // manifestFromPeers asks agents for a manifest.
-func (s *Stager) manifestFromPeers(ctx context.Context, peers []rollout.Peer, model string, version int64) *Manifest {
-	return s.selectManifest(ctx, peers, model, version, func(*Manifest) bool { return true })
+func (s *Stager) manifestFromPeers(ctx context.Context, peers []rollout.Peer, want ManifestRequirements) *Manifest {
+	return s.selectManifest(ctx, peers, want, func(m *Manifest, peer string) bool { return s.accept(want, m, peer) == nil })
 }
 
 // selectManifest asks up to maxManifestPeers agents, those of the own region first, for a
-// manifest that fits.
-func (s *Stager) selectManifest(ctx context.Context, peers []rollout.Peer, model string, version int64, fits func(*Manifest) bool) *Manifest {
+// manifest that fits. The function fits also gets the ID of the agent.
+func (s *Stager) selectManifest(ctx context.Context, peers []rollout.Peer, want ManifestRequirements, fits func(m *Manifest, peer string) bool) *Manifest {
 	var sameRegion, otherRegions []rollout.Peer
 	for _, i := range rand.Perm(len(peers)) {
 		if peers[i].Region == s.cfg.Self.Region {
@@ -186,8 +251,8 @@
 		if i >= maxManifestPeers || ctx.Err() != nil {
 			break
 		}
-		m, err := s.peers.manifest(ctx, peer, model, version)
-		if err == nil && validateManifest(m, model, version) == nil && fits(m) {
+		m, err := s.peers.manifest(ctx, peer, want.Model, want.Version)
+		if err == nil && fits(m, peer.ID) {
 			return m
 		}
 	}
--- a/node/stager/narrow_test.go
+++ b/node/stager/narrow_test.go
@@ -177,7 +177,7 @@
 // delay on the link, and the longest from a time after the start on.
 func (n *narrowFleet) fetch(c *qt.C, during func(elapsed time.Duration), from time.Duration) (took, worst, worstSettled time.Duration) {
 	begun := time.Now()
-	n.agent.SetTarget(Target{Model: "m", Version: 2, KnownSince: map[int64]time.Time{2: begun}, Origin: "origin", OriginRegion: "r"})
+	n.agent.SetTarget(Target{Model: "m", Version: 2, Pieces: testPieces, KnownSince: map[int64]time.Time{2: begun}, Origin: "origin", OriginRegion: "r"})
 	for !n.agent.store.complete("m", 2) {
 		elapsed := time.Since(begun)
 		if elapsed > 25*time.Second {
--- a/node/stager/peers.go
+++ b/node/stager/peers.go
@@ -137,9 +137,9 @@
 	}
 }
 
-// FetchManifest fetches a manifest from an agent; version 0 means the newest.
-func FetchManifest(ctx context.Context, client *http.Client, address, model string, version int64) (*Manifest, error) {
-	req, err := sling.New().Base("http://" + address).Get(ManifestPath).QueryStruct(pieceQuery{Model: model, Version: version}).Request()
+// FetchManifest fetches a manifest that meets the requirements from an agent.
+func FetchManifest(ctx context.Context, client *http.Client, address string, want ManifestRequirements) (*Manifest, error) {
+	req, err := sling.New().Base("http://" + address).Get(ManifestPath).QueryStruct(pieceQuery{Model: want.Model, Version: want.Version}).Request()
 	if err != nil {
 		return nil, eris.Wrap(err, "building a request for a manifest")
 	}
@@ -152,7 +152,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return m, validateManifest(m, model, version)
+	return m, want.Check(m)
 }
 
 // manifest fetches a manifest from a peer.
--- a/node/stager/pieces.go
+++ b/node/stager/pieces.go
@@ -15,6 +15,9 @@
 type pieceStore struct {
 	mu       sync.Mutex
 	versions []*pieceSet
+	// pieceCounts are the numbers of pieces of a version, by model, as far as they are
+	// known. Sets of another size are kept for their pieces, but count as missing.
+	pieceCounts map[string]int
 }
 
 // pieceSet holds the pieces of one version; missing counts those not held yet.
@@ -25,18 +28,51 @@
 }
 
 func newPieceStore() *pieceStore {
-	return &pieceStore{}
+	return &pieceStore{pieceCounts: map[string]int{}}
+}
+
+// setPieceCount sets the number of pieces of the versions of a model; 0 means unknown.
+func (s *pieceStore) setPieceCount(model string, pieces int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.pieceCounts[model] = pieces
+}
+
+// pieceCount returns the number of pieces of the versions of a model; 0 means unknown.
+func (s *pieceStore) pieceCount(model string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.pieceCounts[model]
+}
+
+// fits reports whether a manifest lists the known number of pieces.
+func (s *pieceStore) fits(m *Manifest) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.fitsLocked(m)
+}
+
+// fitsLocked is fits for callers that hold s.mu.
+func (s *pieceStore) fitsLocked(m *Manifest) bool {
+	return hasPieces(m, s.pieceCounts[m.Model])
 }
 
 // begin adds a version without pieces and returns its manifest, which is the earlier one if
-// the store already has the version. If that exceeds keptVersions, it evicts the version
-// that was added first.
+// the store already has the version. A manifest that no longer lists the known number of
+// pieces is replaced. If that exceeds keptVersions, begin evicts the version that was added
+// first.
 func (s *pieceStore) begin(m *Manifest) *Manifest {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if set := s.find(m.Model, m.Version); set != nil {
 		return set.manifest
 	}
+	for _, set := range s.versions {
+		if set.manifest.Model == m.Model && set.manifest.Version == m.Version {
+			set.replace(m)
+			return m
+		}
+	}
 	s.versions = append(s.versions, &pieceSet{manifest: m, pieces: make([][]byte, len(m.Digests)), missing: len(m.Digests)})
 	if len(s.versions) > keptVersions {
 		s.versions = s.versions[len(s.versions)-keptVersions:]
@@ -53,7 +89,13 @@
 	if set == nil || set.manifest != old {
 		return 0
 	}
-	pieces := make([][]byte, len(m.Digests))
+	return set.replace(m)
+}
+
+// replace replaces the manifest. It keeps the pieces whose digests are the same, and
+// returns their number.
+func (set *pieceSet) replace(m *Manifest) (kept int) {
+	old, pieces := set.manifest, make([][]byte, len(m.Digests))
 	for n := range pieces {
 		if n < len(old.Digests) && old.Digests[n] == m.Digests[n] && set.pieces[n] != nil {
 			pieces[n] = set.pieces[n]
@@ -71,11 +113,12 @@
 	s.versions = slices.DeleteFunc(s.versions, func(set *pieceSet) bool { return set.manifest.Version < version })
 }
 
-// find returns the pieces of a version, of the newest for version 0, or nil. The
-// caller must hold s.mu.
+// find returns the pieces of a version, of the newest for version 0, or nil if there are
+// none or their manifest does not list the known number of pieces. The caller must hold
+// s.mu.
 func (s *pieceStore) find(model string, version int64) *pieceSet {
 	for i := len(s.versions) - 1; i >= 0; i-- {
-		if m := s.versions[i].manifest; m.Model == model && (m.Version == version || version == 0) {
+		if m := s.versions[i].manifest; m.Model == model && (m.Version == version || version == 0) && s.fitsLocked(m) {
 			return s.versions[i]
 		}
 	}
@@ -107,7 +150,7 @@
 	defer s.mu.Unlock()
 	var newest *Manifest
 	for _, set := range s.versions {
-		if m := set.manifest; set.missing == 0 && m.Model == model && (newest == nil || m.Version > newest.Version) {
+		if m := set.manifest; set.missing == 0 && m.Model == model && s.fitsLocked(m) && (newest == nil || m.Version > newest.Version) {
 			newest = m
 		}
 	}
@@ -143,7 +186,9 @@
 	defer s.mu.Unlock()
 	var versions []int64
 	for _, set := range s.versions {
-		versions = append(versions, set.manifest.Version)
+		if s.fitsLocked(set.manifest) {
+			versions = append(versions, set.manifest.Version)
+		}
 	}
 	return versions
 }
@@ -155,7 +200,7 @@
 	defer s.mu.Unlock()
 	for i := len(s.versions) - 1; i >= 0; i-- {
 		set := s.versions[i]
-		if version != 0 && set.manifest.Version != version {
+		if version != 0 && set.manifest.Version != version || !s.fitsLocked(set.manifest) {
 			continue
 		}
 		pieces = make([]bool, len(set.pieces))
--- a/node/stager/stager.go
+++ b/node/stager/stager.go
@@ -33,6 +33,12 @@
 	// ErrDigestMismatch means that a piece does not match its digest, or that a
 	// manifest is malformed.
 	ErrDigestMismatch = eris.New("the bytes do not match the digest")
+	// ErrPieceCount means that a manifest does not list the number of pieces that the
+	// configuration names.
+	ErrPieceCount = eris.New("the manifest does not list the configured number of pieces")
+	// ErrUnconfirmed means that a manifest can't be checked and that no second source has
+	// given the same one yet.
+	ErrUnconfirmed = eris.New("no second source has given the same manifest yet")
 	// ErrChecksExpired means that the engine reads staged pieces back too slowly: the
 	// first checks expired before the last ones were done.
 	ErrChecksExpired = eris.New("checks of staged pieces expired before all were done")
@@ -100,6 +106,8 @@
 	Model string
 	// Version is 0 until a version is published.
 	Version int64
+	// Pieces is the number of pieces of a version; 0 means unknown.
+	Pieces int
 	// KnownSince is the time on the boot-time clock at which each version became
 	// known to this agent.
 	KnownSince map[int64]time.Time
@@ -210,6 +218,8 @@
 	// publishedManifests are the manifests that other agents published, by
 	// model.
 	publishedManifests map[string]*Manifest
+	// unconfirmed holds the manifests that can't be checked, until two sources agree.
+	unconfirmed rollout.ListAgreement
 	// lastReport is the last report sent to the entries.
 	lastReport placement.Report
 	// nextManifestFetch is the time of the next attempt to fetch the manifest of
@@ -241,7 +251,7 @@
 func (s *Stager) SetTarget(t Target) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if t.Model == "" || t.Model == s.target.Model && t.Version <= s.target.Version && t.Origin == s.target.Origin {
+	if t.Model == "" || t.Model == s.target.Model && t.Version <= s.target.Version && t.Origin == s.target.Origin && t.Pieces == s.target.Pieces {
 		return
 	}
 	if t.Model == s.target.Model && t.Version <= s.target.Version {
@@ -251,7 +261,8 @@
 		s.origin = quietOrigin{s.cfg.NewOrigin(t.Origin), &quietTime{log: s.cfg.Log, server: t.Origin}}
 	}
 	s.target = t
-	s.cfg.Log.Event("target_taken", "model", t.Model, "version", t.Version, "origin", t.Origin)
+	s.store.setPieceCount(t.Model, t.Pieces)
+	s.cfg.Log.Event("target_taken", "model", t.Model, "version", t.Version, "origin", t.Origin, "pieces", t.Pieces)
 	s.wakeUp()
 }
 
--- a/node/stager/stager_test.go
+++ b/node/stager/stager_test.go
@@ -207,6 +207,9 @@
 	sent    int
 	// corruptManifests is the number of manifests to send with one wrong digest.
 	corruptManifests int
+	// spoilManifest changes the next spoiltManifests manifests.
+	spoiltManifests int
+	spoilManifest   func(*Manifest)
 }
 
 func (o *fakeOrigin) Manifest(_ context.Context, _ string, version int64) (*Manifest, error) {
@@ -223,6 +226,10 @@
 		o.corruptManifests--
 		m = corruptManifest(version)
 	}
+	if o.spoiltManifests > 0 {
+		o.spoiltManifests--
+		o.spoilManifest(m)
+	}
 	return m, nil
 }
 
@@ -240,6 +247,9 @@
 		return nil, io.ErrClosedPipe
 	}
 	o.sent++
+	if n >= testPieces {
+		return nil, ErrNoPiece
+	}
 	if o.corrupt > 0 {
 		o.corrupt--
 		return []byte("corrupt"), nil
@@ -257,10 +267,12 @@
 	stagers []*Stager
 	engines []*fakeEngine
 	peers   []rollout.Peer
+	// pieces is the number of pieces that the targets name.
+	pieces int
 }
 
 func newGroup(c *qt.C, origin *fakeOrigin, engines ...*fakeEngine) *group {
-	g := &group{c: c, origin: origin, engines: engines}
+	g := &group{c: c, origin: origin, engines: engines, pieces: testPieces}
 	ctx, cancel := context.WithCancel(context.Background())
 	var wait sync.WaitGroup
 	c.Cleanup(func() { cancel(); wait.Wait() })
@@ -307,7 +319,7 @@
 		since[v], newest = time.Now(), max(newest, v)
 	}
 	for _, s := range g.stagers {
-		s.SetTarget(Target{Model: "m", Version: newest, KnownSince: since, Origin: "origin", OriginRegion: "r"})
+		s.SetTarget(Target{Model: "m", Version: newest, Pieces: g.pieces, KnownSince: since, Origin: "origin", OriginRegion: "r"})
 	}
 }
 
--- a/standin/platform/weights.go
+++ b/standin/platform/weights.go
@@ -34,6 +34,8 @@
 	// corrupt turns every so many-th piece bad; 0 none.
 	corrupt int
 	sent    int
+	// shortLists is the number of lists of digests to send without their last one.
+	shortLists int
 }
 
 // NewOrigin returns an origin whose newest version is 1.
@@ -60,6 +62,13 @@
 	o.corrupt = n
 }
 
+// ShortenLists sends the next lists of digests without their last one.
+func (o *Origin) ShortenLists(n int) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.shortLists = n
+}
+
 // ServeHTTP implements http.Handler.
 func (o *Origin) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	o.mu.Lock()
@@ -80,6 +89,10 @@
 		for n := range digests {
 			digests[n] = digest(Piece(version, n))
 		}
+		if o.shortLists > 0 {
+			o.shortLists--
+			digests = digests[:Pieces-1]
+		}
 		writeJSON(w, map[string]any{"model": strings.TrimPrefix(r.URL.Path, "/v1/manifest/"), "version": version, "layers": Pieces, "digests": digests})
 		return
 	}
