stager: the size of pieces comes from the configuration

Cause: times of a fetch (which agent brings a piece next, when a piece is asked from the origin) were worked out from the size that the origin's manifest names, which no digest covers.

Change: the configuration's size counts. If it names none, a size that no piece can have counts as unknown.

Evidence: TestCopyTime failed before: a copy took -2.6 s with a negative size and -2,562,047 hours with 1<<60 bytes. It passes now; figures of a whole system were not taken for this change alone.

--- a/core/route/route.go
+++ b/core/route/route.go
@@ -118,6 +118,8 @@
 	UsualAnswer float64 `json:",omitempty"`
 	// Pieces is the number of pieces of one version of the weights; 0 means unknown.
 	Pieces int `json:",omitempty"`
+	// PieceBytes is the size of a piece in bytes; 0 means unknown.
+	PieceBytes int64 `json:",omitempty"`
 }
 
 // Service is a group of backend servers or the origin server of weights.
--- a/node/stager/stager.go
+++ b/node/stager/stager.go
@@ -108,6 +108,8 @@
 	Version int64
 	// Pieces is the number of pieces of a version; 0 means unknown.
 	Pieces int
+	// PieceBytes is the size of a piece in bytes; 0 means unknown.
+	PieceBytes int64
 	// KnownSince is the time on the boot-time clock at which each version became
 	// known to this agent.
 	KnownSince map[int64]time.Time
@@ -119,12 +121,17 @@
 }
 
 // copyTime returns how long the origin needs to send one copy of a version, or 0
-// if the rate of its link is unknown.
+// if the rate of its link or the size of a piece is unknown. No digest covers the size that
+// a manifest names, so that it counts only if the configuration names none.
 func (t Target) copyTime(m *Manifest) time.Duration {
-	if t.OriginMbps <= 0 {
+	pieceBytes := t.PieceBytes
+	if pieceBytes == 0 && m.PieceBytes <= maxPieceBytes {
+		pieceBytes = m.PieceBytes
+	}
+	if t.OriginMbps <= 0 || pieceBytes <= 0 {
 		return 0
 	}
-	bits := float64(m.PieceBytes) * float64(len(m.Digests)) * 8
+	bits := float64(pieceBytes) * float64(len(m.Digests)) * 8
 	return time.Duration(bits / (t.OriginMbps * 1e6) * float64(time.Second))
 }
 
@@ -251,7 +258,8 @@
 func (s *Stager) SetTarget(t Target) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if t.Model == "" || t.Model == s.target.Model && t.Version <= s.target.Version && t.Origin == s.target.Origin && t.Pieces == s.target.Pieces {
+	if t.Model == "" || t.Model == s.target.Model && t.Version <= s.target.Version && t.Origin == s.target.Origin &&
+		t.Pieces == s.target.Pieces && t.PieceBytes == s.target.PieceBytes {
 		return
 	}
 	if t.Model == s.target.Model && t.Version <= s.target.Version {
--- a/node/stager/stager_test.go
+++ b/node/stager/stager_test.go
@@ -599,6 +599,12 @@
 	m := &Manifest{PieceBytes: 24576, Digests: make([]string, 96)}
 	c.Assert(Target{OriginMbps: 7.3}.copyTime(m).Round(10*time.Millisecond), qt.Equals, 2590*time.Millisecond)
 	c.Assert(Target{}.copyTime(m), qt.Equals, time.Duration(0))
+	// A size that became corrupt must not hold pieces up for hours.
+	for _, corrupt := range []int64{-24576, 1 << 60} {
+		spoilt := &Manifest{PieceBytes: corrupt, Digests: m.Digests}
+		c.Check(Target{OriginMbps: 7.3}.copyTime(spoilt), qt.Equals, time.Duration(0))
+		c.Check(Target{OriginMbps: 7.3, PieceBytes: 24576}.copyTime(spoilt), qt.Equals, Target{OriginMbps: 7.3}.copyTime(m))
+	}
 }
 
 // Between two announcements to the whole region, announcements must go to only
