route: an empty list of workspaces asks for keys

Cause: "no workspaces" stood for "keys are not in use". The operator's configuration was decoded into a list for which an absent field and an empty one are the same, entries hand each other that list, and Authenticate admits every request if it is empty.

Change: a configuration states its access (route.Access). The zero value asks for keys. An entry of the release before hands on a list without the statement; if that list is empty, its answer is refused and this entry reads the store.

Configurations of older tests that have no workspaces and want open access state it. TestWholeRequestSoak draws configurations with an empty list now.

Conclusion: whether keys are in use no longer follows from a list's length.

--- a/bench/fleet/fleet_test.go
+++ b/bench/fleet/fleet_test.go
@@ -106,11 +106,13 @@
 	graceS int
 	// coldPerSecond is what plain servers bear while they are cold; 0 for no limit.
 	coldPerSecond float64
-	entries       []*exec.Cmd
-	agents        []*exec.Cmd
-	version       int64
-	config        int64
-	client        *http.Client
+	// tenants are those of the configuration.
+	tenants []any
+	entries []*exec.Cmd
+	agents  []*exec.Cmd
+	version int64
+	config  int64
+	client  *http.Client
 	// load is what TestPauseSoak plays now.
 	load pauseSoakLoad
 }
@@ -159,6 +161,7 @@
 func newFleet(c *qt.C) *fleet {
 	return &fleet{
 		c: c, dir: c.TempDir(), store: platform.NewStore(), origin: platform.NewOrigin(), version: 1, config: 1,
+		tenants:  []any{map[string]any{"name": "w", "apiKeys": []string{"key"}}},
 		memoryMB: usualMemoryMB, maxBody: usualMaxBody, graceS: int(stopGrace / time.Second),
 		client: &http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}},
 	}
@@ -407,7 +410,7 @@
 			map[string]any{"name": "weights", "origin": originAddress(), "zone": "z"},
 		},
 		"limits":  map[string]any{"maxBodyBytes": f.maxBody},
-		"tenants": []any{map[string]any{"name": "w", "apiKeys": []string{"key"}}},
+		"tenants": f.tenants,
 	})
 	f.c.Check(err, qt.IsNil)
 }
@@ -542,6 +545,30 @@
 	}
 }
 
+// Once the last workspace has been taken away, no entry may pass on a request, neither one
+// that was running nor one that starts then (review/14).
+func TestLastWorkspaceTakenAway(t *testing.T) {
+	c := qt.New(t)
+	f := start(c)
+	c.Check(f.call(0, "/order/", "order-before"), qt.Equals, http.StatusOK)
+	f.tenants = []any{}
+	f.configure()
+	refuses := func(i int) bool { return f.call(i, "/read/", "probe") == http.StatusUnauthorized }
+	for i := range entries {
+		f.eventually("the key refused", func() bool { return refuses(i) })
+	}
+	f.restart(f.entries, 0, syscall.SIGKILL)
+	f.eventually("the key refused after a restart", func() bool { return refuses(0) })
+	for i := range entries {
+		c.Check(f.call(i, "/order/", fmt.Sprint("order-after-", i)), qt.Equals, http.StatusUnauthorized)
+	}
+	for _, s := range f.plains {
+		for i := range entries {
+			c.Check(s.Runs()[fmt.Sprint("order-after-", i)], qt.Equals, 0)
+		}
+	}
+}
+
 // The whole path: every kind of request is answered, a configuration is in force
 // within its bound, and a weight version reaches every engine.
 func TestCalmDay(t *testing.T) {
--- a/bench/fleet/whole_soak_test.go
+++ b/bench/fleet/whole_soak_test.go
@@ -166,14 +166,17 @@
 			services = append(services, map[string]any{"name": name, "coldPerS": float64(random.IntN(2) * 20), "coldStartS": coldStart.Seconds()})
 		}
 	}
-	key := "key"
-	if random.IntN(16) == 0 {
-		key = "other"
+	tenants := []any{map[string]any{"name": "w", "apiKeys": []string{"key"}}}
+	switch random.IntN(16) {
+	case 0:
+		tenants = []any{map[string]any{"name": "w", "apiKeys": []string{"other"}}}
+	case 1:
+		tenants = []any{}
 	}
 	f.c.Check(f.store.Put("keyed.op", "config", map[string]any{
 		"version": version, "routes": routes, "services": services,
 		"limits":  map[string]any{"maxBodyBytes": []int{64 << 10, 1 << 20, 1 << 10}[random.IntN(3)]},
-		"tenants": []any{map[string]any{"name": "w", "apiKeys": []string{key}}},
+		"tenants": tenants,
 	}), qt.IsNil)
 }
 
--- a/core/route/route.go
+++ b/core/route/route.go
@@ -167,6 +167,20 @@
 	Homes []string `json:",omitempty"`
 }
 
+// Access is which requests need the key of a workspace.
+type Access string
+
+const (
+	// AccessUnstated is the access of a configuration that does not say which. Requests
+	// need keys as with AccessByKey. Entries of earlier releases send it.
+	AccessUnstated Access = ""
+	// AccessByKey lets requests without the key of a workspace use public routes only,
+	// also if there is no workspace.
+	AccessByKey Access = "key"
+	// AccessOpen lets requests without a key use all routes.
+	AccessOpen Access = "open"
+)
+
 // Limits holds the limits on what a caller may send.
 type Limits struct {
 	// MaxHeaderBytes and MaxBodyBytes are sizes in bytes; 0 means unlimited.
@@ -183,7 +197,15 @@
 	Routes     []Route
 	Services   []Service
 	Workspaces []Workspace
-	Limits     Limits
+	// Access is stated apart from Workspaces, because an empty list does not tell whether
+	// keys are not in use or have all been taken away.
+	Access Access `json:",omitempty"`
+	Limits Limits
+}
+
+// AccessKnown reports whether the configuration says which requests need a key.
+func (c *Configuration) AccessKnown() bool {
+	return c.Access != AccessUnstated || len(c.Workspaces) > 0
 }
 
 // Table is an index for lookups in one configuration.
@@ -263,9 +285,10 @@
 
 // Authenticate returns the workspace that the key belongs to and reports whether
 // the request is allowed. A nil workspace with ok true means that the request
-// needs no workspace: the route is public or the configuration has no workspaces.
+// needs no workspace: the route is public or the configuration has open access and no
+// workspaces.
 func (t *Table) Authenticate(r *Route, key string) (w *Workspace, ok bool) {
-	if len(t.cfg.Workspaces) == 0 {
+	if t.cfg.Access == AccessOpen && len(t.cfg.Workspaces) == 0 {
 		return nil, true
 	}
 	w = t.workspacesByKey[key]
--- a/core/route/route_test.go
+++ b/core/route/route_test.go
@@ -57,6 +57,36 @@
 	c.Assert(w, qt.IsNil)
 }
 
+// TestAuthenticateWithoutWorkspaces guards against access without a key once the last
+// workspace or its last key has been taken away (review/14).
+func TestAuthenticateWithoutWorkspaces(t *testing.T) {
+	c := qt.New(t)
+	routes := []Route{{Host: "h", Prefix: "/closed/"}, {Host: "h", Prefix: "/open/", Public: true}}
+	for _, test := range []struct {
+		access     Access
+		workspaces []Workspace
+		admitted   bool
+	}{
+		{AccessOpen, nil, true},
+		{AccessOpen, []Workspace{}, true},
+		{AccessByKey, nil, false},
+		{AccessByKey, []Workspace{}, false},
+		{AccessUnstated, nil, false},
+		{"of a later release", nil, false},
+		{AccessOpen, []Workspace{{Name: "w"}}, false},
+		{AccessByKey, []Workspace{{Name: "w", Keys: []string{}}}, false},
+	} {
+		table := NewTable(Configuration{Version: 1, Routes: routes, Workspaces: test.workspaces, Access: test.access})
+		for _, key := range []string{"", "k1"} {
+			w, admitted := table.Authenticate(table.Match("h", "/closed/1"), key)
+			c.Check(admitted, qt.Equals, test.admitted, qt.Commentf("%+v, key %q", test, key))
+			c.Check(w, qt.IsNil)
+			_, admitted = table.Authenticate(table.Match("h", "/open/1"), key)
+			c.Check(admitted, qt.IsTrue, qt.Commentf("%+v, key %q, public route", test, key))
+		}
+	}
+}
+
 // TestServiceFollowsWeights guards against a distribution over services that
 // ignores the weights, and against different services for the same request id.
 func TestServiceFollowsWeights(t *testing.T) {
--- a/node/configsync/client.go
+++ b/node/configsync/client.go
@@ -59,6 +59,23 @@
 	return nil
 }
 
+// ErrAccessUnstated means that an entry of an earlier release has a configuration without
+// workspaces, which does not say whether requests need a key.
+var ErrAccessUnstated = eris.New("the configuration of the entry does not say whether requests need a key")
+
+// checkedAnswer is an answer of an entry that may be unusable.
+type checkedAnswer interface {
+	check() error
+}
+
+// check reports a configuration that does not say which requests need a key.
+func (a configurationAnswer) check() error {
+	if !a.AccessKnown() {
+		return ErrAccessUnstated
+	}
+	return nil
+}
+
 type configurationQuery struct {
 	NewerThan int64 `url:"newer_than"`
 }
@@ -69,6 +86,9 @@
 	cfg := relay.InquiryConfig{Sources: len(addresses), FirstPatience: patience, Patience: patience, Timeout: inquiryTimeout}
 	return inquiry.Run(ctx, cfg, func(ctx context.Context, i int) (answer T, err error) {
 		err = fetchJSON(ctx, client, addresses[i], path, query, &answer)
+		if checked, ok := any(answer).(checkedAnswer); ok && err == nil {
+			err = checked.check()
+		}
 		return answer, err
 	})
 }
@@ -91,6 +111,10 @@
 		s.cfg.Log.Event("entries_silent", "feed", feed, "entries", silent, "ms", result.Duration.Milliseconds(), "answered", from)
 	}
 	for i, cause := range result.Failed {
+		if eris.Is(cause, ErrAccessUnstated) {
+			// The store says what the entry does not.
+			s.unanswered.Store(true)
+		}
 		if !eris.Is(cause, ErrNoContent) {
 			s.cfg.Log.Event("entry_unread", "feed", feed, "from", addresses[i], "cause", cause.Error())
 		}
--- a/node/configsync/syncer_test.go
+++ b/node/configsync/syncer_test.go
@@ -151,7 +151,7 @@
 	reader, remote, follower := newTestEntry(c, "a", "r"), newTestEntry(c, "0", "s"), newTestEntry(c, "b", "r")
 	connect(reader, remote, follower)
 	configure := func(n *testEntry, version int64) {
-		n.gateway.Configure(route.Configuration{Version: version, Services: []route.Service{{Name: "llm"}}}, "test")
+		n.gateway.Configure(route.Configuration{Access: route.AccessOpen, Version: version, Services: []route.Service{{Name: "llm"}}}, "test")
 		n.mesh.SendHello()
 	}
 	configure(remote, 1)
@@ -172,7 +172,7 @@
 	published := follower.gateway.PublishedWeights()["m"][2]
 	c.Assert(published.Exact, qt.IsTrue)
 	c.Assert(published.AgeMS >= 3000 && published.AgeMS < 5000, qt.IsTrue, qt.Commentf("the follower has a version with an age of %d ms, want 3000 to 4999 ms", published.AgeMS))
-	c.Assert(follower.gateway.Configure(route.Configuration{Version: 1}, "test"), qt.IsFalse)
+	c.Assert(follower.gateway.Configure(route.Configuration{Access: route.AccessOpen, Version: 1}, "test"), qt.IsFalse)
 	target, err := FetchTarget(t.Context(), http.DefaultClient, []string{follower.member.Address})
 	c.Assert(err, qt.IsNil)
 	c.Assert(target.Services[0].Name, qt.Equals, "llm")
@@ -188,11 +188,11 @@
 	c := qt.New(t)
 	other, starting := newTestEntry(c, "a", "r"), newTestEntry(c, "b", "s")
 	starting.mesh.Put(other.member)
-	other.gateway.Configure(route.Configuration{Version: 5, StoreEra: 1}, "test")
+	other.gateway.Configure(route.Configuration{Access: route.AccessOpen, Version: 5, StoreEra: 1}, "test")
 	starting.FetchNewer(4)
 	c.Assert(starting.gateway.Table().Version(), qt.Equals, int64(5))
 	c.Assert(starting.gateway.Table().Configuration().StoreEra, qt.Equals, int64(1))
-	c.Assert(starting.gateway.Configure(route.Configuration{Version: 4}, "store"), qt.IsFalse)
+	c.Assert(starting.gateway.Configure(route.Configuration{Access: route.AccessOpen, Version: 4}, "store"), qt.IsFalse)
 }
 
 // hang makes an entry accept requests and answer none, like one that is frozen. Its last
@@ -210,7 +210,7 @@
 	entries := []*testEntry{first, second, follower, remote}
 	configure := func(version int64, on ...*testEntry) {
 		for _, n := range on {
-			n.gateway.Configure(route.Configuration{Version: version, Services: []route.Service{{Name: "llm"}}}, "test")
+			n.gateway.Configure(route.Configuration{Access: route.AccessOpen, Version: version, Services: []route.Service{{Name: "llm"}}}, "test")
 		}
 		for _, n := range on {
 			n.mesh.SendHello()
@@ -234,12 +234,12 @@
 	first, second, follower := newTestEntry(c, "a", "r"), newTestEntry(c, "b", "r"), newTestEntry(c, "c", "r")
 	connect(first, second, follower)
 	for _, n := range []*testEntry{first, second, follower} {
-		n.gateway.Configure(route.Configuration{Version: 1}, "test")
+		n.gateway.Configure(route.Configuration{Access: route.AccessOpen, Version: 1}, "test")
 	}
 	first.hang()
 	second.hang()
 	for _, n := range []*testEntry{first, second} {
-		n.gateway.Configure(route.Configuration{Version: 2}, "test")
+		n.gateway.Configure(route.Configuration{Access: route.AccessOpen, Version: 2}, "test")
 		n.mesh.SendHello()
 	}
 	start := time.Now()
@@ -248,18 +248,46 @@
 	response := httptest.NewRecorder()
 	follower.gateway.ServeHTTP(response, httptest.NewRequest(http.MethodGet, "/new/", nil))
 	c.Check(response.Code, qt.Equals, http.StatusServiceUnavailable)
-	follower.gateway.Configure(route.Configuration{Version: 2}, "store")
+	follower.gateway.Configure(route.Configuration{Access: route.AccessOpen, Version: 2}, "store")
 	response = httptest.NewRecorder()
 	follower.gateway.ServeHTTP(response, httptest.NewRequest(http.MethodGet, "/new/", nil))
 	c.Check(response.Code, qt.Equals, http.StatusNotFound)
 	eventually(c, "the follower went on reading the store for 5 s", func() bool { return !follower.unanswered.Load() })
 }
 
+// Entries that hand each other a configuration must keep what it says about keys, with and
+// without workspaces. One of an earlier release says nothing: its answer must not be taken
+// for open access, and the entry must read the store itself.
+func TestAccessIsHandedOn(t *testing.T) {
+	c := qt.New(t)
+	for _, cfg := range []route.Configuration{
+		{Version: 3, Access: route.AccessByKey, Workspaces: []route.Workspace{}},
+		{Version: 3, Access: route.AccessOpen},
+		{Version: 3, Workspaces: []route.Workspace{{Name: "w"}}},
+	} {
+		running, starting := newTestEntry(c, "a", "r"), newTestEntry(c, "b", "r")
+		running.gateway.Configure(cfg, "test")
+		starting.mesh.Put(running.member)
+		starting.FetchNewer(0)
+		c.Assert(starting.gateway.Table(), qt.IsNotNil)
+		c.Check(starting.gateway.Table().Configuration().Access, qt.Equals, cfg.Access)
+	}
+	older, reader, starting := newTestEntry(c, "a", "r"), newTestEntry(c, "b", "r"), newTestEntry(c, "c", "r")
+	older.gateway.Configure(route.Configuration{Version: 3}, "test")
+	starting.mesh.Put(older.member)
+	starting.mesh.Put(reader.member)
+	starting.SetMembersKnown()
+	c.Check(starting.ReadsStore(), qt.IsFalse)
+	starting.FetchNewer(0)
+	c.Check(starting.gateway.Table(), qt.IsNil)
+	c.Check(starting.ReadsStore(), qt.IsTrue)
+}
+
 // The answer with a configuration must stay as it was for a deployment without
 // evacuations, and carry them for an entry that starts inside one.
 func TestConfigurationCarriesEvacuations(t *testing.T) {
 	c := qt.New(t)
-	cfg := route.Configuration{Version: 3, Routes: []route.Route{{Name: "r", Host: "h", Prefix: "/a/"}}, Services: []route.Service{{Name: "s", Engine: &route.Engine{Slots: 4}}}}
+	cfg := route.Configuration{Access: route.AccessOpen, Version: 3, Routes: []route.Route{{Name: "r", Host: "h", Prefix: "/a/"}}, Services: []route.Service{{Name: "s", Engine: &route.Engine{Slots: 4}}}}
 	plain, err := json.Marshal(configurationAnswer{Configuration: cfg})
 	c.Assert(err, qt.IsNil)
 	want, err := json.Marshal(cfg)
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -224,7 +224,7 @@
 	g.setEntriesView()
 	g.bodies.SetLargest(cfg.Limits.MaxBodyBytes)
 	g.cfg.Log.Event("configuration_taken", "version", cfg.Version, "store_era", cfg.StoreEra, "source", source,
-		"routes", len(cfg.Routes), "workspaces", len(cfg.Workspaces))
+		"routes", len(cfg.Routes), "workspaces", len(cfg.Workspaces), "access", string(cfg.Access))
 	g.logUnknownHomes(cfg)
 	return true
 }
