--- a/core/route/route.go
+++ b/core/route/route.go
@@ -239,7 +239,10 @@
 	for i := range t.cfg.Workspaces {
 		w := &t.cfg.Workspaces[i]
 		for _, key := range w.Keys {
-			t.workspacesByKey[key] = w
+			// An empty key would admit requests without a key.
+			if key != "" {
+				t.workspacesByKey[key] = w
+			}
 		}
 	}
 	for i := range t.cfg.Services {
--- a/core/route/route_test.go
+++ b/core/route/route_test.go
@@ -58,7 +58,7 @@
 }
 
 // TestAuthenticateWithoutWorkspaces guards against access without a key once the last
-// workspace or its last key has been taken away (review/14).
+// workspace or its last key has been taken away, and with an empty key (review/14).
 func TestAuthenticateWithoutWorkspaces(t *testing.T) {
 	c := qt.New(t)
 	routes := []Route{{Host: "h", Prefix: "/closed/"}, {Host: "h", Prefix: "/open/", Public: true}}
@@ -75,6 +75,7 @@
 		{"of a later release", nil, false},
 		{AccessOpen, []Workspace{{Name: "w"}}, false},
 		{AccessByKey, []Workspace{{Name: "w", Keys: []string{}}}, false},
+		{AccessByKey, []Workspace{{Name: "w", Keys: []string{""}}}, false},
 	} {
 		table := NewTable(Configuration{Version: 1, Routes: routes, Workspaces: test.workspaces, Access: test.access})
 		for _, key := range []string{"", "k1"} {
