route: a share without weight gets no requests

If a route's split names one service only, its weight was not looked at, so that a service with weight 0 got every request; a negative weight spoilt the draw for the others. No caller was seen to suffer from it.

Change: weights up to 0 count as 0 for any number of shares. A route without a weight above 0 has no service, as with several shares of weight 0.

Evidence: the new cases of TestServiceFollowsWeights failed before ("one" instead of none) and pass now.

Conclusion: a split means the same for one service and for several.

--- a/core/route/route.go
+++ b/core/route/route.go
@@ -70,19 +70,19 @@
 	return r.Kind == Safe || r.Kind == Stream && r.Resumable
 }
 
-// Service returns the service for a request. The hash of the request id
-// distributes the requests over the shares by weight.
+// Service returns the service for a request, or none if no share has a weight above 0. The
+// hash of the request id distributes the requests over the shares by weight.
 func (r *Route) Service(requestID string) string {
-	if len(r.Shares) == 1 {
-		return r.Shares[0].Service
-	}
 	total := 0
 	for _, s := range r.Shares {
-		total += s.Weight
+		total += max(0, s.Weight)
 	}
 	if total == 0 {
 		return ""
 	}
+	if len(r.Shares) == 1 {
+		return r.Shares[0].Service
+	}
 	h := fnv.New32a()
 	// Writing to a hash never fails.
 	_, _ = h.Write([]byte(requestID))
@@ -91,7 +91,7 @@
 		if draw < s.Weight {
 			return s.Service
 		}
-		draw -= s.Weight
+		draw -= max(0, s.Weight)
 	}
 	return ""
 }
--- a/core/route/route_test.go
+++ b/core/route/route_test.go
@@ -102,6 +102,13 @@
 	share := float64(counts["two"]) / 10000
 	c.Assert(share > 0.05 && share < 0.15, qt.IsTrue, qt.Commentf("service with 10%% of the weight got a share of %v of the requests, want 0.05 to 0.15", share))
 	c.Assert((&Route{Shares: []Share{{"one", 0}, {"two", 0}}}).Service("x"), qt.Equals, "")
+	// A service without weight, or with a negative one, must get nothing.
+	for _, shares := range [][]Share{{{"one", 0}}, {{"one", -1}}, {{"one", -1}, {"two", 0}}} {
+		c.Check((&Route{Shares: shares}).Service("x"), qt.Equals, "", qt.Commentf("%v", shares))
+	}
+	for n := range 100 {
+		c.Check((&Route{Shares: []Share{{"one", -3}, {"two", 2}}}).Service(string(rune('a'+n))), qt.Equals, "two")
+	}
 }
 
 // TestRetryable guards against retries of unsafe requests and of streams that are
