configsync: an entry without stated access is passed over at once

Cause: the flag that makes an entry read the store beside entries of the release before was the one for entries that do not answer, which the next look clears again until 0.8 s have passed.

Change: a flag of its own, cleared once the newest configuration is in force.

Conclusion: beside such an entry the store is read without a delay and only as long as needed.

--- a/node/configsync/client.go
+++ b/node/configsync/client.go
@@ -113,7 +113,7 @@
 	for i, cause := range result.Failed {
 		if eris.Is(cause, ErrAccessUnstated) {
 			// The store says what the entry does not.
-			s.unanswered.Store(true)
+			s.accessUnstated.Store(true)
 		}
 		if !eris.Is(cause, ErrNoContent) {
 			s.cfg.Log.Event("entry_unread", "feed", feed, "from", addresses[i], "cause", cause.Error())
--- a/node/configsync/syncer.go
+++ b/node/configsync/syncer.go
@@ -91,6 +91,9 @@
 
 	// unanswered is set while a configuration is missing and no entry answers for it.
 	unanswered atomic.Bool
+	// accessUnstated is set while a configuration is missing and an entry has one that does
+	// not say which requests need a key.
+	accessUnstated atomic.Bool
 
 	mu         sync.Mutex
 	compressed compressedConfiguration
@@ -139,7 +142,7 @@
 			return false
 		}
 	}
-	return s.cfg.StoreUnreachable() || s.unanswered.Load() || slices.Contains(s.storeReaders(), s.cfg.Self.ID)
+	return s.cfg.StoreUnreachable() || s.unanswered.Load() || s.accessUnstated.Load() || slices.Contains(s.storeReaders(), s.cfg.Self.ID)
 }
 
 // InitialRelays returns the addresses of the region's store readers during the
@@ -230,6 +233,7 @@
 	lag.Update(version, newest, time.Now())
 	if newest == version {
 		s.unanswered.Store(false)
+		s.accessUnstated.Store(false)
 		return
 	}
 	answered := s.fetchConfiguration(ctx, s.sources(live, func(h mesh.Hello) bool { return h.ConfigurationVersion > version }), version)
--- a/node/configsync/syncer_test.go
+++ b/node/configsync/syncer_test.go
@@ -281,6 +281,8 @@
 	starting.FetchNewer(0)
 	c.Check(starting.gateway.Table(), qt.IsNil)
 	c.Check(starting.ReadsStore(), qt.IsTrue)
+	starting.gateway.Configure(route.Configuration{Version: 3, Access: route.AccessByKey}, "store")
+	eventually(c, "the entry went on reading the store for 5 s", func() bool { return !starting.ReadsStore() })
 }
 
 // The answer with a configuration must stay as it was for a deployment without
