stager: one check of the number of pieces ends a fetch

Cause: the check stood in the loop of a fetch and once more behind it, and the log did not say how many pieces a finished fetch had.

Change: one check before the fetch looks for its end; pieces_fetched names the number.

Evidence: node/stager passes with -race.

Conclusion: no change of behaviour.

--- a/node/stager/fetch.go
+++ b/node/stager/fetch.go
@@ -197,13 +197,10 @@
 	if err := f.pullMissing(ctx, &wait); err != nil {
 		return err
 	}
-	if !f.store.fits(f.manifest) {
-		return errManifestReplaced
-	}
 	if fromOrigin || f.replacement {
 		f.publish(f.manifest)
 	}
-	f.cfg.Log.Event("pieces_fetched", "model", f.manifest.Model, "version", f.manifest.Version, "ms", time.Since(start).Milliseconds())
+	f.cfg.Log.Event("pieces_fetched", "model", f.manifest.Model, "version", f.manifest.Version, "pieces", len(f.manifest.Digests), "ms", time.Since(start).Milliseconds())
 	return nil
 }
 
@@ -234,15 +231,18 @@
 	}
 }
 
-// pullMissing pulls pieces until none is missing or ctx ends.
+// pullMissing pulls pieces until none is missing, the manifest no longer fits or ctx ends.
 func (f *fetch) pullMissing(ctx context.Context, wait *sync.WaitGroup) error {
 	feeding, exchanging := 0, 0
 	peersRefreshed := time.Now()
-	for f.swarm.Remaining() > 0 {
+	for {
 		if !f.store.fits(f.manifest) {
 			f.cfg.Log.Event("manifest_refused", "model", f.manifest.Model, "version", f.manifest.Version, "reason", ErrPieceCount.Error(), "digests", len(f.manifest.Digests))
 			return errManifestReplaced
 		}
+		if f.swarm.Remaining() == 0 {
+			return nil
+		}
 		f.recordAnnouncements()
 		if time.Since(peersRefreshed) >= peerRefreshInterval {
 			peersRefreshed = time.Now()
@@ -295,7 +295,6 @@
 			return ctx.Err()
 		}
 	}
-	return nil
 }
 
 // checkLink logs when the downlink becomes narrow.
